--- /dev/null
+++ b/crates/mastweir-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Measures.
+
+fn main() {}
--- /dev/null
+++ b/crates/mastweir-core/src/experts/mod.rs
@@ -0,0 +1,1 @@
+//! When to move an expert, and where to.
--- /dev/null
+++ b/crates/mastweir-core/src/switch/coordinator.rs
@@ -0,0 +1,254 @@
+//! The coordinator's side of a switch, for one group and one epoch.
+//!
+//! Replies in, orders out. It is driven by [`Coordinator::orders`], which says
+//! what to send to which rank now (again, if no reply came), and
+//! [`Coordinator::on`]. It never waits for a rank that is not there: without all
+//! ranks a switch can't begin, and the group is not fit to serve anyway.
+
+use super::{MapVersion, RankReply, RankStatus, Step, Verb};
+
+/// Steps between the highest one seen and a cap at first.
+const MARGIN_MIN: Step = 4;
+const MARGIN_MAX: Step = 4_096;
+
+/// How far a coordinator is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Seals the epoch before at every rank.
+    Sealing,
+    /// All ranks run under this map.
+    Steady(MapVersion),
+    /// Ranks load the map.
+    Preparing(MapVersion),
+    /// Ranks promise not to begin the step. After a rank was lost, the steps
+    /// before the next grant are left out (`jump`), since it may have begun one.
+    Capping {
+        /// The map that will be granted.
+        map: MapVersion,
+        /// The first step that is not to be begun.
+        cap: Step,
+        /// Whether the grant begins beyond the cap.
+        jump: bool,
+    },
+    /// Ranks are given the map from the step on.
+    Granting(MapVersion, Step),
+}
+
+/// A coordinator in one epoch of its lease.
+#[derive(Clone, Debug)]
+pub struct Coordinator {
+    epoch: u64,
+    /// Rises with each change of progress: fences orders and replies of before.
+    round: u64,
+    progress: Progress,
+    /// What the ranks said last.
+    ranks: Vec<Option<RankStatus>>,
+    /// Ranks whose reply in the present progress is in.
+    acked: Vec<bool>,
+    margin: Step,
+    /// The first map of a group in which no rank knows any.
+    first: MapVersion,
+}
+
+impl Coordinator {
+    /// A coordinator that begins with sealing.
+    pub fn new(epoch: u64, ranks: usize, first: MapVersion) -> Self {
+        Self {
+            epoch,
+            round: 1,
+            progress: Progress::Sealing,
+            ranks: vec![None; ranks],
+            acked: vec![false; ranks],
+            margin: MARGIN_MIN,
+            first,
+        }
+    }
+
+    /// How far it is.
+    pub const fn progress(&self) -> Progress {
+        self.progress
+    }
+
+    /// Its epoch.
+    pub const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The present round, which orders carry.
+    pub const fn round(&self) -> u64 {
+        self.round
+    }
+
+    /// What the ranks said last.
+    pub fn statuses(&self) -> &[Option<RankStatus>] {
+        &self.ranks
+    }
+
+    /// Asks all ranks anew: after a rank was replaced while all was steady.
+    pub fn reseal(&mut self) {
+        self.enter(Progress::Sealing);
+    }
+
+    /// Begins to change to `map`. False unless the group is steady.
+    pub fn begin(&mut self, map: MapVersion) -> bool {
+        let Progress::Steady(current) = self.progress else { return false };
+        if map <= current {
+            return false;
+        }
+        self.enter(Progress::Preparing(map));
+        true
+    }
+
+    /// Gives a switch up that has granted nothing yet.
+    pub fn give_up(&mut self) -> bool {
+        match self.progress {
+            Progress::Preparing(_) => {
+                let map = self.current_map();
+                self.enter(Progress::Steady(map));
+                true
+            }
+            Progress::Capping { .. } => {
+                // Caps may have been taken: lift them at a step that none has
+                // begun, which needs all to be capped first. Sealing does it.
+                self.enter(Progress::Sealing);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Orders to send now: to ranks whose reply is missing.
+    pub fn orders(&self) -> Vec<(usize, Verb)> {
+        let waiting = (0..self.ranks.len()).filter(|&rank| !self.acked[rank]);
+        waiting.filter_map(|rank| Some((rank, self.verb(rank)?))).collect()
+    }
+
+    /// Takes the reply to an order of round `round` in.
+    pub fn on(&mut self, rank: usize, round: u64, verb: Verb, reply: RankReply) {
+        let (status, ok) = match reply {
+            RankReply::Ok(status) => (status, true),
+            RankReply::Refused(status) | RankReply::Busy(status) => (status, false),
+            RankReply::NotReady => return,
+        };
+        let current = round == self.round && self.verb(rank) == Some(verb);
+        if status.epoch > self.epoch || !current {
+            return;
+        }
+        if self.is_reborn(rank, &status) {
+            self.ranks[rank] = Some(status);
+            self.enter(Progress::Sealing);
+            return;
+        }
+        self.ranks[rank] = Some(status);
+        match (self.progress, ok) {
+            (Progress::Capping { map, cap, jump }, false) if status.begun >= cap => {
+                self.raise_cap(map, jump);
+            }
+            (_, true) => {
+                self.acked[rank] = true;
+                self.advance();
+            }
+            _ => (),
+        }
+    }
+
+    fn verb(&self, rank: usize) -> Option<Verb> {
+        match self.progress {
+            Progress::Sealing => Some(Verb::Seal),
+            Progress::Steady(_) => None,
+            Progress::Preparing(map) => Some(Verb::Prepare(map)),
+            Progress::Capping { cap, .. } => Some(Verb::Cap(cap)),
+            Progress::Granting(map, step) => {
+                let loaded = self.ranks[rank].is_some_and(|status| status.loaded >= map);
+                Some(if loaded { Verb::Grant(map, step) } else { Verb::Prepare(map) })
+            }
+        }
+    }
+
+    /// A rank of another life has forgotten its grants.
+    fn is_reborn(&self, rank: usize, status: &RankStatus) -> bool {
+        let sealing = self.progress == Progress::Sealing;
+        let known = self.ranks[rank].as_ref();
+        !sealing && known.is_some_and(|last| last.incarnation != status.incarnation)
+    }
+
+    fn advance(&mut self) {
+        if let Progress::Granting(map, _) = self.progress {
+            self.ungrant_unloaded(map);
+        }
+        if !self.acked.iter().all(|acked| *acked) {
+            return;
+        }
+        match self.progress {
+            Progress::Sealing => self.sealed(),
+            Progress::Preparing(map) => {
+                let cap = self.highest_begun() + self.margin;
+                self.enter(Progress::Capping { map, cap, jump: false });
+            }
+            Progress::Capping { map, cap, jump } => {
+                self.enter(Progress::Granting(map, cap + Step::from(jump)));
+            }
+            Progress::Granting(map, _) => {
+                self.margin = (self.margin / 2).max(MARGIN_MIN);
+                self.enter(Progress::Steady(map));
+            }
+            Progress::Steady(_) => (),
+        }
+    }
+
+    /// While granting, a rank that had to load first was not granted yet.
+    fn ungrant_unloaded(&mut self, map: MapVersion) {
+        for (acked, status) in self.acked.iter_mut().zip(&self.ranks) {
+            let granted = status.and_then(|status| status.grant).map(|(map, _)| map);
+            *acked &= granted == Some(map);
+        }
+    }
+
+    /// All ranks of the epoch before are sealed, and their statuses are in.
+    fn sealed(&mut self) {
+        let known: Vec<RankStatus> = self.ranks.iter().flatten().copied().collect();
+        let newest = known.iter().filter_map(|status| status.grant).max_by_key(|grant| grant.1);
+        let fresh = known.iter().any(|status| status.grant.is_none());
+        let Some((map, from)) = newest else {
+            return self.enter(Progress::Granting(self.first, 1));
+        };
+        let all_newest = known.iter().all(|status| status.grant == newest);
+        let capped = known.iter().filter_map(|status| status.cap).max();
+        match (all_newest, fresh, capped) {
+            (true, _, None) => self.enter(Progress::Steady(map)),
+            // Some rank was granted the newest map, so all had promised to
+            // stop before it: the grant may be completed at the others.
+            (false, false, _) => self.enter(Progress::Granting(map, from)),
+            // Caps only: go on under the same map. If a rank was lost, its
+            // former life may have been granted the cap's step and begun it,
+            // but not completed it: the steps up to there are left out.
+            _ => {
+                let past = self.highest_begun().max(from) + 1;
+                let cap = capped.unwrap_or(0).max(past);
+                self.enter(Progress::Capping { map, cap, jump: fresh });
+            }
+        }
+    }
+
+    fn raise_cap(&mut self, map: MapVersion, jump: bool) {
+        self.margin = (self.margin * 2).min(MARGIN_MAX);
+        let cap = self.highest_begun() + self.margin;
+        self.enter(Progress::Capping { map, cap, jump });
+    }
+
+    fn enter(&mut self, progress: Progress) {
+        self.progress = progress;
+        self.round += 1;
+        let steady = matches!(progress, Progress::Steady(_));
+        self.acked.iter_mut().for_each(|acked| *acked = steady);
+    }
+
+    fn highest_begun(&self) -> Step {
+        self.ranks.iter().flatten().map(|status| status.begun).max().unwrap_or(0)
+    }
+
+    fn current_map(&self) -> MapVersion {
+        let grants = self.ranks.iter().flatten().filter_map(|status| status.grant);
+        grants.max_by_key(|grant| grant.1).map_or(self.first, |grant| grant.0)
+    }
+}
--- /dev/null
+++ b/crates/mastweir-core/src/switch/rank.rs
@@ -0,0 +1,154 @@
+//! A rank's side of a switch.
+
+use super::{MapVersion, RankReply, RankStatus, Step, Verb};
+use crate::id::Incarnation;
+
+/// What one rank has promised and was granted.
+///
+/// ```
+/// use mastweir_core::{
+///     id::Incarnation,
+///     switch::{MapVersion, Rank, RankReply, Verb},
+/// };
+///
+/// let mut rank = Rank::new(Incarnation(1));
+/// // Without a grant it runs nothing.
+/// assert_eq!(rank.next_step(), None);
+/// rank.on(1, 1, Verb::Seal);
+/// rank.on(1, 2, Verb::Prepare(MapVersion(1)));
+/// rank.load(MapVersion(1));
+/// rank.on(1, 2, Verb::Grant(MapVersion(1), 1));
+/// assert_eq!(rank.next_step(), Some((1, MapVersion(1))));
+/// rank.begin(1);
+/// rank.on(1, 3, Verb::Cap(2));
+/// assert_eq!(rank.next_step(), None);
+/// // An order of a former coordinator comes late.
+/// assert!(matches!(rank.on(0, 9, Verb::Grant(MapVersion(9), 2)), RankReply::Refused(_)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Rank {
+    incarnation: Incarnation,
+    epoch: u64,
+    /// Highest round of the epoch.
+    round: u64,
+    /// Maps by first step; the last one may be ahead.
+    grants: Vec<(MapVersion, Step)>,
+    cap: Option<Step>,
+    begun: Step,
+    loaded: MapVersion,
+}
+
+impl Rank {
+    /// A rank that has just started: it knows nothing and runs nothing.
+    pub const fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            epoch: 0,
+            round: 0,
+            grants: Vec::new(),
+            cap: None,
+            begun: 0,
+            loaded: MapVersion(0),
+        }
+    }
+
+    /// Carries an order out, or refuses it.
+    pub fn on(&mut self, epoch: u64, round: u64, verb: Verb) -> RankReply {
+        if (epoch, round) < (self.epoch, self.round) {
+            return RankReply::Refused(self.status());
+        }
+        if epoch > self.epoch && verb != Verb::Seal {
+            // The predecessor must be sealed first, or two could act at once.
+            return RankReply::Refused(self.status());
+        }
+        self.epoch = epoch;
+        self.round = round;
+        let done = match verb {
+            Verb::Seal => true,
+            Verb::Prepare(map) => self.loaded >= map,
+            Verb::Cap(step) => self.cap(step),
+            Verb::Grant(map, step) => self.grant(map, step),
+        };
+        match (done, verb) {
+            (true, _) => RankReply::Ok(self.status()),
+            (false, Verb::Prepare(_)) => RankReply::Busy(self.status()),
+            (false, _) => RankReply::Refused(self.status()),
+        }
+    }
+
+    /// The weights of a map are there.
+    pub fn load(&mut self, map: MapVersion) {
+        self.loaded = self.loaded.max(map);
+    }
+
+    /// The next step that may be begun, and its map. `None`: wait.
+    pub fn next_step(&self) -> Option<(Step, MapVersion)> {
+        let next = self.begun + 1;
+        let (map, step) = match self.grants.iter().rev().find(|(_, from)| *from <= next) {
+            Some((map, _)) => (*map, next),
+            // A new rank of a group that goes on further ahead.
+            None => self.grants.first().map(|(map, from)| (*map, *from))?,
+        };
+        if self.cap.is_some_and(|cap| step >= cap) {
+            return None;
+        }
+        Some((step, map))
+    }
+
+    /// A step begins.
+    pub fn begin(&mut self, step: Step) {
+        self.begun = self.begun.max(step);
+        let Some(current) = self.grants.iter().rposition(|(_, from)| *from <= step) else { return };
+        self.grants.drain(..current);
+    }
+
+    /// What it says of itself.
+    pub fn status(&self) -> RankStatus {
+        RankStatus {
+            incarnation: self.incarnation,
+            epoch: self.epoch,
+            grant: self.grants.last().copied(),
+            cap: self.cap,
+            begun: self.begun,
+            loaded: self.loaded,
+        }
+    }
+
+    /// A cap may rise, not fall below what has begun, and not undo a grant.
+    fn cap(&mut self, step: Step) -> bool {
+        let granted_past = self.grants.last().is_some_and(|(_, from)| *from >= step);
+        if step <= self.begun || granted_past {
+            return false;
+        }
+        self.cap = Some(step);
+        true
+    }
+
+    fn grant(&mut self, map: MapVersion, step: Step) -> bool {
+        if self.grants.last() == Some(&(map, step)) {
+            return true;
+        }
+        // A first grant may begin anywhere; a later one only where the cap has
+        // kept the rank from going on.
+        let joins = match (self.grants.last(), self.cap) {
+            (None, _) => true,
+            (Some(_), Some(cap)) => step >= cap && step > self.begun,
+            (Some(_), None) => false,
+        };
+        if !joins || self.loaded < map {
+            return false;
+        }
+        if let Some(cap) = self.cap.take() {
+            self.skip(cap, step);
+        }
+        self.grants.push((map, step));
+        true
+    }
+
+    /// Steps from the cap up to the new grant are never run.
+    fn skip(&mut self, cap: Step, step: Step) {
+        if step > cap {
+            self.grants.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastweir-test-support/src/platform.rs
@@ -0,0 +1,344 @@
+//! The platform: an object API in memory, with faults to switch on.
+
+use crate::{Served, lock, serve};
+use mastweir::platform::{Collection, InstanceSpec, Object};
+use rocket::{
+    Build, Rocket, Shutdown, State,
+    http::{ContentType, Status},
+    response::stream::{ByteStream, stream},
+    serde::json::Json,
+};
+use serde_json::{Value, json};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{sync::watch, time};
+
+/// Changes that a watch may still begin from.
+const HISTORY: usize = 10_000;
+/// Longer than any client waits.
+const NEVER: Duration = Duration::from_secs(30);
+
+/// Faults that a test switches on.
+#[derive(Debug, Default)]
+pub struct Faults {
+    /// All calls fail, and watches end.
+    pub down: AtomicBool,
+    /// Writes land, and their replies are lost.
+    pub lose_replies: AtomicBool,
+    /// Lists are those of when this was switched on.
+    pub stale_lists: AtomicBool,
+    /// Watches stay open and say nothing.
+    pub mute_watches: AtomicBool,
+    /// Time that each call takes, in milliseconds.
+    pub slow_ms: AtomicU64,
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    version: u64,
+    collection: String,
+    event: Value,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Objects {
+    version: u64,
+    by_collection: BTreeMap<String, BTreeMap<String, Value>>,
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    objects: Objects,
+    stale: Option<Objects>,
+    history: VecDeque<Change>,
+}
+
+/// The platform.
+#[derive(Debug)]
+pub struct Platform {
+    store: Mutex<Store>,
+    changed: watch::Sender<u64>,
+    /// Faults to switch on.
+    pub faults: Faults,
+    /// Reads, writes and watches begun.
+    pub calls: [AtomicU64; 3],
+}
+
+type Reply = (Status, (ContentType, String));
+
+impl Platform {
+    /// An empty platform.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            store: Mutex::default(),
+            changed: watch::channel(0).0,
+            faults: Faults::default(),
+            calls: Default::default(),
+        })
+    }
+
+    /// Serves it on loopback.
+    ///
+    /// # Errors
+    ///
+    /// The port is taken.
+    pub async fn serve(self: &Arc<Self>, port: u16) -> eyre::Result<Served> {
+        let platform = self.clone();
+        serve(port, move |rocket| mount(rocket).manage(platform)).await
+    }
+
+    /// Reads, writes and watches begun so far, added up.
+    pub fn calls(&self) -> u64 {
+        self.calls.iter().map(|count| count.load(Ordering::Relaxed)).sum()
+    }
+
+    /// Puts an instance into the instance list, or changes it there.
+    pub fn list_instance(&self, name: &str, spec: &InstanceSpec) {
+        let object = Object::new(name, "platform", "", spec);
+        let value = serde_json::to_value(object).unwrap_or_default();
+        self.put(Collection::Instances.as_str(), name, value);
+    }
+
+    /// Takes an instance off the list.
+    pub fn unlist_instance(&self, name: &str) {
+        self.remove(Collection::Instances.as_str(), name);
+    }
+
+    /// Ends or begins an outage.
+    pub fn set_down(&self, down: bool) {
+        self.faults.down.store(down, Ordering::SeqCst);
+        self.changed.send_modify(|_| ());
+    }
+
+    /// Begins or ends to answer lists with what was there before.
+    pub fn set_stale(&self, stale: bool) {
+        let mut store = lock(&self.store);
+        store.stale = stale.then(|| store.objects.clone());
+        self.faults.stale_lists.store(stale, Ordering::SeqCst);
+    }
+
+    /// Writes an object, whatever its version; gives the new one.
+    pub fn put(&self, collection: &str, name: &str, mut object: Value) -> u64 {
+        let version = {
+            let mut store = lock(&self.store);
+            store.objects.version += 1;
+            let version = store.objects.version;
+            object["metadata"] = json!({"name": name, "resourceVersion": version.to_string()});
+            let objects = store.objects.by_collection.entry(collection.to_owned()).or_default();
+            let former = objects.insert(name.to_owned(), object.clone());
+            let kind = if former.is_some() { "MODIFIED" } else { "ADDED" };
+            store.note(version, collection, kind, &object);
+            version
+        };
+        self.changed.send_modify(|changed| *changed = version);
+        version
+    }
+
+    /// Deletes an object.
+    pub fn remove(&self, collection: &str, name: &str) {
+        let mut store = lock(&self.store);
+        let objects = store.objects.by_collection.entry(collection.to_owned()).or_default();
+        let Some(mut object) = objects.remove(name) else { return };
+        store.objects.version += 1;
+        let version = store.objects.version;
+        object["metadata"]["resourceVersion"] = json!(version.to_string());
+        store.note(version, collection, "DELETED", &object);
+        drop(store);
+        self.changed.send_modify(|changed| *changed = version);
+    }
+
+    async fn enter(&self, kind: usize) -> Result<(), Status> {
+        self.calls[kind].fetch_add(1, Ordering::Relaxed);
+        let slow = self.faults.slow_ms.load(Ordering::Relaxed);
+        if slow > 0 {
+            time::sleep(Duration::from_millis(slow)).await;
+        }
+        if self.is_down() { Err(Status::ServiceUnavailable) } else { Ok(()) }
+    }
+
+    fn is_down(&self) -> bool {
+        self.faults.down.load(Ordering::SeqCst)
+    }
+
+    async fn leave_write(&self) {
+        if self.faults.lose_replies.load(Ordering::SeqCst) {
+            time::sleep(NEVER).await;
+        }
+    }
+
+    fn version_of(&self, collection: &str, name: &str) -> Option<String> {
+        let store = lock(&self.store);
+        let object = store.objects.by_collection.get(collection)?.get(name)?;
+        Some(object["metadata"]["resourceVersion"].as_str()?.to_owned())
+    }
+
+    fn list(&self, collection: &str) -> Value {
+        let store = lock(&self.store);
+        let objects = store.stale.as_ref().unwrap_or(&store.objects);
+        let items: Vec<&Value> =
+            objects.by_collection.get(collection).into_iter().flat_map(BTreeMap::values).collect();
+        let version = objects.version.to_string();
+        json!({"metadata": {"name": collection, "resourceVersion": version}, "items": items})
+    }
+
+    /// Changes of a collection after a version; `None` if that is too old.
+    fn since(&self, collection: &str, version: u64) -> Option<(Vec<Value>, u64)> {
+        let store = lock(&self.store);
+        if store.history.front().is_some_and(|first| first.version > version + 1) {
+            return None;
+        }
+        let newer = store.history.iter().filter(|change| change.version > version);
+        let own = newer.filter(|change| change.collection == collection);
+        Some((own.map(|change| change.event.clone()).collect(), store.objects.version))
+    }
+}
+
+impl Store {
+    fn note(&mut self, version: u64, collection: &str, kind: &str, object: &Value) {
+        let event = json!({"type": kind, "object": object});
+        let collection = collection.to_owned();
+        self.history.push_back(Change { version, collection, event });
+        if self.history.len() > HISTORY {
+            self.history.pop_front();
+        }
+    }
+}
+
+fn mount(rocket: Rocket<Build>) -> Rocket<Build> {
+    let routes = rocket::routes![list, watch_or_list, get, create, update, delete];
+    rocket.mount("/apis/mastweir.dev/v1", routes)
+}
+
+fn ok(status: Status, value: &Value) -> Reply {
+    (status, (ContentType::JSON, value.to_string()))
+}
+
+fn no(status: Status) -> Reply {
+    ok(status, &json!({"status": status.code}))
+}
+
+#[rocket::get("/<collection>", rank = 2)]
+async fn list(platform: &State<Arc<Platform>>, collection: &str) -> Reply {
+    match platform.enter(0).await {
+        Ok(()) => ok(Status::Ok, &platform.list(collection)),
+        Err(status) => no(status),
+    }
+}
+
+#[rocket::get("/<collection>?<watch>&<resourceVersion>&<timeoutSeconds>", rank = 1)]
+#[expect(non_snake_case, reason = "the query's names are the protocol's")]
+async fn watch_or_list<'r>(
+    platform: &'r State<Arc<Platform>>,
+    collection: &'r str,
+    watch: &'r str,
+    resourceVersion: u64,
+    timeoutSeconds: u64,
+    mut shutdown: Shutdown,
+) -> Result<ByteStream<impl rocket::futures::Stream<Item = Vec<u8>> + 'r>, Status> {
+    let _ = watch;
+    platform.enter(2).await?;
+    let (mut events, mut seen) = platform.since(collection, resourceVersion).ok_or(Status::Gone)?;
+    let end = time::Instant::now() + Duration::from_secs(timeoutSeconds);
+    let mut changed = platform.changed.subscribe();
+    Ok(ByteStream(stream! {
+        loop {
+            for event in events {
+                yield format!("{event}\n").into_bytes();
+            }
+            tokio::select! {
+                _ = changed.changed() => (),
+                () = time::sleep_until(end) => return,
+                () = &mut shutdown => return,
+            }
+            if platform.is_down() {
+                return;
+            }
+            while platform.faults.mute_watches.load(Ordering::SeqCst) {
+                time::sleep(Duration::from_millis(20)).await;
+            }
+            match platform.since(collection, seen) {
+                Some((newer, version)) => (events, seen) = (newer, version),
+                None => return,
+            }
+        }
+    }))
+}
+
+#[rocket::get("/<collection>/<name>")]
+async fn get(platform: &State<Arc<Platform>>, collection: &str, name: &str) -> Reply {
+    if let Err(status) = platform.enter(0).await {
+        return no(status);
+    }
+    let store = lock(&platform.store);
+    let object = store.objects.by_collection.get(collection).and_then(|all| all.get(name));
+    object.map_or(no(Status::NotFound), |object| ok(Status::Ok, object))
+}
+
+#[rocket::post("/<collection>", data = "<object>")]
+async fn create(platform: &State<Arc<Platform>>, collection: &str, object: Json<Value>) -> Reply {
+    if let Err(status) = platform.enter(1).await {
+        return no(status);
+    }
+    let name = object["metadata"]["name"].as_str().unwrap_or_default().to_owned();
+    if name.is_empty() {
+        return no(Status::BadRequest);
+    }
+    if platform.version_of(collection, &name).is_some() {
+        return no(Status::Conflict);
+    }
+    finish_write(platform, collection, &name, object.into_inner()).await
+}
+
+#[rocket::put("/<collection>/<name>", data = "<object>")]
+async fn update(
+    platform: &State<Arc<Platform>>,
+    collection: &str,
+    name: &str,
+    object: Json<Value>,
+) -> Reply {
+    if let Err(status) = platform.enter(1).await {
+        return no(status);
+    }
+    let given = object["metadata"]["resourceVersion"].as_str().unwrap_or_default();
+    match platform.version_of(collection, name) {
+        None => no(Status::NotFound),
+        Some(version) if version != given => no(Status::Conflict),
+        Some(_) => finish_write(platform, collection, name, object.into_inner()).await,
+    }
+}
+
+#[rocket::delete("/<collection>/<name>?<resourceVersion>")]
+#[expect(non_snake_case, reason = "the query's names are the protocol's")]
+async fn delete(
+    platform: &State<Arc<Platform>>,
+    collection: &str,
+    name: &str,
+    resourceVersion: &str,
+) -> Reply {
+    if let Err(status) = platform.enter(1).await {
+        return no(status);
+    }
+    match platform.version_of(collection, name) {
+        None => no(Status::NotFound),
+        Some(version) if version != resourceVersion => no(Status::Conflict),
+        Some(_) => {
+            platform.remove(collection, name);
+            platform.leave_write().await;
+            ok(Status::Ok, &json!({}))
+        }
+    }
+}
+
+async fn finish_write(platform: &Platform, collection: &str, name: &str, object: Value) -> Reply {
+    let version = platform.put(collection, name, object.clone());
+    platform.leave_write().await;
+    let mut object = object;
+    object["metadata"] = json!({"name": name, "resourceVersion": version.to_string()});
+    ok(Status::Ok, &object)
+}
--- /dev/null
+++ b/src/bin/mastweir/main.rs
@@ -0,0 +1,3 @@
+//! The operators' tool.
+
+fn main() {}
--- /dev/null
+++ b/src/mastweir/agent/engine.rs
@@ -0,0 +1,203 @@
+//! The engine or plain service beside the agent, over HTTP.
+
+use super::{
+    Shared,
+    answer::{Answer, End},
+    jobs::{self, Job},
+};
+use bytes::{Buf, Bytes, BytesMut};
+use futures_util::StreamExt;
+use mastweir_core::{
+    outcome::Refusal,
+    share::Cost,
+    switch::{RankOrder, RankReply},
+    wire::{PIECE_MAX, Spent},
+};
+use reqwest::{Client, Method, RequestBuilder, Response, header};
+use serde::{Deserialize, Serialize};
+use std::{sync::Arc, time::Duration};
+use tokio::time;
+
+/// How often the engine is asked for its load.
+const POLL: Duration = Duration::from_millis(500);
+/// Time for it to answer that.
+const POLL_TIME: Duration = Duration::from_secs(1);
+/// Time for it to carry out a rank order.
+const ORDER_TIME: Duration = Duration::from_secs(2);
+const EVENT_STREAM: &str = "text/event-stream";
+const EVENT_END: &[u8] = b"\n\n";
+/// Last event of a stream in the protocol of chat completions.
+const LAST_EVENT: &[u8] = b"data: [DONE]";
+
+/// What an engine says of itself at `/load`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Report {
+    /// Step time of the group's slowest rank, in microseconds.
+    pub step_us: u32,
+    /// Slowest rank over mean, in thousandths.
+    pub skew: u16,
+    /// Free room for KV cache, in thousandths.
+    pub kv_free: u16,
+    /// Version of the expert map in force.
+    pub map: u64,
+}
+
+/// Usage in an unstreamed answer.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Usage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Completion {
+    usage: Usage,
+}
+
+/// The engine's client.
+#[derive(Debug)]
+pub struct Engine {
+    client: Client,
+    base: String,
+}
+
+impl Engine {
+    /// A client for the engine at `base`.
+    pub fn new(base: &str) -> eyre::Result<Self> {
+        let client = Client::builder().connect_timeout(Duration::from_secs(1)).build()?;
+        Ok(Self { client, base: base.trim_end_matches('/').to_owned() })
+    }
+
+    /// Passes a rank order on.
+    pub async fn order(&self, order: &RankOrder) -> Result<RankReply, reqwest::Error> {
+        let request = self.client.post(format!("{}/rank", self.base)).json(order);
+        request.timeout(ORDER_TIME).send().await?.error_for_status()?.json().await
+    }
+
+    fn call(&self, job: &Job) -> Option<RequestBuilder> {
+        let start = &job.start;
+        let method = Method::from_bytes(start.method.as_bytes()).ok()?;
+        let request = self.client.request(method, format!("{}{}", self.base, start.path));
+        let request = request
+            .header("x-request-id", &start.request)
+            .header("x-operation-id", start.op.to_string())
+            .header("x-priority", start.class.to_string());
+        let request = match &start.content {
+            Some(content) => request.header(header::CONTENT_TYPE, content),
+            None => request,
+        };
+        let resumed = start.repeatable && start.from > 0;
+        let request =
+            if resumed { request.header("x-resume-from", start.from.to_string()) } else { request };
+        Some(request.body(job.body.clone()))
+    }
+}
+
+/// Asks the engine for its load, again and again.
+pub async fn poll(shared: Arc<Shared>) {
+    loop {
+        time::sleep(POLL).await;
+        shared.jobs.expire();
+        let request = shared.engine.client.get(format!("{}/load", shared.engine.base));
+        let Ok(response) = request.timeout(POLL_TIME).send().await else { continue };
+        if let Ok(report) = response.json().await {
+            shared.jobs.set_engine(report);
+        }
+    }
+}
+
+/// Runs a request in the engine, then lets the next one begin.
+pub async fn run(shared: Arc<Shared>, job: Arc<Job>) {
+    let begun = shared.context.clock.now();
+    let left = job.deadline.since(begun);
+    let end = tokio::select! {
+        end = time::timeout(left, answer(&shared.engine, &job)) => end.unwrap_or(End::Broken),
+        () = job.answer.cancelled() => End::Broken,
+    };
+    let took = shared.context.clock.now().since(begun);
+    slog::debug!(shared.context.log, "request ended"; "request" => &job.start.request,
+        "end" => ?end, "took_ms" => took.as_millis());
+    shared.jobs.ended(&job, end, took);
+    jobs::pump(&shared);
+}
+
+async fn answer(engine: &Engine, job: &Job) -> End {
+    let Some(request) = engine.call(job) else { return End::Refused(Refusal::NotServed) };
+    let response = match request.send().await {
+        Ok(response) => response,
+        // No connection: no byte left.
+        Err(error) if error.is_connect() => return End::Refused(Refusal::EngineAway),
+        Err(_) => return End::Broken,
+    };
+    let content = response.headers().get(header::CONTENT_TYPE);
+    let content = content.and_then(|value| value.to_str().ok()).map(str::to_owned);
+    let streamed = content.as_deref().is_some_and(|content| content.starts_with(EVENT_STREAM));
+    job.answer.head(response.status().as_u16(), content);
+    if streamed { events(response, job).await } else { pieces(response, job).await }
+}
+
+/// Takes a stream apart into events, one a unit.
+async fn events(response: Response, job: &Job) -> End {
+    let mut stream = response.bytes_stream();
+    let mut buffer = BytesMut::new();
+    let mut tokens = 0;
+    let mut complete = false;
+    while let Some(piece) = stream.next().await {
+        let Ok(piece) = piece else { return End::Broken };
+        buffer.extend_from_slice(&piece);
+        while let Some(event) = split_event(&mut buffer) {
+            complete |= event.starts_with(LAST_EVENT);
+            tokens += 1;
+            if !job.answer.push(event).await {
+                return End::Broken;
+            }
+        }
+        if buffer.len() > PIECE_MAX {
+            return End::Broken;
+        }
+    }
+    // A stream that stops without its last event is not whole.
+    if complete { End::Whole(spent(job, tokens)) } else { End::Broken }
+}
+
+async fn pieces(response: Response, job: &Job) -> End {
+    let length = response.content_length();
+    let mut stream = response.bytes_stream();
+    let mut whole = Vec::new();
+    while let Some(piece) = stream.next().await {
+        let Ok(mut piece) = piece else { return End::Broken };
+        whole.extend_from_slice(&piece);
+        while piece.has_remaining() {
+            let part = piece.split_to(piece.len().min(PIECE_MAX));
+            if !job.answer.push(part).await {
+                return End::Broken;
+            }
+        }
+    }
+    if length.is_some_and(|length| length != whole.len() as u64) {
+        return End::Broken;
+    }
+    let completion: Completion = serde_json::from_slice(&whole).unwrap_or_default();
+    End::Whole(spent(job, completion.usage.completion_tokens))
+}
+
+fn split_event(buffer: &mut BytesMut) -> Option<Bytes> {
+    let end = buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
+    Some(buffer.split_to(end + EVENT_END.len()).freeze())
+}
+
+/// What a request has cost, now that its length is known.
+fn spent(job: &Job, generated: u64) -> Spent {
+    let cost = Cost { prefill_milli: 0, decode_milli: job.start.decode_milli, fixed: 0 };
+    Spent { units: job.start.prefill + cost.units(0, generated) }
+}
+
+/// Lets nobody wait for an answer for ever.
+impl Drop for Answer {
+    fn drop(&mut self) {
+        self.end(End::Broken);
+    }
+}
--- /dev/null
+++ b/src/mastweir/agent/jobs.rs
@@ -0,0 +1,289 @@
+//! The requests at an agent: those that wait and those that run.
+//!
+//! One lock holds queue and ledger together, since each change of one is a
+//! change of the other. Nothing waits under it.
+
+use super::{
+    AgentOptions, Shared,
+    answer::{Answer, End},
+    engine,
+};
+use crate::Context;
+use mastweir_core::{
+    id::OpId,
+    outcome::{Ledger, Limits, Order, Refusal, Verdict},
+    share::{CustomerTag, Entry, FairQueue, Offer},
+    time::Uptime,
+    wire::{Load, Start},
+};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+/// Part of the newest reading in the smoothed speed of a slot.
+const SPEED_SMOOTH: f64 = 0.1;
+/// Speed of a slot before any request has ended, in units a second.
+const SPEED_FIRST: f64 = 100.0;
+
+/// A request at the agent.
+#[derive(Debug)]
+pub struct Job {
+    /// The order.
+    pub start: Start,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Its answer.
+    pub answer: Arc<Answer>,
+    /// When it is void, on the agent's clock.
+    pub deadline: Uptime,
+}
+
+#[derive(Debug)]
+struct State {
+    queue: FairQueue<CustomerTag, Arc<Job>>,
+    ledger: Ledger<Arc<Answer>>,
+    running: u16,
+    leaving: bool,
+    speed: f64,
+    engine: engine::Report,
+}
+
+/// All requests at the agent.
+#[derive(Debug)]
+pub struct Jobs {
+    state: Mutex<State>,
+    context: Context,
+    slots: u16,
+    services: Vec<String>,
+}
+
+impl Jobs {
+    /// No requests yet.
+    pub fn new(context: &Context, options: &AgentOptions) -> Self {
+        let state = State {
+            queue: FairQueue::new(options.queue),
+            ledger: Ledger::new(context.incarnation, Limits::default()),
+            running: 0,
+            leaving: false,
+            speed: SPEED_FIRST,
+            engine: engine::Report::default(),
+        };
+        Self {
+            state: Mutex::new(state),
+            context: context.clone(),
+            slots: options.slots,
+            services: options.services.clone(),
+        }
+    }
+
+    /// Takes an order in: queues it, joins it to what is there, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// Why it is refused.
+    pub fn admit(&self, start: Start, body: Vec<u8>) -> Result<Arc<Job>, Refusal> {
+        let now = self.context.clock.now();
+        let deadline = now + Duration::from_millis(u64::from(start.deadline_ms));
+        let first = if start.repeatable { start.from } else { 0 };
+        let answer = Arc::new(Answer::new(!start.repeatable, first));
+        let mut state = self.lock();
+        let mut job = Job { start, body, answer, deadline };
+        if job.start.fence.incarnation != self.context.incarnation {
+            return Err(Refusal::OtherIncarnation);
+        }
+        if !job.start.repeatable {
+            match state.ledger.admit(&order(&job.start), now, job.answer.clone()) {
+                Verdict::Run => (),
+                Verdict::Join(answer) => {
+                    job.answer = answer;
+                    return Ok(Arc::new(job));
+                }
+                Verdict::Refuse(why) => return Err(why),
+            }
+        }
+        let job = Arc::new(job);
+        match self.enqueue(&mut state, &job, now) {
+            Ok(()) => Ok(job),
+            Err(why) => {
+                state.ledger.withdraw(job.start.op, why);
+                Err(why)
+            }
+        }
+    }
+
+    /// Takes the next request out of the queue if a slot is free.
+    pub fn take_next(&self) -> Option<Arc<Job>> {
+        let mut state = self.lock();
+        let now = self.context.clock.now();
+        expire(&mut state, now);
+        while state.running < self.slots {
+            let entry = state.queue.pop()?;
+            let job = entry.item;
+            if !job.start.repeatable && !state.ledger.start(job.start.op) {
+                continue;
+            }
+            if job.answer.is_cancelled() {
+                finish(&mut state, &job, End::Refused(Refusal::Withdrawn));
+                continue;
+            }
+            state.running += 1;
+            return Some(job);
+        }
+        None
+    }
+
+    /// A request that ran has ended, `took` after it was begun.
+    pub fn ended(&self, job: &Job, end: End, took: Duration) {
+        let mut state = self.lock();
+        state.running -= 1;
+        let actual = match end {
+            End::Whole(spent) => spent.units,
+            _ => job.start.cost,
+        };
+        let customer = CustomerTag::of(&job.start.customer);
+        state.queue.settle(customer, job.start.weight, job.start.cost, actual);
+        if let End::Whole(spent) = end {
+            let speed = f64::from(spent.units) / took.as_secs_f64().max(1e-3);
+            state.speed += SPEED_SMOOTH * (speed - state.speed);
+        }
+        finish(&mut state, job, end);
+    }
+
+    /// Withdraws a request that nobody waits for. A request that runs and may
+    /// not be repeated goes on, so that a later connection finds its answer.
+    pub fn abandon(&self, job: &Job, cancel: bool) {
+        let mut state = self.lock();
+        let same =
+            |entry: &Entry<CustomerTag, Arc<Job>>| Arc::ptr_eq(&entry.item.answer, &job.answer);
+        let waited = !state.queue.take_if(same).is_empty();
+        if waited {
+            finish(&mut state, job, End::Refused(Refusal::Withdrawn));
+        } else if cancel || job.start.repeatable {
+            job.answer.cancel();
+        }
+    }
+
+    /// Takes nothing new from now on, and sends away what waits.
+    pub fn leave(&self) {
+        let mut state = self.lock();
+        state.leaving = true;
+        for entry in state.queue.take_if(|_| true) {
+            finish(&mut state, &entry.item, End::Refused(Refusal::Leaving));
+        }
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> u16 {
+        self.lock().running
+    }
+
+    /// Whether nothing runs and nothing waits.
+    pub fn is_idle(&self) -> bool {
+        let state = self.lock();
+        state.running == 0 && state.queue.is_empty()
+    }
+
+    /// What the engine said of itself.
+    pub fn set_engine(&self, report: engine::Report) {
+        self.lock().engine = report;
+    }
+
+    /// Sends away what has waited too long.
+    pub fn expire(&self) {
+        let now = self.context.clock.now();
+        expire(&mut self.lock(), now);
+    }
+
+    /// The agent's report.
+    pub fn load(&self) -> Load {
+        let state = self.lock();
+        let rate = state.speed * f64::from(self.slots);
+        Load {
+            incarnation: self.context.incarnation,
+            uptime: self.context.clock.now(),
+            waiting: u16::try_from(state.queue.len()).unwrap_or(u16::MAX),
+            running: state.running,
+            slots: self.slots,
+            backlog: u32::try_from(state.queue.backlog()).unwrap_or(u32::MAX),
+            rate: rate as u32,
+            step_us: state.engine.step_us,
+            skew: state.engine.skew,
+            kv_free: state.engine.kv_free,
+            map: state.engine.map,
+            leaving: state.leaving,
+        }
+    }
+
+    fn enqueue(&self, state: &mut State, job: &Arc<Job>, now: Uptime) -> Result<(), Refusal> {
+        if state.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if !self.services.contains(&job.start.service) {
+            return Err(Refusal::NotServed);
+        }
+        if job.deadline <= now {
+            return Err(Refusal::Deadline);
+        }
+        let entry = Entry {
+            customer: CustomerTag::of(&job.start.customer),
+            weight: job.start.weight,
+            class: job.start.class,
+            cost: job.start.cost,
+            deadline: job.deadline,
+            item: job.clone(),
+        };
+        match state.queue.offer(entry) {
+            Offer::Taken => Ok(()),
+            Offer::Evicted(other) => {
+                finish(state, &other, End::Refused(Refusal::Overloaded));
+                Ok(())
+            }
+            Offer::Full(_) => Err(Refusal::Overloaded),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Begins as many requests as there are free slots.
+pub fn pump(shared: &Arc<Shared>) {
+    while let Some(job) = shared.jobs.take_next() {
+        tokio::spawn(engine::run(shared.clone(), job));
+    }
+}
+
+/// The ledger's view of an order.
+fn order(start: &Start) -> Order {
+    Order { op: start.op, incarnation: start.fence.incarnation, expires: start.expires }
+}
+
+/// Writes an end to ledger and answer; the ledger first, since whoever reads
+/// the end may act on it.
+fn finish(state: &mut State, job: &Job, end: End) {
+    if !job.start.repeatable {
+        note(&mut state.ledger, job.start.op, end, job.answer.size());
+    }
+    job.answer.end(end);
+}
+
+fn note(ledger: &mut Ledger<Arc<Answer>>, op: OpId, end: End, size: usize) {
+    match end {
+        End::Whole(_) => ledger.finish(op, size),
+        End::Broken => ledger.break_off(op),
+        End::Refused(why) => {
+            if !ledger.withdraw(op, why) {
+                ledger.revoke(op, why);
+            }
+        }
+    }
+}
+
+fn expire(state: &mut State, now: Uptime) {
+    for entry in state.queue.expire(now) {
+        finish(state, &entry.item, End::Refused(Refusal::Deadline));
+    }
+    state.ledger.expire(now);
+}
--- /dev/null
+++ b/src/mastweir/agent/mod.rs
@@ -0,0 +1,133 @@
+//! The agent: the small process in a server's slot.
+//!
+//! Entries open channels to it and hand it orders. It decides who is served
+//! next (a [`FairQueue`]), makes sure that what may not be repeated runs at
+//! most once (a [`Ledger`]), calls the engine or plain service beside it, and
+//! writes the answer where the order's connection, and any that joins it, reads
+//! it ([`answer::Answer`]). It needs the platform only to learn the epoch of
+//! its rank group's lease.
+//!
+//! [`FairQueue`]: mastweir_core::share::FairQueue
+//! [`Ledger`]: mastweir_core::outcome::Ledger
+
+mod answer;
+mod engine;
+mod jobs;
+mod ranks;
+mod reports;
+mod serve;
+
+use crate::{Context, net::Socket, platform::GroupSpec};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{net::TcpListener, sync::watch, task::JoinSet, time};
+
+/// How an agent is set up.
+#[derive(Clone, Debug)]
+pub struct AgentOptions {
+    /// Address to listen at, for channels and datagrams; port 0 chooses one.
+    pub listen: SocketAddr,
+    /// Base address of the engine or plain service.
+    pub engine: String,
+    /// Services that it serves.
+    pub services: Vec<String>,
+    /// Requests that run in it at once at most.
+    pub slots: u16,
+    /// Requests that wait at most.
+    pub queue: usize,
+    /// The part of a rank group that the server holds.
+    pub group: Option<GroupSpec>,
+    /// Time that running requests have at a planned stop.
+    pub grace: Duration,
+}
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Agent {
+    /// Where it listens for channels.
+    pub tcp: SocketAddr,
+    /// Where it listens for datagrams.
+    pub udp: SocketAddr,
+    shared: Arc<Shared>,
+    tasks: JoinSet<()>,
+}
+
+/// What the agent's tasks share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    context: Context,
+    options: AgentOptions,
+    jobs: jobs::Jobs,
+    ranks: ranks::Ranks,
+    engine: engine::Engine,
+    socket: Socket,
+    subscribers: reports::Subscribers,
+    stop: watch::Sender<bool>,
+}
+
+impl Agent {
+    /// Starts an agent.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be used.
+    pub async fn start(context: Context, options: AgentOptions) -> eyre::Result<Self> {
+        let listener = TcpListener::bind(options.listen).await?;
+        let tcp = listener.local_addr()?;
+        let at = SocketAddr::new(tcp.ip(), options.listen.port());
+        let socket = Socket::bind(at, context.fence(), &context.secret).await?;
+        let udp = socket.local_addr()?;
+        let engine = engine::Engine::new(&options.engine)?;
+        let jobs = jobs::Jobs::new(&context, &options);
+        let ranks = ranks::Ranks::new(options.group.clone());
+        let (stop, _) = watch::channel(false);
+        let shared = Arc::new(Shared {
+            context,
+            options,
+            jobs,
+            ranks,
+            engine,
+            socket,
+            subscribers: reports::Subscribers::default(),
+            stop,
+        });
+        let mut tasks = JoinSet::new();
+        tasks.spawn(serve::accept(shared.clone(), listener));
+        tasks.spawn(reports::answer_subscribers(shared.clone()));
+        tasks.spawn(reports::send(shared.clone()));
+        tasks.spawn(engine::poll(shared.clone()));
+        tasks.spawn(ranks::learn(shared.clone()));
+        slog::info!(shared.context.log, "agent listens"; "tcp" => %tcp, "udp" => %udp,
+            "incarnation" => shared.context.incarnation.0);
+        Ok(Self { tcp, udp, shared, tasks })
+    }
+
+    /// Bytes of datagrams sent and received, and datagrams dropped.
+    pub fn traffic(&self) -> (u64, u64, u64) {
+        let (sent, received) = self.shared.socket.traffic();
+        (sent, received, self.shared.socket.dropped())
+    }
+
+    /// Stops as planned: takes nothing new, says so, and ends when all that
+    /// runs has ended, or its time is over.
+    pub async fn stop(mut self) {
+        let shared = self.shared.clone();
+        slog::info!(shared.context.log, "agent leaves"; "running" => shared.jobs.running());
+        shared.jobs.leave();
+        reports::tell_all(&shared).await;
+        let idle = async {
+            while !shared.jobs.is_idle() {
+                time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let in_time = time::timeout(shared.options.grace, idle).await.is_ok();
+        let _ = shared.stop.send(true);
+        self.tasks.shutdown().await;
+        slog::info!(shared.context.log, "agent has left"; "all_ended" => in_time);
+    }
+
+    /// Ends at once, as a crash would.
+    pub async fn kill(mut self) {
+        let _ = self.shared.stop.send(true);
+        self.tasks.shutdown().await;
+    }
+}
--- /dev/null
+++ b/src/mastweir/entry/calls.rs
@@ -0,0 +1,472 @@
+//! Carries out what a call asks for.
+//!
+//! The decisions are [`Call`]'s and the router's; here are the sockets, the
+//! timers and the log lines. A call runs as a task of its own and reports to
+//! the handler that started it: a whole answer, the beginning of a stream, or a
+//! problem.
+
+use super::{
+    Shared,
+    admit::Admitted,
+    attempt::{self, Came, Link},
+    decisions::Decision,
+    keys::{self, Places},
+    lock,
+    problem::{Kind, Problem},
+    view::Chosen,
+};
+use bytes::Bytes;
+use mastweir_core::{
+    id::{Fence, OpId},
+    outcome::{Action, Binding, Call, Event, Evidence, Outcome, Plan},
+    route::{Request, Signal},
+    table::Service,
+    time::Uptime,
+    wire::Start,
+};
+use rand::Rng;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+/// Bytes of an answer that is not a stream at most.
+const ANSWER_MAX: usize = 4 << 20;
+/// Units of a stream between the server and a slow caller.
+const STREAM_ROOM: usize = 32;
+/// Silence between two units of a stream that counts as a stall.
+const STALL: Duration = Duration::from_millis(1_500);
+/// What the agent has less of a deadline than the entry: its refusal comes in
+/// time, and proves that the request did not run.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// A request that was read and let in.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Its id.
+    pub id: String,
+    /// Name of its customer.
+    pub customer: String,
+    /// The customer's weight.
+    pub weight: f64,
+    /// Name of the service.
+    pub service_name: String,
+    /// The service's row.
+    pub service: Service,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query at the server.
+    pub path: String,
+    /// Content type of the body.
+    pub content: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// Whether a stream is asked for.
+    pub streamed: bool,
+    /// Key of a call that may not be repeated.
+    pub key: Option<String>,
+    /// Units of the prompt.
+    pub prefill: u32,
+    /// Units estimated in all.
+    pub cost: u32,
+    /// Hash of the prompt's prefix.
+    pub prefix: Option<u64>,
+}
+
+impl Order {
+    /// What the router looks at.
+    pub fn routing<'a>(&self, tried: &'a [String]) -> Request<'a> {
+        Request { prefix: self.prefix, saves: self.prefill / 2, cost: self.cost, tried }
+    }
+}
+
+/// What the handler answers with.
+#[derive(Debug)]
+pub enum Reply {
+    /// All of it.
+    Whole {
+        /// HTTP status.
+        status: u16,
+        /// Content type.
+        content: Option<String>,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// A stream that has begun.
+    Stream {
+        /// HTTP status.
+        status: u16,
+        /// Content type.
+        content: Option<String>,
+        /// Its units.
+        units: mpsc::Receiver<Bytes>,
+    },
+    /// No answer.
+    Problem(Problem),
+}
+
+/// A call in progress.
+struct Driver {
+    shared: Arc<Shared>,
+    order: Order,
+    admitted: Admitted,
+    op: OpId,
+    bindings: Vec<Binding>,
+    deadline: Uptime,
+    link: Option<Link>,
+    tried: Vec<String>,
+    reply: Option<oneshot::Sender<Reply>>,
+    stream: Option<mpsc::Sender<Bytes>>,
+    head: (u16, Option<String>),
+    body: Vec<u8>,
+}
+
+/// Runs a request to its end.
+pub async fn run(
+    shared: Arc<Shared>,
+    order: Order,
+    admitted: Admitted,
+    reply: oneshot::Sender<Reply>,
+) {
+    shared.active.fetch_add(1, Ordering::SeqCst);
+    lock(&shared.budget).deposit();
+    let limit = Duration::from_millis(u64::from(order.service.deadline_ms));
+    let mut driver = Driver {
+        deadline: shared.context.clock.now() + limit,
+        shared: shared.clone(),
+        op: OpId([0; 16]),
+        bindings: Vec::new(),
+        order,
+        admitted,
+        link: None,
+        tried: Vec::new(),
+        reply: Some(reply),
+        stream: None,
+        head: (0, None),
+        body: Vec::new(),
+    };
+    driver.run().await;
+    shared.active.fetch_sub(1, Ordering::SeqCst);
+}
+
+impl Driver {
+    async fn run(&mut self) {
+        if self.order.service.repeatable {
+            let resumable = self.order.service.resumable && self.order.streamed;
+            let end = self.drive(Call::new(Plan::Repeatable { resumable })).await;
+            return self.conclude(end).await;
+        }
+        let places = match keys::places(&self.shared, &self.order).await {
+            Ok(places) => places,
+            Err(kind) => return self.refuse(kind).await,
+        };
+        let former = places.former.clone();
+        let end = self.once(places).await;
+        let Some(former) = former.filter(|_| end.0 == Outcome::NotRun) else {
+            return self.conclude(end).await;
+        };
+        // An earlier submission was refused everywhere, which is final for
+        // those places. This one may run at others.
+        match keys::rebind(&self.shared, &self.order, &former).await {
+            Ok(places) => {
+                let end = self.once(places).await;
+                self.conclude(end).await;
+            }
+            Err(kind) => self.refuse(kind).await,
+        }
+    }
+
+    async fn once(&mut self, places: Places) -> (Outcome, Option<Evidence>) {
+        if let Some(chosen) = &places.chosen {
+            self.log_choice(chosen);
+        }
+        let fences = places.bindings.iter().map(|binding| binding.fence.clone()).collect();
+        self.op = places.op;
+        self.bindings = places.bindings;
+        self.drive(Call::new(Plan::Once { fences, private: places.private })).await
+    }
+
+    /// Feeds the call until it finishes.
+    async fn drive(&mut self, mut call: Call) -> (Outcome, Option<Evidence>) {
+        let mut action = call.begin();
+        loop {
+            action = match action {
+                Action::Route => {
+                    let fence = self.route();
+                    call.routed(fence)
+                }
+                Action::Open { fence, from, wait } => {
+                    self.open(&mut call, &fence, from, wait).await
+                }
+                Action::Read => self.read(&mut call).await,
+                Action::DeliverHead => {
+                    self.deliver_head(&mut call);
+                    self.read(&mut call).await
+                }
+                Action::Deliver => self.deliver(&mut call).await,
+                Action::Finish { outcome, evidence, cancel } => {
+                    self.close(outcome, evidence, cancel).await;
+                    return (outcome, evidence);
+                }
+            };
+        }
+    }
+
+    fn route(&mut self) -> Option<Fence> {
+        let chosen = {
+            let view = lock(&self.shared.view);
+            let now = self.shared.context.clock.now();
+            let mut rng = lock(&self.shared.rng);
+            let request = self.order.routing(&self.tried);
+            view.choose(&self.order.service_name, &request, now, &mut *rng)
+        };
+        match &chosen {
+            Some(chosen) => self.log_choice(chosen),
+            None => self.log_none(),
+        }
+        chosen.map(|chosen| chosen.fence)
+    }
+
+    async fn open(&mut self, call: &mut Call, fence: &Fence, from: u64, wait: Duration) -> Action {
+        if let Some(link) = self.link.take() {
+            drop(link);
+        }
+        if !wait.is_zero() {
+            let jitter = rand::rng().random_range(0.5..1.5);
+            time::sleep(wait.mul_f64(jitter)).await;
+        }
+        let now = self.shared.context.clock.now();
+        if now >= self.deadline {
+            return self.feed(call, Event::Deadline);
+        }
+        self.tried.push(fence.server.clone());
+        let opened = attempt::open(&self.shared, &fence.server).await;
+        let Ok(mut link) = opened else {
+            self.signal(&fence.server, Signal::Failed);
+            return self.feed(call, Event::OpenFailed);
+        };
+        let opened = self.feed(call, Event::Opened);
+        let service = &self.order.service_name;
+        lock(&self.shared.view).sent(service, &fence.server, self.order.cost);
+        if link.start(self.start(fence, from), &self.order.body).await.is_err() {
+            self.signal(&fence.server, Signal::Failed);
+            return self.feed(call, Event::Lost);
+        }
+        self.link = Some(link);
+        opened
+    }
+
+    /// The order for an agent.
+    fn start(&self, fence: &Fence, from: u64) -> Start {
+        let order = &self.order;
+        let left = self.deadline.since(self.shared.context.clock.now());
+        let left = left.saturating_sub(DEADLINE_MARGIN).as_millis();
+        let binding = self.bindings.iter().find(|binding| binding.fence == *fence);
+        Start {
+            request: order.id.clone(),
+            op: self.op,
+            fence: fence.clone(),
+            repeatable: order.service.repeatable,
+            expires: binding.map(|binding| binding.expires).unwrap_or_default(),
+            deadline_ms: u32::try_from(left).unwrap_or(u32::MAX),
+            from,
+            service: order.service_name.clone(),
+            customer: order.customer.clone(),
+            weight: lock(&self.shared.usage).weight(&order.customer, order.weight),
+            class: order.service.class,
+            cost: order.cost,
+            prefill: order.prefill,
+            decode_milli: order.service.cost.decode_milli,
+            method: order.method.clone(),
+            path: order.path.clone(),
+            content: order.content.clone(),
+            body_len: u32::try_from(order.body.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    async fn read(&mut self, call: &mut Call) -> Action {
+        let Some(link) = &mut self.link else { return self.feed(call, Event::Lost) };
+        let left = self.deadline.since(self.shared.context.clock.now());
+        let resumable = self.order.service.resumable && self.stream.is_some();
+        let patience = if resumable { left.min(STALL) } else { left };
+        let Ok(came) = time::timeout(patience, link.next(&self.shared)).await else {
+            return self.silence(call, patience < left).await;
+        };
+        self.take(call, came)
+    }
+
+    fn take(&mut self, call: &mut Call, came: Came) -> Action {
+        if let Some(head) = came.head {
+            self.head = head;
+        }
+        if let Some(spent) = came.spent {
+            self.admitted.settle(spent.units);
+        }
+        if matches!(came.event, Event::Chunk { .. }) {
+            let before = self.body.len();
+            self.body.extend_from_slice(&came.bytes);
+            let action = self.feed(call, came.event);
+            if action != Action::Deliver {
+                self.body.truncate(before);
+            }
+            return action;
+        }
+        if came.event == Event::Lost {
+            let server = self.tried.last().cloned().unwrap_or_default();
+            self.signal(&server, Signal::Failed);
+        }
+        self.feed(call, came.event)
+    }
+
+    async fn silence(&mut self, call: &mut Call, stalled: bool) -> Action {
+        if !stalled {
+            return self.feed(call, Event::Deadline);
+        }
+        let server = self.tried.last().cloned().unwrap_or_default();
+        slog::warn!(self.shared.context.log, "stream stalled; moves it to another server";
+            "request" => &self.order.id, "server" => &server);
+        self.signal(&server, Signal::Stalled);
+        if let Some(link) = self.link.take() {
+            link.cancel().await;
+        }
+        self.feed(call, Event::Lost)
+    }
+
+    fn deliver_head(&mut self, call: &mut Call) {
+        self.admitted.begins();
+        self.body.clear();
+        let (status, content) = self.head.clone();
+        let streamed = content.as_deref().is_some_and(|content| content.starts_with(EVENT_STREAM));
+        if !streamed || self.stream.is_some() {
+            return;
+        }
+        call.commit();
+        let (sender, units) = mpsc::channel(STREAM_ROOM);
+        self.stream = Some(sender);
+        self.reply(Reply::Stream { status, content, units });
+    }
+
+    async fn deliver(&mut self, call: &mut Call) -> Action {
+        let Some(stream) = &self.stream else {
+            if self.body.len() > ANSWER_MAX {
+                return self.feed(call, Event::CallerGone);
+            }
+            return self.read(call).await;
+        };
+        let unit = Bytes::from(std::mem::take(&mut self.body));
+        let left = self.deadline.since(self.shared.context.clock.now());
+        match time::timeout(left, stream.send(unit)).await {
+            Ok(Ok(())) => self.read(call).await,
+            Ok(Err(_)) => self.feed(call, Event::CallerGone),
+            Err(_) => self.feed(call, Event::Deadline),
+        }
+    }
+
+    fn feed(&self, call: &mut Call, event: Event) -> Action {
+        call.on(event, &mut lock(&self.shared.budget))
+    }
+
+    /// The last attempt is over.
+    async fn close(&mut self, outcome: Outcome, evidence: Option<Evidence>, cancel: bool) {
+        let Some(link) = self.link.take() else { return };
+        if cancel {
+            link.cancel().await;
+        } else if outcome == Outcome::Done || matches!(evidence, Some(Evidence::Refused(_))) {
+            link.give_back(&self.shared);
+        }
+        if outcome == Outcome::Done
+            && let Some(server) = self.tried.last().cloned()
+        {
+            self.signal(&server, Signal::Good);
+        }
+    }
+
+    fn signal(&self, server: &str, signal: Signal) {
+        let now = self.shared.context.clock.now();
+        let service = &self.order.service_name;
+        if lock(&self.shared.view).ended(service, server, Some(signal), now) {
+            slog::warn!(self.shared.context.log, "server ejected"; "server" => server,
+                "signal" => ?signal);
+        }
+    }
+
+    async fn conclude(&mut self, (outcome, evidence): (Outcome, Option<Evidence>)) {
+        self.log_end(outcome, evidence);
+        if outcome != Outcome::Done {
+            return self.tell(Kind::of(outcome, evidence), outcome).await;
+        }
+        let (status, content) = std::mem::take(&mut self.head);
+        let body = std::mem::take(&mut self.body);
+        self.reply(Reply::Whole { status, content, body });
+    }
+
+    /// Refused before any attempt.
+    async fn refuse(&mut self, kind: Kind) {
+        let may_have_run = matches!(kind, Kind::KeyUnknown | Kind::BadTicket);
+        let outcome = if may_have_run { Outcome::Unknown } else { Outcome::NotRun };
+        self.log_end(outcome, None);
+        self.tell(kind, outcome).await;
+    }
+
+    async fn tell(&mut self, kind: Kind, outcome: Outcome) {
+        let problem = Problem::new(kind, outcome, &self.order.id, None);
+        // A stream that has begun ends with an event that says so, and without
+        // the last event of a whole one.
+        if let Some(stream) = self.stream.take() {
+            let json = serde_json::to_string(&problem).unwrap_or_default();
+            let event = Bytes::from(format!("event: error\ndata: {json}\n\n"));
+            let _ = stream.send(event).await;
+            return;
+        }
+        self.reply(Reply::Problem(problem));
+    }
+
+    /// The handler may have gone; then nobody is to be told.
+    fn reply(&mut self, reply: Reply) {
+        if let Some(sender) = self.reply.take() {
+            let _ = sender.send(reply);
+        }
+    }
+
+    fn log_choice(&self, chosen: &Chosen) {
+        let why = explain(chosen);
+        let server = chosen.fence.to_string();
+        slog::info!(self.shared.context.log, "route"; "request" => &self.order.id,
+            "customer" => &self.order.customer, "service" => &self.order.service_name,
+            "server" => &server, "why" => &why);
+        self.decide(format!("route to {server}"), why);
+    }
+
+    fn log_none(&self) {
+        slog::info!(self.shared.context.log, "no server"; "request" => &self.order.id,
+            "service" => &self.order.service_name, "tried" => self.tried.join(" "));
+        self.decide("no server".to_owned(), format!("none open, tried {:?}", self.tried));
+    }
+
+    fn log_end(&self, outcome: Outcome, evidence: Option<Evidence>) {
+        slog::info!(self.shared.context.log, "end"; "request" => &self.order.id,
+            "outcome" => %outcome, "evidence" => ?evidence, "attempts" => self.tried.len());
+        self.shared.context.metrics.count_tagged("request", "outcome", &outcome.to_string());
+        self.decide(format!("end {outcome}"), format!("{evidence:?}"));
+    }
+
+    fn decide(&self, what: String, why: String) {
+        let subject = self.order.id.clone();
+        self.shared.decisions.add(Decision { subject, what, why });
+    }
+}
+
+/// The figures of a decision in one line.
+fn explain(chosen: &Chosen) -> String {
+    let seen = chosen.choice.seen.iter().zip(&chosen.names).map(|(seen, name)| {
+        let home = if seen.home { " home" } else { "" };
+        format!("{name}={:.1}ms{home}", seen.wait * 1e3)
+    });
+    let seen: Vec<String> = seen.collect();
+    format!("{:?} of {}", chosen.choice.reason, seen.join(" "))
+}
--- /dev/null
+++ b/src/mastweir/entry/fleet.rs
@@ -0,0 +1,172 @@
+//! Who is there: the instance list, heartbeats and reports.
+
+use super::{Shared, lock, table, usage};
+use crate::platform::{Collection, InstanceRole, InstanceSpec, InstanceState, WatchEvent};
+use futures_util::StreamExt;
+use mastweir_core::{member::Heard, wire::Packet};
+use rand::{
+    Rng,
+    seq::{IndexedRandom, IteratorRandom},
+};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use tokio::time;
+
+/// Time between heartbeats.
+const BEAT: Duration = Duration::from_secs(1);
+/// Peers that a heartbeat goes to.
+const FANOUT: usize = 3;
+/// Members named in a heartbeat.
+const NAMED: usize = 6;
+/// Bytes a second that reports may take, and what one takes with its headers.
+const REPORT_BUDGET: u64 = 2_500;
+const REPORT_LEN: u64 = 110;
+/// Time between reports in a small fleet.
+const REPORT_MIN: Duration = Duration::from_millis(500);
+const RETRY_MIN: Duration = Duration::from_millis(100);
+const RETRY_MAX: Duration = Duration::from_secs(2);
+
+/// Follows the instance list.
+pub async fn follow(shared: Arc<Shared>) {
+    let mut wait = RETRY_MIN;
+    loop {
+        match watch(&shared).await {
+            Ok(()) => wait = RETRY_MIN,
+            Err(error) => {
+                slog::warn!(shared.context.log, "can't watch the instances; goes on with the last list";
+                    "error" => format!("{error:#}"));
+                time::sleep(wait).await;
+                wait = (wait * 2).min(RETRY_MAX);
+            }
+        }
+    }
+}
+
+/// Takes datagrams in.
+pub async fn receive(shared: Arc<Shared>) {
+    while let Ok(received) = shared.socket.recv().await {
+        let datagram = received.datagram;
+        let now = shared.context.clock.now();
+        match datagram.packet {
+            Packet::Report(load) if load.incarnation == datagram.incarnation => {
+                lock(&shared.view).report(&datagram.from, &load, now);
+            }
+            Packet::Heartbeat { table, beat, leaving, heard } => {
+                let incarnation = datagram.incarnation;
+                let own = Heard { name: datagram.from.clone(), incarnation, beat, leaving };
+                hear(&shared, &own, &heard);
+                if table::is_behind(&shared, table) {
+                    fetch_from(&shared, &datagram.from);
+                }
+            }
+            Packet::Usage(rows) => usage::receive(&shared, &datagram.from, rows),
+            Packet::Report(_) | Packet::Subscribe { .. } => (),
+        }
+    }
+}
+
+/// Sends heartbeats and subscriptions.
+pub async fn beat(shared: Arc<Shared>) {
+    loop {
+        let jitter = lock(&shared.rng).random_range(0.9..1.1);
+        time::sleep(BEAT.mul_f64(jitter)).await;
+        lock(&shared.members).tick(shared.context.clock.now());
+        tell_some(shared.clone()).await;
+        subscribe(&shared).await;
+    }
+}
+
+/// Sends a heartbeat to some peers of the hall, and to one of another hall.
+pub async fn tell_some(shared: Arc<Shared>) {
+    let peers = pick_peers(&shared);
+    if peers.is_empty() {
+        return;
+    }
+    let packet = heartbeat(&shared);
+    for addr in peers {
+        shared.socket.send(addr, &packet).await;
+    }
+}
+
+async fn watch(shared: &Arc<Shared>) -> eyre::Result<()> {
+    let platform = &shared.context.platform;
+    let list = platform.list::<InstanceSpec>(Collection::Instances).await?;
+    let version = list.metadata.resource_version.parse().unwrap_or(0);
+    let items = list.items.into_iter();
+    let instances: BTreeMap<_, _> =
+        items.map(|object| (object.metadata.name, object.spec)).collect();
+    slog::info!(shared.context.log, "instance list"; "instances" => instances.len());
+    lock(&shared.view).list(instances);
+    subscribe(shared).await;
+    let mut events = platform.watch::<InstanceSpec>(Collection::Instances, version).await?;
+    while let Some(event) = events.next().await {
+        match event? {
+            WatchEvent::Added(object) | WatchEvent::Modified(object) => {
+                let name = object.metadata.name;
+                if object.spec.state == InstanceState::Leaving {
+                    lock(&shared.members).leave(&name);
+                }
+                lock(&shared.view).change(&name, Some(object.spec));
+            }
+            WatchEvent::Deleted(object) => {
+                lock(&shared.view).change(&object.metadata.name, None);
+            }
+        }
+        subscribe(shared).await;
+    }
+    Ok(())
+}
+
+fn hear(shared: &Shared, own: &Heard, others: &[Heard]) {
+    let now = shared.context.clock.now();
+    let mut members = lock(&shared.members);
+    members.hear(own, now);
+    for other in others.iter().filter(|other| other.name != shared.context.name) {
+        members.hear(other, now);
+    }
+}
+
+fn fetch_from(shared: &Arc<Shared>, peer: &str) {
+    let Some(addr) = lock(&shared.view).instance(peer).map(|spec| spec.tcp) else { return };
+    let shared = shared.clone();
+    tokio::spawn(async move { table::fetch(&shared, addr).await });
+}
+
+fn pick_peers(shared: &Shared) -> Vec<SocketAddr> {
+    let view = lock(&shared.view);
+    let own = &shared.context;
+    let peers: Vec<_> =
+        view.of_role(InstanceRole::Entry).filter(|(name, _)| *name != own.name).collect();
+    let near: Vec<_> = peers.iter().filter(|(_, spec)| spec.hall == own.hall).collect();
+    let far = peers.iter().filter(|(_, spec)| spec.hall != own.hall);
+    let mut rng = lock(&shared.rng);
+    let mut addrs: Vec<SocketAddr> =
+        near.choose_multiple(&mut *rng, FANOUT).map(|(_, spec)| spec.udp).collect();
+    addrs.extend(far.choose(&mut *rng).map(|(_, spec)| spec.udp));
+    addrs
+}
+
+fn heartbeat(shared: &Shared) -> Packet {
+    let table = lock(&shared.table).digest();
+    let leaving = shared.leaving.load(Ordering::SeqCst);
+    let beat = shared.context.clock.now().0;
+    let heard = lock(&shared.members).sample(NAMED, &mut *lock(&shared.rng));
+    Packet::Heartbeat { table, beat, leaving, heard }
+}
+
+/// Asks all servers that are routed to for reports, as often as there is room
+/// for in the budget.
+async fn subscribe(shared: &Shared) {
+    let watched = lock(&shared.view).watched();
+    let fit = Duration::from_millis(1_000 * REPORT_LEN * watched.len() as u64 / REPORT_BUDGET);
+    let every = fit.max(REPORT_MIN);
+    let due = lock(&shared.usage).subscription_due(&watched, every, shared.context.clock.now());
+    let every_ms = u32::try_from(every.as_millis()).unwrap_or(u32::MAX);
+    for addr in due {
+        shared.socket.send(addr, &Packet::Subscribe { every_ms }).await;
+    }
+}
--- /dev/null
+++ b/src/mastweir/entry/http.rs
@@ -0,0 +1,365 @@
+//! Towards callers: HTTP by `rocket`.
+
+use super::{
+    Shared,
+    admit::{self, Denied},
+    calls::{self, Order, Reply},
+    keys, lock, operator,
+    problem::{Kind, Problem},
+};
+use bytes::Bytes;
+use futures_util::stream;
+use mastweir_core::{
+    outcome::Outcome,
+    table::{Customer, Service, ServiceKind, hash_key},
+    wire::BODY_MAX,
+};
+use rand::Rng;
+use rocket::{
+    Config, Data, Request, Rocket, Route, Shutdown,
+    config::{LogLevel, Shutdown as ShutdownConfig},
+    data::{ByteUnit, Limits},
+    fairing::AdHoc,
+    http::{ContentType, Header, Method, Status},
+    response::{Responder, Response},
+    route::{Handler, Outcome as RouteOutcome},
+};
+use serde::Deserialize;
+use std::{
+    io::{self, Cursor},
+    net::SocketAddr,
+    sync::{Arc, Mutex, atomic::Ordering},
+};
+use subtle::ConstantTimeEq;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::io::StreamReader;
+
+const METHODS: [Method; 6] =
+    [Method::Get, Method::Post, Method::Put, Method::Delete, Method::Patch, Method::Head];
+const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+const TICKET_PATH: &str = "/v1/tickets";
+/// Characters of a caller's key at most.
+const KEY_MAX: usize = 1_024;
+/// Characters of a prompt that count as its prefix.
+const PREFIX_LEN: usize = 512;
+/// Characters of a token, roughly, before it is known better.
+const TOKEN_LEN: usize = 4;
+/// Tokens generated if the caller names no bound.
+const TOKENS_DEFAULT: u64 = 256;
+const PROBLEM_JSON: &str = "application/problem+json";
+
+/// Starts to serve. Gives the address and a way to stop.
+pub async fn launch(shared: Arc<Shared>) -> eyre::Result<(SocketAddr, Shutdown)> {
+    let (sender, receiver) = oneshot::channel();
+    let sender = Mutex::new(Some(sender));
+    let liftoff = AdHoc::on_liftoff("tell the address", move |rocket| {
+        let config = rocket.config();
+        let addr = SocketAddr::new(config.address, config.port);
+        if let Some(sender) = lock(&sender).take() {
+            let _ = sender.send(addr);
+        }
+        Box::pin(async {})
+    });
+    let rocket = build(&shared).attach(liftoff).ignite().await.map_err(|error| {
+        let error = error.kind().to_string();
+        eyre::eyre!("starting to serve callers: {error}; check --http")
+    })?;
+    let shutdown = rocket.shutdown();
+    let log = shared.context.log.clone();
+    let serving = tokio::spawn(async move {
+        if let Err(error) = rocket.launch().await {
+            slog::error!(log, "can't serve callers"; "error" => error.kind().to_string());
+        }
+    });
+    match receiver.await {
+        Ok(addr) => Ok((addr, shutdown)),
+        Err(_) => {
+            serving.abort();
+            let addr = shared.options.http;
+            Err(eyre::eyre!("listening at {addr}: not possible; choose another --http"))
+        }
+    }
+}
+
+fn build(shared: &Arc<Shared>) -> Rocket<rocket::Build> {
+    let config = Config {
+        address: shared.options.http.ip(),
+        port: shared.options.http.port(),
+        log_level: LogLevel::Off,
+        cli_colors: false,
+        keep_alive: 30,
+        limits: Limits::new().limit("bytes", ByteUnit::from(BODY_MAX)),
+        shutdown: ShutdownConfig {
+            ctrlc: false,
+            #[cfg(unix)]
+            signals: Default::default(),
+            grace: 1,
+            mercy: 1,
+            force: false,
+            ..ShutdownConfig::default()
+        },
+        ..Config::release_default()
+    };
+    let handler = Front { shared: shared.clone() };
+    let routes: Vec<Route> =
+        METHODS.iter().map(|method| Route::new(*method, "/<path..>", handler.clone())).collect();
+    rocket::custom(config).mount("/", routes)
+}
+
+/// The one handler: the path decides.
+#[derive(Clone)]
+struct Front {
+    shared: Arc<Shared>,
+}
+
+#[rocket::async_trait]
+impl Handler for Front {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> RouteOutcome<'r> {
+        let path = request.uri().path().as_str();
+        if path.starts_with("/-/") {
+            let reply = operator::answer(&self.shared, request, data).await;
+            return RouteOutcome::from(request, Answer { id: String::new(), reply });
+        }
+        let id = request_id(&self.shared);
+        let reply = match self.serve(request, data, &id).await {
+            Ok(reply) => reply,
+            Err((kind, retry_after)) => {
+                // Refused before anything was sent anywhere.
+                let problem = Problem::new(kind, Outcome::NotRun, &id, retry_after);
+                Reply::Problem(problem)
+            }
+        };
+        RouteOutcome::from(request, Answer { id, reply })
+    }
+}
+
+type Refused = (Kind, Option<u32>);
+
+impl Front {
+    async fn serve(
+        &self,
+        request: &Request<'_>,
+        data: Data<'_>,
+        id: &str,
+    ) -> Result<Reply, Refused> {
+        if !self.shared.is_ready() {
+            return Err((Kind::NotReady, Some(1)));
+        }
+        let (customer, row) = self.authorize(request).ok_or((Kind::Unauthorized, None))?;
+        let body = data.open(ByteUnit::from(BODY_MAX)).into_bytes().await;
+        let body = body.map_err(|_| (Kind::BadRequest, None))?;
+        if !body.is_complete() {
+            return Err((Kind::BadRequest, None));
+        }
+        let body = body.into_inner();
+        if request.uri().path() == TICKET_PATH {
+            return self.ticket(&customer, &body);
+        }
+        let order = self.read(request, body, customer, &row, id)?;
+        let admitted = admit::admit(&self.shared, &order.customer, &row, order.cost);
+        let admitted = admitted.map_err(|Denied { kind, retry_after }| {
+            self.shared.context.metrics.count("request.denied");
+            (kind, retry_after)
+        })?;
+        let (sender, receiver) = oneshot::channel();
+        tokio::spawn(calls::run(self.shared.clone(), order, admitted, sender));
+        receiver.await.map_err(|_| (Kind::NotReady, None))
+    }
+
+    fn authorize(&self, request: &Request<'_>) -> Option<(String, Customer)> {
+        let key = bearer(request)?;
+        let hash = hash_key(key);
+        let rows = self.shared.config.rows();
+        let (name, row) = rows.by_key.get(&hash)?;
+        let equal = row.key_hash.as_bytes().ct_eq(hash.as_bytes());
+        bool::from(equal).then(|| (name.clone(), row.clone()))
+    }
+
+    fn ticket(&self, customer: &str, body: &[u8]) -> Result<Reply, Refused> {
+        #[derive(Deserialize)]
+        struct Wanted {
+            service: String,
+        }
+        let wanted: Wanted = serde_json::from_slice(body).map_err(|_| (Kind::BadRequest, None))?;
+        let ticket = keys::make_ticket(&self.shared, customer, &wanted.service);
+        let ticket = ticket.map_err(|kind| (kind, Some(1)))?;
+        let body = serde_json::json!({
+            "ticket": ticket,
+            "valid_s": keys::KEY_TERM.as_secs(),
+        });
+        Ok(json(&body))
+    }
+
+    fn read(
+        &self,
+        request: &Request<'_>,
+        body: Vec<u8>,
+        customer: String,
+        row: &Customer,
+        id: &str,
+    ) -> Result<Order, Refused> {
+        let path = request.uri().path().as_str();
+        let rows = self.shared.config.rows();
+        let asked = Asked::read(path, &body).ok_or((Kind::BadRequest, None))?;
+        let service = rows.services.get(&asked.service).filter(|row| row.kind == asked.kind);
+        let service = service.cloned().ok_or((Kind::NoService, None))?;
+        let key = request.headers().get_one("idempotency-key");
+        if key.is_some_and(|key| key.is_empty() || key.len() > KEY_MAX) {
+            return Err((Kind::BadRequest, None));
+        }
+        let (prefill, cost) = asked.units(&service);
+        Ok(Order {
+            id: id.to_owned(),
+            customer,
+            weight: row.weight,
+            method: request.method().to_string(),
+            path: request.uri().to_string(),
+            content: request.content_type().map(ToString::to_string),
+            streamed: asked.stream,
+            key: key.map(str::to_owned).filter(|_| !service.repeatable),
+            prefix: asked.prefix,
+            service_name: asked.service,
+            service,
+            body,
+            prefill,
+            cost,
+        })
+    }
+}
+
+/// What a request asks for, as far as its path and body tell.
+struct Asked {
+    kind: ServiceKind,
+    service: String,
+    stream: bool,
+    prompt: u64,
+    generated: u64,
+    prefix: Option<u64>,
+}
+
+/// The fields of a model request that are looked at.
+#[derive(Debug, Deserialize)]
+struct ModelBody {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+    messages: Option<serde_json::Value>,
+    prompt: Option<serde_json::Value>,
+}
+
+impl Asked {
+    fn read(path: &str, body: &[u8]) -> Option<Self> {
+        if !MODEL_PATHS.contains(&path) {
+            let service = path.trim_start_matches('/').split('/').next()?.to_owned();
+            let kind = ServiceKind::Plain;
+            return Some(Self {
+                kind,
+                service,
+                stream: false,
+                prompt: 0,
+                generated: 0,
+                prefix: None,
+            });
+        }
+        let body: ModelBody = serde_json::from_slice(body).ok()?;
+        let text = body.messages.or(body.prompt)?.to_string();
+        let prefix: String = text.chars().take(PREFIX_LEN).collect();
+        let hash = blake3::hash(prefix.as_bytes());
+        let hash = hash.as_bytes().first_chunk::<8>().map(|bytes| u64::from_le_bytes(*bytes));
+        Some(Self {
+            kind: ServiceKind::Model,
+            service: body.model,
+            stream: body.stream,
+            prompt: (text.len() / TOKEN_LEN) as u64,
+            generated: body.max_tokens.unwrap_or(TOKENS_DEFAULT),
+            prefix: hash,
+        })
+    }
+
+    /// Units of the prompt, and of all.
+    fn units(&self, service: &Service) -> (u32, u32) {
+        let cost = service.cost;
+        (cost.units(self.prompt, 0), cost.units(self.prompt, self.generated))
+    }
+}
+
+/// The bearer key of a request.
+pub fn bearer<'r>(request: &'r Request<'_>) -> Option<&'r str> {
+    request.headers().get_one("authorization")?.strip_prefix("Bearer ")
+}
+
+/// A JSON answer.
+pub fn json<T: serde::Serialize>(value: &T) -> Reply {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    Reply::Whole { status: 200, content: Some("application/json".to_owned()), body }
+}
+
+fn request_id(shared: &Shared) -> String {
+    format!("{}-{:016x}", shared.context.name, rand::rng().random::<u64>())
+}
+
+/// A reply as `rocket` sends it.
+struct Answer {
+    id: String,
+    reply: Reply,
+}
+
+impl<'r> Responder<'r, 'static> for Answer {
+    fn respond_to(self, _: &'r Request<'_>) -> rocket::response::Result<'static> {
+        let mut response = match self.reply {
+            Reply::Whole { status, content, body } => whole(status, content, body),
+            Reply::Stream { status, content, units } => streamed(status, content, units),
+            Reply::Problem(problem) => {
+                let body = serde_json::to_vec(&problem).unwrap_or_default();
+                let mut response = whole(problem.status, Some(PROBLEM_JSON.to_owned()), body);
+                if let Some(seconds) = problem.retry_after {
+                    response.set_header(Header::new("retry-after", seconds.to_string()));
+                }
+                response.set_header(Header::new("x-outcome", problem.outcome.to_string()));
+                response
+            }
+        };
+        if !self.id.is_empty() {
+            response.set_header(Header::new("x-request-id", self.id));
+        }
+        Ok(response)
+    }
+}
+
+fn whole(status: u16, content: Option<String>, body: Vec<u8>) -> Response<'static> {
+    let mut response = Response::new();
+    response.set_status(Status::new(status));
+    set_content(&mut response, content);
+    response.set_sized_body(body.len(), Cursor::new(body));
+    response
+}
+
+fn streamed(
+    status: u16,
+    content: Option<String>,
+    units: mpsc::Receiver<Bytes>,
+) -> Response<'static> {
+    let units = stream::unfold(units, async |mut units| {
+        units.recv().await.map(|unit| (Ok::<_, io::Error>(unit), units))
+    });
+    let mut response = Response::new();
+    response.set_status(Status::new(status));
+    set_content(&mut response, content);
+    response.set_header(Header::new("cache-control", "no-cache"));
+    response.set_streamed_body(StreamReader::new(Box::pin(units)));
+    response
+}
+
+fn set_content(response: &mut Response<'static>, content: Option<String>) {
+    let Some(content) = content else { return };
+    match ContentType::parse_flexible(&content) {
+        Some(content) => response.set_header(content),
+        None => response.set_header(Header::new("content-type", content)),
+    };
+}
+
+/// Requests that run at this entry.
+pub fn active(shared: &Shared) -> usize {
+    shared.active.load(Ordering::SeqCst)
+}
--- /dev/null
+++ b/src/mastweir/entry/problem.rs
@@ -0,0 +1,172 @@
+//! What a caller is told when there is no answer: `application/problem+json`.
+
+use mastweir_core::outcome::{Evidence, Outcome, Refusal};
+use serde::{Deserialize, Serialize};
+
+/// A problem, with the outcome and the remedy.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Problem {
+    /// Stable name of the kind of problem.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// The kind in words.
+    pub title: String,
+    /// HTTP status.
+    pub status: u16,
+    /// Whether the request was run.
+    pub outcome: Outcome,
+    /// What to do.
+    pub remedy: String,
+    /// Id of the request, for `mastweir explain`.
+    pub request: String,
+    /// Seconds after which to come back.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after: Option<u32>,
+}
+
+/// Kinds of problems.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// No such key.
+    Unauthorized,
+    /// No such service or model.
+    NoService,
+    /// The request can't be read.
+    BadRequest,
+    /// Larger than the row allows.
+    TooLarge,
+    /// A limit of the row.
+    Limit,
+    /// All servers are full.
+    Overloaded,
+    /// No server is there.
+    NoServer,
+    /// The time was over.
+    Deadline,
+    /// The connection to the server was lost.
+    Lost,
+    /// The key's first submission can't be looked up now.
+    KeyUnknown,
+    /// The ticket is not valid.
+    BadTicket,
+    /// It ran, and its answer is not kept.
+    AnswerGone,
+    /// This entry leaves, or has not caught up yet.
+    NotReady,
+}
+
+impl Kind {
+    /// The kind for a call that ended with this.
+    pub const fn of(outcome: Outcome, evidence: Option<Evidence>) -> Self {
+        match evidence {
+            Some(Evidence::Refused(Refusal::Overloaded | Refusal::LedgerFull)) => Self::Overloaded,
+            Some(Evidence::Refused(Refusal::Deadline)) => Self::Deadline,
+            Some(Evidence::Refused(Refusal::AnswerGone)) => Self::AnswerGone,
+            Some(Evidence::Refused(Refusal::Expired)) => Self::BadTicket,
+            Some(Evidence::Refused(
+                Refusal::Leaving | Refusal::EngineAway | Refusal::NotServed | Refusal::Withdrawn,
+            )) => Self::NoServer,
+            Some(Evidence::NotSent) => Self::NoServer,
+            Some(_) => Self::Lost,
+            None if matches!(outcome, Outcome::NotRun) => Self::NoServer,
+            None => Self::Deadline,
+        }
+    }
+
+    const fn parts(self) -> (&'static str, u16, &'static str, &'static str) {
+        match self {
+            Self::Unauthorized => (
+                "unauthorized",
+                401,
+                "no customer has this key",
+                "send 'Authorization: Bearer KEY' with the key of your row",
+            ),
+            Self::NoService => (
+                "no-service",
+                404,
+                "no such service or model",
+                "name one that the operators list with 'mastweir table list'",
+            ),
+            Self::BadRequest => (
+                "bad-request",
+                400,
+                "the request can't be read",
+                "send JSON with a 'model' to model paths, and at most 1 MiB",
+            ),
+            Self::TooLarge => (
+                "too-large",
+                413,
+                "larger than the customer's row allows",
+                "ask for fewer tokens, or have 'largest' raised",
+            ),
+            Self::Limit => (
+                "limit",
+                429,
+                "a limit of the customer's row is reached",
+                "come back after the time given",
+            ),
+            Self::Overloaded => (
+                "overloaded",
+                503,
+                "all servers are full, and others are owed more",
+                "come back after the time given",
+            ),
+            Self::NoServer => {
+                ("no-server", 503, "no server can take it now", "come back after the time given")
+            }
+            Self::Deadline => (
+                "deadline",
+                504,
+                "not done in its time",
+                "if the outcome is unknown, submit it again under the same key to learn more",
+            ),
+            Self::Lost => (
+                "lost",
+                502,
+                "the connection to the server was lost",
+                "if the outcome is unknown, submit it again under the same key to learn more",
+            ),
+            Self::KeyUnknown => (
+                "key-unknown",
+                503,
+                "whether this key was submitted before can't be looked up now",
+                "get a ticket with POST /v1/tickets and use it as the key of new requests",
+            ),
+            Self::BadTicket => (
+                "bad-ticket",
+                409,
+                "the ticket is not valid any more, or not for this",
+                "get a new ticket with POST /v1/tickets, if you know that the old one did not run",
+            ),
+            Self::AnswerGone => (
+                "answer-gone",
+                409,
+                "it has run, and its answer is not kept any more",
+                "do not submit it again; look the result up where it took effect",
+            ),
+            Self::NotReady => (
+                "not-ready",
+                503,
+                "this entry instance takes no requests now",
+                "submit it again: another one will take it",
+            ),
+        }
+    }
+}
+
+impl Problem {
+    /// A problem of a request.
+    pub fn new(kind: Kind, outcome: Outcome, request: &str, retry_after: Option<u32>) -> Self {
+        let (slug, status, title, remedy) = kind.parts();
+        let retry_after = retry_after.or((status == 503 || status == 429).then_some(1));
+        Self {
+            kind: format!("urn:mastweir:problem:{slug}"),
+            title: title.to_owned(),
+            status,
+            outcome,
+            remedy: remedy.to_owned(),
+            request: request.to_owned(),
+            retry_after,
+        }
+    }
+}
--- /dev/null
+++ b/src/mastweir/entry/table.rs
@@ -0,0 +1,286 @@
+//! Keeping the table in force.
+//!
+//! Two entries of each hall watch the platform, by their order among those that
+//! are alive; the others hear of changes from their peers and fetch what they
+//! lack. An entry that hears of nobody watches for itself. Whatever comes goes
+//! through [`Table`], where no version reverts.
+
+use super::{Shared, lock};
+use crate::{
+    net::{Channel, ChannelError},
+    platform::{Collection, InstanceRole, Object, WatchEvent},
+};
+use futures_util::StreamExt;
+use mastweir_core::{
+    table::{Customer, Delta, Digest, Row, RowKey, RowKind, Service, Stored, Table},
+    wire::{FRAME_MAX, PeerFrame},
+};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    str::FromStr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+/// Entries of a hall that watch the platform.
+const WATCHERS: usize = 2;
+/// Time between looks whether this entry is to watch.
+const IDLE: Duration = Duration::from_millis(500);
+/// Longest wait after the platform failed.
+const RETRY_MAX: Duration = Duration::from_secs(2);
+const RETRY_MIN: Duration = Duration::from_millis(100);
+/// Time for a peer to send what is lacking.
+const FETCH_TIME: Duration = Duration::from_secs(3);
+/// Rows of one frame at most; a row is at most some hundred bytes.
+const ROWS_MAX: usize = 100;
+
+/// The rows that requests need, by how they need them.
+#[derive(Debug, Default)]
+pub struct Rows {
+    /// Customers by the hash of their key.
+    pub by_key: HashMap<String, (String, Customer)>,
+    /// Customers by name.
+    pub customers: HashMap<String, Customer>,
+    /// Services by name.
+    pub services: HashMap<String, Service>,
+}
+
+/// The rows in force, as one value that is replaced whole.
+#[derive(Debug, Default)]
+pub struct Config {
+    rows: Mutex<Arc<Rows>>,
+}
+
+impl Config {
+    /// The rows in force now.
+    pub fn rows(&self) -> Arc<Rows> {
+        lock(&self.rows).clone()
+    }
+
+    fn set(&self, table: &Table) {
+        let mut rows = Rows::default();
+        for (key, row) in table.rows() {
+            match row {
+                Row::Customer(customer) => {
+                    let both = (key.name.clone(), customer.clone());
+                    rows.by_key.insert(customer.key_hash.clone(), both);
+                    rows.customers.insert(key.name.clone(), customer.clone());
+                }
+                Row::Service(service) => {
+                    rows.services.insert(key.name.clone(), service.clone());
+                }
+                Row::Drain(_) => (),
+            }
+        }
+        *lock(&self.rows) = Arc::new(rows);
+    }
+}
+
+/// Watches the platform as long as it is this entry's turn.
+pub async fn follow(shared: Arc<Shared>) {
+    let mut wait = RETRY_MIN;
+    loop {
+        if !is_watcher(&shared) {
+            time::sleep(IDLE).await;
+            continue;
+        }
+        match watch(&shared).await {
+            Ok(()) => wait = RETRY_MIN,
+            Err(error) => {
+                slog::warn!(shared.context.log, "can't watch the table; goes on with what it has";
+                    "error" => format!("{error:#}"), "version" => lock(&shared.table).complete());
+                time::sleep(wait).await;
+                wait = (wait * 2).min(RETRY_MAX);
+            }
+        }
+    }
+}
+
+/// Fetches what a peer has and this entry lacks.
+pub async fn fetch(shared: &Arc<Shared>, addr: SocketAddr) {
+    let fetched = time::timeout(FETCH_TIME, fetch_parts(shared, addr)).await;
+    if let Ok(Err(error)) = fetched {
+        slog::debug!(shared.context.log, "can't fetch the table from a peer";
+            "peer" => %addr, "error" => %error);
+    }
+}
+
+/// Answers peers that lack rows.
+pub async fn serve_peers(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(IDLE).await;
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let served = time::timeout(FETCH_TIME, serve_peer(&shared, stream)).await;
+            if !matches!(served, Ok(Ok(()))) {
+                shared.context.metrics.count("peer.refused");
+            }
+        });
+    }
+}
+
+/// Whether this entry is one of the first of its hall that are alive.
+fn is_watcher(shared: &Shared) -> bool {
+    let own = shared.context.name.as_str();
+    let view = lock(&shared.view);
+    let members = lock(&shared.members);
+    let entries = view.of_role(InstanceRole::Entry);
+    let peers = entries.filter(|(_, spec)| spec.hall == shared.context.hall);
+    let mut alive: Vec<&str> =
+        peers.map(|(name, _)| name).filter(|name| members.is_present(name)).collect();
+    alive.push(own);
+    alive.sort_unstable();
+    alive.dedup();
+    alive.iter().take(WATCHERS).any(|name| *name == own)
+}
+
+async fn watch(shared: &Arc<Shared>) -> eyre::Result<()> {
+    let platform = &shared.context.platform;
+    let list = platform.list::<serde_json::Value>(Collection::Rows).await?;
+    let upto = list.metadata.resource_version.parse().unwrap_or(0);
+    let rows = list.items.iter().filter_map(|object| stored(shared, object, false)).collect();
+    merge(shared, &Delta { after: 0, upto, rows });
+    // The list may be stale: watch from where it ends, not from what is held.
+    let mut events = platform.watch::<serde_json::Value>(Collection::Rows, upto).await?;
+    while let Some(event) = events.next().await {
+        let change = match event? {
+            WatchEvent::Added(object) | WatchEvent::Modified(object) => {
+                stored(shared, &object, false)
+            }
+            WatchEvent::Deleted(object) => stored(shared, &object, true),
+        };
+        if let Some(change) = change {
+            take_change(shared, change);
+        }
+        if !is_watcher(shared) {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// One row as the table keeps it. A row that can't be read, or is bad, is left
+/// as it was, and does not stop the others.
+fn stored(shared: &Shared, object: &Object<serde_json::Value>, deleted: bool) -> Option<Stored> {
+    let name = &object.metadata.name;
+    let key = RowKey::from_str(name).ok()?;
+    let version = object.version();
+    if deleted {
+        return Some(Stored { key, version, row: None });
+    }
+    let row = serde_json::from_value::<Row>(object.spec.clone());
+    let checked = row.map_err(|error| error.to_string()).and_then(|row| {
+        row.check(&key.name).map_err(|error| error.to_string())?;
+        if row.kind() == key.kind { Ok(row) } else { Err("kind and name differ".to_owned()) }
+    });
+    match checked {
+        Ok(row) => Some(Stored { key, version, row: Some(row) }),
+        Err(error) => {
+            slog::error!(shared.context.log, "a row in the object API is bad; keeps the former one";
+                "row" => name, "error" => error);
+            shared.context.metrics.count("table.bad_row");
+            let former = lock(&shared.table).get(&key).cloned();
+            former.map(|row| Stored { key, version, row: Some(row) })
+        }
+    }
+}
+
+fn take_change(shared: &Arc<Shared>, change: Stored) {
+    let key = change.key.clone();
+    let version = change.version;
+    let newer = lock(&shared.table).watch(change);
+    if newer {
+        slog::info!(shared.context.log, "row in force"; "row" => %key, "version" => version);
+        in_force(shared);
+    }
+}
+
+fn merge(shared: &Arc<Shared>, delta: &Delta) {
+    let merged = {
+        let mut table = lock(&shared.table);
+        let before = table.complete();
+        table.merge(delta) && table.complete() > before
+    };
+    if merged {
+        slog::info!(shared.context.log, "table in force"; "version" => delta.upto,
+            "rows" => delta.rows.len());
+        in_force(shared);
+    }
+}
+
+/// Requests see the change from here on, and peers are told at once.
+fn in_force(shared: &Arc<Shared>) {
+    let drained: HashSet<String> = {
+        let table = lock(&shared.table);
+        shared.config.set(&table);
+        let drains = table.rows().filter(|(key, _)| key.kind == RowKind::Drain);
+        drains.map(|(key, _)| key.name.clone()).collect()
+    };
+    lock(&shared.view).drain(drained);
+    tokio::spawn(super::fleet::tell_some(shared.clone()));
+}
+
+async fn fetch_parts(shared: &Arc<Shared>, addr: SocketAddr) -> Result<(), ChannelError> {
+    let mut channel = shared.pool.get(addr).await?;
+    let digest = lock(&shared.table).digest();
+    channel.sender.send(&PeerFrame::Want(digest)).await?;
+    let mut whole: Option<Delta> = None;
+    loop {
+        let PeerFrame::Rows { delta, more } = channel.receiver.recv().await? else {
+            return Err(ChannelError::Closed);
+        };
+        match &mut whole {
+            None => whole = Some(delta),
+            Some(whole) => whole.rows.extend(delta.rows),
+        }
+        if !more {
+            break;
+        }
+    }
+    if let Some(delta) = whole {
+        merge(shared, &delta);
+    }
+    shared.pool.put(addr, channel);
+    Ok(())
+}
+
+async fn serve_peer(shared: &Shared, stream: TcpStream) -> Result<(), ChannelError> {
+    let mut channel = Channel::accept(stream, &shared.context.secret).await?;
+    let PeerFrame::Want(digest) = channel.receiver.recv().await? else {
+        return Err(ChannelError::Closed);
+    };
+    let delta = lock(&shared.table).delta(digest);
+    for frame in parts(&delta) {
+        channel.sender.send(&frame).await?;
+    }
+    Ok(())
+}
+
+/// A delta in parts that fit into frames.
+fn parts(delta: &Delta) -> Vec<PeerFrame> {
+    const _: () = assert!(ROWS_MAX * 512 < FRAME_MAX);
+    let Delta { after, upto, rows } = delta;
+    let mut parts: Vec<Vec<Stored>> = rows.chunks(ROWS_MAX).map(<[_]>::to_vec).collect();
+    if parts.is_empty() {
+        parts.push(Vec::new());
+    }
+    let last = parts.len() - 1;
+    let frame = |(i, rows)| {
+        let delta = Delta { after: *after, upto: *upto, rows };
+        PeerFrame::Rows { delta, more: i < last }
+    };
+    parts.into_iter().enumerate().map(frame).collect()
+}
+
+/// Whether a peer's digest is ahead of what is in force here.
+pub fn is_behind(shared: &Shared, digest: Digest) -> bool {
+    digest > lock(&shared.table).digest()
+}
--- /dev/null
+++ b/src/mastweir/net/channel.rs
@@ -0,0 +1,175 @@
+//! An authenticated channel over TCP.
+
+use super::Secret;
+use bytes::Bytes;
+use futures_util::{FutureExt, SinkExt, StreamExt};
+use mastweir_core::wire::{FRAME_MAX, VERSION};
+use serde::{Serialize, de::DeserializeOwned};
+use snow::{Builder, HandshakeState, StatelessTransportState};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    time,
+};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+const PATTERN: &str = "Noise_NNpsk0_25519_ChaChaPoly_BLAKE2s";
+const PURPOSE: &str = "mastweir 2026 channel";
+/// Place of the secret in the handshake pattern.
+const PSK_PLACE: u8 = 0;
+/// Bytes that encryption adds to a frame.
+const TAG_LEN: usize = 16;
+/// Bytes of a handshake message at most.
+const HELLO_MAX: usize = 256;
+/// Time that a peer has for its part of the handshake.
+const HELLO_TIME: Duration = Duration::from_secs(2);
+
+/// Why a channel can't go on.
+#[derive(Debug, thiserror::Error)]
+pub enum ChannelError {
+    /// The connection could not be opened, or is lost.
+    #[error("using the connection: {0}; the peer is down or cut off")]
+    Lost(#[from] std::io::Error),
+    /// The peer closed it.
+    #[error("reading the next frame: the peer closed the connection")]
+    Closed,
+    /// A frame was not made under this secret, or was changed or replayed.
+    #[error("decrypting a frame: {0}; give all processes the same --secret and version")]
+    Foreign(#[from] snow::Error),
+    /// A frame is no message.
+    #[error("reading a frame: {0}; run the same version on both sides")]
+    Malformed(#[from] postcard::Error),
+    /// The peer took too long.
+    #[error("opening the channel: no answer in time; the peer is slow or cut off")]
+    Timeout,
+}
+
+/// The sending side.
+#[derive(Debug)]
+pub struct Sender {
+    wire: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    noise: Arc<StatelessTransportState>,
+    nonce: u64,
+}
+
+/// The receiving side.
+#[derive(Debug)]
+pub struct Receiver {
+    wire: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    noise: Arc<StatelessTransportState>,
+    nonce: u64,
+}
+
+/// Both sides of a channel.
+#[derive(Debug)]
+pub struct Channel {
+    /// To the peer.
+    pub sender: Sender,
+    /// From the peer.
+    pub receiver: Receiver,
+}
+
+impl Sender {
+    /// Sends a message.
+    ///
+    /// # Errors
+    ///
+    /// [`ChannelError::Lost`] if the connection is.
+    pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), ChannelError> {
+        let plain = postcard::to_stdvec(message)?;
+        let mut sealed = vec![0; plain.len() + TAG_LEN];
+        let len = self.noise.write_message(self.nonce, &plain, &mut sealed)?;
+        self.nonce += 1;
+        sealed.truncate(len);
+        self.wire.send(Bytes::from(sealed)).await?;
+        Ok(())
+    }
+}
+
+impl Receiver {
+    /// Waits for the next message. Cancelling the wait loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// [`ChannelError`] if there will be none.
+    pub async fn recv<T: DeserializeOwned>(&mut self) -> Result<T, ChannelError> {
+        let sealed = self.wire.next().await.ok_or(ChannelError::Closed)??;
+        let mut plain = vec![0; sealed.len()];
+        let len = self.noise.read_message(self.nonce, &sealed, &mut plain)?;
+        self.nonce += 1;
+        Ok(postcard::from_bytes(&plain[..len])?)
+    }
+}
+
+impl Channel {
+    /// Opens a channel to a peer.
+    ///
+    /// # Errors
+    ///
+    /// [`ChannelError`] if there is no such peer, or it has another secret.
+    pub async fn connect(
+        addr: SocketAddr,
+        secret: &Secret,
+        limit: Duration,
+    ) -> Result<Self, ChannelError> {
+        let opening = async {
+            let stream = TcpStream::connect(addr).await?;
+            let key = secret.derive(PURPOSE);
+            let noise = builder(&key)?.build_initiator()?;
+            Self::shake(stream, noise).await
+        };
+        time::timeout(limit, opening).await.map_err(|_| ChannelError::Timeout)?
+    }
+
+    /// Takes a peer's connection.
+    ///
+    /// # Errors
+    ///
+    /// [`ChannelError`] if the peer is foreign or slow.
+    pub async fn accept(stream: TcpStream, secret: &Secret) -> Result<Self, ChannelError> {
+        let key = secret.derive(PURPOSE);
+        let noise = builder(&key)?.build_responder()?;
+        let shaking = Self::shake(stream, noise);
+        time::timeout(HELLO_TIME, shaking).await.map_err(|_| ChannelError::Timeout)?
+    }
+
+    /// Whether nothing says that the peer is gone. Between exchanges only: a
+    /// frame that waits to be read then counts as a closed channel too.
+    pub fn is_quiet(&mut self) -> bool {
+        self.receiver.wire.next().now_or_never().is_none()
+    }
+
+    async fn shake(stream: TcpStream, mut noise: HandshakeState) -> Result<Self, ChannelError> {
+        stream.set_nodelay(true)?;
+        let (read, write) = stream.into_split();
+        let mut read = FramedRead::new(read, codec(HELLO_MAX));
+        let mut write = FramedWrite::new(write, codec(FRAME_MAX + TAG_LEN));
+        let mut buffer = [0; HELLO_MAX];
+        while !noise.is_handshake_finished() {
+            if noise.is_my_turn() {
+                let len = noise.write_message(&[], &mut buffer)?;
+                write.send(Bytes::copy_from_slice(&buffer[..len])).await?;
+            } else {
+                let hello = read.next().await.ok_or(ChannelError::Closed)??;
+                noise.read_message(&hello, &mut buffer)?;
+            }
+        }
+        // Past the handshake the peer is known, and may send full frames.
+        read.decoder_mut().set_max_frame_length(FRAME_MAX + TAG_LEN);
+        let noise = Arc::new(noise.into_stateless_transport_mode()?);
+        let sender = Sender { wire: write, noise: noise.clone(), nonce: 0 };
+        let receiver = Receiver { wire: read, noise, nonce: 0 };
+        Ok(Self { sender, receiver })
+    }
+}
+
+fn builder(key: &[u8; 32]) -> Result<Builder<'_>, snow::Error> {
+    Builder::new(PATTERN.parse()?).prologue(&[VERSION])?.psk(PSK_PLACE, key)
+}
+
+fn codec(max: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(max).length_field_length(4).new_codec()
+}
--- /dev/null
+++ b/src/mastweir/net/socket.rs
@@ -0,0 +1,153 @@
+//! Datagrams with a keyed hash, in rising order for each sender.
+
+use super::Secret;
+use mastweir_core::{
+    id::{Fence, Incarnation},
+    wire::{DATAGRAM_MAX, Datagram, Packet, VERSION},
+};
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+use tokio::net::UdpSocket;
+
+const PURPOSE: &str = "mastweir 2026 datagram";
+const MAC_LEN: usize = 16;
+/// Senders remembered at most; foreign ones never get that far.
+const SENDERS_MAX: usize = 8_192;
+
+/// A datagram that was accepted.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// Address that it came from.
+    pub addr: SocketAddr,
+    /// What was in it.
+    pub datagram: Datagram,
+}
+
+/// A UDP socket of one process.
+#[derive(Debug)]
+pub struct Socket {
+    udp: UdpSocket,
+    own: Fence,
+    key: [u8; 32],
+    seq: AtomicU64,
+    last: Mutex<HashMap<String, (Incarnation, u64)>>,
+    dropped: AtomicU64,
+    bytes_out: AtomicU64,
+    bytes_in: AtomicU64,
+}
+
+impl Socket {
+    /// Opens the socket.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be used.
+    pub async fn bind(addr: SocketAddr, own: Fence, secret: &Secret) -> io::Result<Self> {
+        Ok(Self {
+            udp: UdpSocket::bind(addr).await?,
+            own,
+            key: secret.derive(PURPOSE),
+            seq: AtomicU64::new(1),
+            last: Mutex::default(),
+            dropped: AtomicU64::new(0),
+            bytes_out: AtomicU64::new(0),
+            bytes_in: AtomicU64::new(0),
+        })
+    }
+
+    /// The address it listens at.
+    ///
+    /// # Errors
+    ///
+    /// The system does not tell.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.udp.local_addr()
+    }
+
+    /// Foreign, malformed and replayed datagrams so far.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Bytes sent and received so far, without the headers of IP and UDP.
+    pub fn traffic(&self) -> (u64, u64) {
+        (self.bytes_out.load(Ordering::Relaxed), self.bytes_in.load(Ordering::Relaxed))
+    }
+
+    /// Sends a packet. Whether it arrives is not known.
+    pub async fn send(&self, to: SocketAddr, packet: &Packet) {
+        let datagram = Datagram {
+            version: VERSION,
+            from: self.own.server.clone(),
+            incarnation: self.own.incarnation,
+            seq: self.seq.fetch_add(1, Ordering::Relaxed),
+            packet: packet.clone(),
+        };
+        let Ok(mut bytes) = postcard::to_stdvec(&datagram) else { return };
+        if bytes.len() + MAC_LEN > DATAGRAM_MAX {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        let mac = blake3::keyed_hash(&self.key, &bytes);
+        bytes.extend_from_slice(&mac.as_bytes()[..MAC_LEN]);
+        self.bytes_out.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        // A full or closed socket loses the packet as the network may.
+        let _ = self.udp.send_to(&bytes, to).await;
+    }
+
+    /// Waits for the next datagram that is ours and new.
+    ///
+    /// # Errors
+    ///
+    /// The socket fails.
+    pub async fn recv(&self) -> io::Result<Received> {
+        let mut buffer = [0; DATAGRAM_MAX];
+        loop {
+            let (len, addr) = match self.udp.recv_from(&mut buffer).await {
+                Ok(read) => read,
+                // What a former peer's closed port sends back.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => continue,
+                Err(error) => return Err(error),
+            };
+            match self.open(&buffer[..len]) {
+                Some(datagram) => {
+                    self.bytes_in.fetch_add(len as u64, Ordering::Relaxed);
+                    return Ok(Received { addr, datagram });
+                }
+                None => self.dropped.fetch_add(1, Ordering::Relaxed),
+            };
+        }
+    }
+
+    fn open(&self, bytes: &[u8]) -> Option<Datagram> {
+        let (body, mac) = bytes.split_at_checked(bytes.len().checked_sub(MAC_LEN)?)?;
+        let whole = blake3::keyed_hash(&self.key, body);
+        if !bool::from(subtle::ConstantTimeEq::ct_eq(mac, &whole.as_bytes()[..MAC_LEN])) {
+            return None;
+        }
+        let datagram: Datagram = postcard::from_bytes(body).ok()?;
+        (datagram.version == VERSION && self.is_new(&datagram)).then_some(datagram)
+    }
+
+    fn is_new(&self, datagram: &Datagram) -> bool {
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let order = (datagram.incarnation, datagram.seq);
+        if let Some(seen) = last.get_mut(&datagram.from) {
+            let new = order > *seen;
+            *seen = order.max(*seen);
+            return new;
+        }
+        if last.len() >= SENDERS_MAX {
+            last.clear();
+        }
+        last.insert(datagram.from.clone(), order);
+        true
+    }
+}
--- /dev/null
+++ b/src/mastweir/ops/mod.rs
@@ -0,0 +1,3 @@
+//! What operators do, one operation a module, each with its `…Options`.
+
+pub mod daemon;
--- /dev/null
+++ b/src/mastweir/util/mod.rs
@@ -0,0 +1,6 @@
+//! Clock, logs, metrics and settings.
+
+pub mod clock;
+pub mod log;
+pub mod metrics;
+pub mod settings;
--- /dev/null
+++ b/src/mastweir/util/settings.rs
@@ -0,0 +1,89 @@
+//! Settings from flags and environment variables.
+//!
+//! Each flag `--some-flag` may be given as `MASTWEIR_SOME_FLAG` instead; a flag
+//! beats its variable. Variables are turned into flags before the command line
+//! is read, so both are checked in the same way and by the same messages.
+
+use argh::FromArgs;
+use std::{collections::HashMap, env, process};
+
+const PREFIX: &str = "MASTWEIR_";
+/// Exit code for settings that can't be.
+pub const EXIT_SETTINGS: i32 = 2;
+const EXIT_FAILURE: i32 = 1;
+
+/// Reads the process's command line and environment; ends it if they are bad.
+pub fn read<T: FromArgs>(name: &str, flags: &[&str]) -> T {
+    let words: Vec<String> = env::args().skip(1).collect();
+    let vars: HashMap<String, String> =
+        env::vars().filter(|(name, _)| name.starts_with(PREFIX)).collect();
+    let words = with_variables(words, &vars, flags);
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match T::from_args(&[name], &words) {
+        Ok(args) => args,
+        Err(exit) if exit.status.is_ok() => {
+            print!("{}", exit.output);
+            process::exit(0);
+        }
+        Err(exit) => {
+            eprint!("{name}: {}", exit.output);
+            eprintln!("see '{name} --help'");
+            process::exit(EXIT_SETTINGS);
+        }
+    }
+}
+
+/// Appends a flag for each variable whose flag is among `flags` and not given.
+pub fn with_variables(
+    mut words: Vec<String>,
+    vars: &HashMap<String, String>,
+    flags: &[&str],
+) -> Vec<String> {
+    for flag in flags {
+        let Some(value) = vars.get(&variable(flag)) else { continue };
+        let long = format!("--{flag}");
+        if words.contains(&long) {
+            continue;
+        }
+        words.push(long);
+        words.push(value.clone());
+    }
+    words
+}
+
+/// Name of the variable that stands for a flag.
+pub fn variable(flag: &str) -> String {
+    format!("{PREFIX}{}", flag.to_uppercase().replace('-', "_"))
+}
+
+/// Prints an error with its causes in one line, and gives the exit code.
+pub fn report(name: &str, error: &eyre::Report) -> i32 {
+    eprintln!("{name}: {error:#}");
+    if error.downcast_ref::<SettingsError>().is_some() { EXIT_SETTINGS } else { EXIT_FAILURE }
+}
+
+/// A setting that can't be.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("reading --{flag}: {value:?} {problem}; {remedy} (or set {})", variable(flag))]
+pub struct SettingsError {
+    /// The flag, without dashes.
+    pub flag: &'static str,
+    /// What was given.
+    pub value: String,
+    /// What is wrong.
+    pub problem: &'static str,
+    /// What to give instead.
+    pub remedy: &'static str,
+}
+
+impl SettingsError {
+    /// An error for a flag's value.
+    pub fn new(
+        flag: &'static str,
+        value: &str,
+        problem: &'static str,
+        remedy: &'static str,
+    ) -> Self {
+        Self { flag, value: value.to_owned(), problem, remedy }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of mastweir, a file a feature.
+
+mod path;
