Keep shares fleet-wide, and prove outcomes, switch and table by fuzz

Cause: a fair queue at each server is fair among those present there.

Change: queues order by due tags, charge the newest weight and bound what waits in seconds; entries exchange what customers ask for along a tree and refuse early what is over a share (core-stateless fair queueing), loosely where the queues can tell customers apart. Costs are learned by customer.

Found by fuzz and tests, each with a named test: a delta without the tombstone of a row deleted before a list; a stale list that brought a deleted row back; a grant for a rank's former life; an idle fleet that refused for shares.

--- a/crates/mastweir-core/src/outcome/call.rs
+++ b/crates/mastweir-core/src/outcome/call.rs
@@ -168,6 +168,11 @@
         self.tries
     }
 
+    /// Place in the list of a call that runs once, from 0.
+    pub const fn place(&self) -> usize {
+        self.place
+    }
+
     /// The shell begins to hand the answer to the caller as it comes, so it
     /// can't begin anew.
     pub const fn commit(&mut self) {
--- a/crates/mastweir-core/src/route/router.rs
+++ b/crates/mastweir-core/src/route/router.rs
@@ -214,6 +214,12 @@
         }
     }
 
+    /// Last reports of the servers that may be chosen.
+    pub fn loads(&self, now: Uptime) -> impl Iterator<Item = &Load> {
+        let open = self.servers.iter().filter(move |known| known.is_open(now, &self.policy));
+        open.filter_map(|known| known.report.as_ref().map(|(load, _)| load))
+    }
+
     /// Expected seconds until a server would begin with another request.
     pub fn expect(&self, place: usize, now: Uptime) -> f64 {
         let known = &self.servers[place];
--- a/crates/mastweir-core/src/share/mod.rs
+++ b/crates/mastweir-core/src/share/mod.rs
@@ -7,23 +7,25 @@
 //!   not matter through which entry instance a customer's load arrives, and
 //!   idle capacity is lent at once;
 //! - a local queue is fair among those present at that server only, so entries
-//!   add up what customers with a backlog received fleet-wide ([`Usage`], along
-//!   a [`Tree`] of entries) and correct their effective weights slowly
-//!   ([`Corrector`]);
+//!   add up what customers ask for fleet-wide ([`Usage`], along a [`Tree`] of
+//!   entries) and refuse early what is over a customer's share ([`Gate`]);
 //! - limits in flight and by rate are split over the entries that a customer
 //!   uses ([`Allowance`]).
 
-mod correct;
+mod estimate;
+mod gate;
 mod limit;
 mod queue;
 mod tree;
 
-pub use correct::{Corrector, Received};
+pub use estimate::Estimator;
+pub use gate::{Fleet, Gate, Offered, TARGET_WAIT};
 pub use limit::{Allowance, Bucket};
-pub use queue::{Entry, FairQueue, Offer};
+pub use queue::{Entry, FairQueue, Offer, WAIT_MAX_S};
 pub use tree::{Role, Tree};
 
 use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, mem};
 
 /// Cost of a request in service units of about one decoded token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,35 +68,80 @@
     }
 }
 
-/// What one customer received in a period.
+/// What one customer asked for since its last row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageRow {
     /// The customer.
     pub customer: CustomerTag,
-    /// Service units that were delivered, a second.
-    pub rate: u32,
-    /// Requests that wait.
-    pub waiting: u32,
+    /// Service units that its requests would cost.
+    pub units: u32,
 }
 
-/// Rows of customers with a backlog, added up over some entries.
+/// What customers asked for, added up over some entries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
     /// Whether it goes down the tree: the sum over the whole fleet.
     pub total: bool,
-    /// Entries it is the sum of.
-    pub entries: u16,
+    /// Service units that all customers asked for in the period.
+    pub asked: u64,
+    /// Service units that were delivered to them.
+    pub delivered: u64,
     /// The rows, at most [`Usage::ROWS_MAX`].
     pub rows: Vec<UsageRow>,
 }
 
 impl Usage {
-    /// Rows of one packet at most: those with the largest rate.
-    pub const ROWS_MAX: usize = 80;
+    /// Rows of one packet at most.
+    pub const ROWS_MAX: usize = 110;
+}
+
+/// What was not sent yet: units asked for by customer, and units delivered.
+///
+/// A packet has room for some rows. Those that do not fit wait for the next
+/// one, so that late rows are late and not lost.
+#[derive(Clone, Debug, Default)]
+pub struct Pending {
+    rows: BTreeMap<CustomerTag, u64>,
+    asked: u64,
+    delivered: u64,
+}
+
+impl Pending {
+    /// Adds units that a customer asked for.
+    pub fn ask(&mut self, customer: CustomerTag, units: u64) {
+        *self.rows.entry(customer).or_default() += units;
+        self.asked += units;
+    }
+
+    /// Adds units that were delivered.
+    pub fn deliver(&mut self, units: u64) {
+        self.delivered += units;
+    }
+
+    /// Adds what is in a packet.
+    pub fn add(&mut self, usage: &Usage) {
+        for row in &usage.rows {
+            *self.rows.entry(row.customer).or_default() += u64::from(row.units);
+        }
+        self.asked += usage.asked;
+        self.delivered += usage.delivered;
+    }
 
-    /// Keeps the rows that matter most.
-    pub fn truncate(&mut self) {
-        self.rows.sort_by_key(|row| std::cmp::Reverse((row.rate, row.customer)));
-        self.rows.truncate(Self::ROWS_MAX);
+    /// Takes the next packet: the rows with the most units per weight, which are
+    /// those that waited longest or ask for the most.
+    pub fn take(&mut self, total: bool, weight: impl Fn(CustomerTag) -> f64) -> Usage {
+        let per_weight = |(customer, units): (&CustomerTag, &u64)| {
+            (*units as f64 / weight(*customer).max(f64::MIN_POSITIVE), *customer)
+        };
+        let mut order: Vec<(f64, CustomerTag)> = self.rows.iter().map(per_weight).collect();
+        order.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        order.truncate(Usage::ROWS_MAX);
+        let row = |(_, customer)| {
+            let units = self.rows.remove(&customer).unwrap_or(0);
+            UsageRow { customer, units: u32::try_from(units).unwrap_or(u32::MAX) }
+        };
+        let rows = order.into_iter().map(row).collect();
+        let asked = mem::take(&mut self.asked);
+        Usage { total, asked, delivered: mem::take(&mut self.delivered), rows }
     }
 }
--- a/crates/mastweir-core/src/share/queue.rs
+++ b/crates/mastweir-core/src/share/queue.rs
@@ -1,10 +1,16 @@
-//! A weighted fair queue over customers: start-time fair queueing.
+//! A weighted fair queue over customers: self-clocked fair queueing.
 //!
-//! Each customer has a start tag, the virtual time at which its next request
-//! is due. The least tag is served next and moves on by cost over weight. Who
-//! comes back from idling starts at the current virtual time: no credit is
-//! saved up, and no debt of a busy time is forgiven within it. When the true
-//! cost is known the tag is corrected ([`FairQueue::settle`]).
+//! Each customer has a start tag, the virtual time up to which it has been
+//! served. Its next request is due at that tag plus cost over weight, the least
+//! due tag is served next, and virtual time is the due tag of whoever was served
+//! last. Who comes back from idling starts at the current virtual time: no
+//! credit is saved up, and no debt of a busy time is forgiven within it. When
+//! the true cost is known the tag is corrected ([`FairQueue::settle`]).
+//!
+//! Ordering by due tags rather than by start tags matters in a large fleet: a
+//! customer that is at many servers with one request at each would, by start
+//! tags, be next everywhere, whatever its weight (`docs/design/shares.md` has
+//! the measurement).
 //!
 //! The class of a request orders the requests of its own customer only. A
 //! class above others' requests would let a customer take more than its share.
@@ -20,6 +26,8 @@
 /// A weight of 1 stands as this in [`Entry::weight`].
 const WEIGHT_ONE: u128 = 1_000;
 const TAG_SCALE: u128 = 1_000;
+/// Seconds of work that wait at a server at most.
+pub const WAIT_MAX_S: f64 = 4.0;
 
 /// A request that waits.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -51,10 +59,15 @@
 
 #[derive(Clone, Debug)]
 struct Flow<C, T> {
-    /// Start tag of the next request.
+    /// Virtual time up to which it was served.
     start: Tag,
-    /// Units over weight that wait.
-    pending: Tag,
+    /// Due tag of its next request, as it stands in the order.
+    due: Tag,
+    /// Units that wait.
+    units: u64,
+    /// The newest effective weight: it holds for what waits already, too, or a
+    /// correction would take effect only after a full queue's time.
+    weight: u32,
     /// By class, then by arrival.
     waiting: VecDeque<Entry<C, T>>,
 }
@@ -92,12 +105,27 @@
     len: usize,
     backlog: u64,
     limit: usize,
+    room: u64,
 }
 
 impl<C: Copy + Eq + Ord + Hash, T> FairQueue<C, T> {
     /// An empty queue of at most `limit` requests.
     pub fn new(limit: usize) -> Self {
-        Self { flows: HashMap::new(), order: BTreeSet::new(), now: 0, len: 0, backlog: 0, limit }
+        Self {
+            flows: HashMap::new(),
+            order: BTreeSet::new(),
+            now: 0,
+            len: 0,
+            backlog: 0,
+            limit,
+            room: u64::MAX,
+        }
+    }
+
+    /// Bounds the units that wait: a queue longer than what its requests can
+    /// wait for is waste.
+    pub fn set_room(&mut self, units: u64) {
+        self.room = units;
     }
 
     /// Requests that wait.
@@ -123,7 +151,7 @@
     /// Adds a request. A full queue puts out the lowest class of whoever is
     /// furthest over its share, the newcomer itself if that is its customer.
     pub fn offer(&mut self, entry: Entry<C, T>) -> Offer<T> {
-        if self.len < self.limit {
+        if self.len < self.limit && self.backlog < self.room {
             self.push(entry);
             return Offer::Taken;
         }
@@ -139,18 +167,15 @@
 
     /// Takes the request that is owed service most.
     pub fn pop(&mut self) -> Option<Entry<C, T>> {
-        let (start, customer) = self.order.pop_first()?;
+        let (due, customer) = self.order.pop_first()?;
         let flow = self.flows.get_mut(&customer)?;
         let entry = flow.waiting.pop_front()?;
-        let step = normal(entry.cost, entry.weight);
-        self.now = self.now.max(start);
-        flow.start = start + step;
-        flow.pending = flow.pending.saturating_sub(step);
-        if !flow.waiting.is_empty() {
-            self.order.insert((flow.start, customer));
-        }
+        self.now = self.now.max(due);
+        flow.start += normal(u64::from(entry.cost), flow.weight);
+        flow.units -= u64::from(entry.cost);
         self.len -= 1;
         self.backlog -= u64::from(entry.cost);
+        self.reorder(customer);
         self.forget_idle();
         Some(entry)
     }
@@ -160,12 +185,9 @@
         let Some(flow) = self.flows.get_mut(&customer) else {
             return self.settle_absent(customer, weight, estimate, actual);
         };
-        let was = flow.start;
-        let charged = was + normal(actual, weight);
-        flow.start = charged.saturating_sub(normal(estimate, weight));
-        if !flow.waiting.is_empty() && self.order.remove(&(was, customer)) {
-            self.order.insert((flow.start, customer));
-        }
+        let charged = flow.start + normal(u64::from(actual), weight);
+        flow.start = charged.saturating_sub(normal(u64::from(estimate), weight));
+        self.reorder(customer);
     }
 
     /// Takes out all requests that are void at `at`.
@@ -176,7 +198,7 @@
     /// Takes out all requests for which `gone` holds.
     pub fn take_if(&mut self, gone: impl Fn(&Entry<C, T>) -> bool) -> Vec<Entry<C, T>> {
         let mut taken = Vec::new();
-        for (customer, flow) in &mut self.flows {
+        for flow in self.flows.values_mut() {
             let mut i = 0;
             while i < flow.waiting.len() {
                 if !gone(&flow.waiting[i]) {
@@ -184,15 +206,14 @@
                     continue;
                 }
                 let Some(entry) = flow.waiting.remove(i) else { break };
-                flow.pending = flow.pending.saturating_sub(normal(entry.cost, entry.weight));
+                flow.units -= u64::from(entry.cost);
                 self.len -= 1;
                 self.backlog -= u64::from(entry.cost);
                 taken.push(entry);
             }
-            if flow.waiting.is_empty() {
-                self.order.remove(&(flow.start, *customer));
-            }
         }
+        let customers: Vec<C> = self.flows.keys().copied().collect();
+        customers.into_iter().for_each(|customer| self.reorder(customer));
         taken
     }
 
@@ -201,27 +222,44 @@
         let now = self.now;
         let flow = self.flows.entry(customer).or_insert_with(|| Flow {
             start: now,
-            pending: 0,
+            due: now,
+            units: 0,
+            weight: 1,
             waiting: VecDeque::new(),
         });
         if flow.waiting.is_empty() {
             flow.start = flow.start.max(now);
-            self.order.insert((flow.start, customer));
         }
-        flow.pending += normal(entry.cost, entry.weight);
+        flow.units += u64::from(entry.cost);
+        flow.weight = entry.weight;
         self.len += 1;
         self.backlog += u64::from(entry.cost);
         let place = flow.waiting.partition_point(|other| other.class <= entry.class);
         flow.waiting.insert(place, entry);
+        self.reorder(customer);
+    }
+
+    /// Puts a customer where its next request belongs in the order.
+    fn reorder(&mut self, customer: C) {
+        let Some(flow) = self.flows.get_mut(&customer) else { return };
+        self.order.remove(&(flow.due, customer));
+        let Some(next) = flow.waiting.front() else { return };
+        flow.due = flow.start + normal(u64::from(next.cost), flow.weight);
+        self.order.insert((flow.due, customer));
     }
 
-    /// Whose last request would be served last, if that is not the newcomer's.
+    /// Whose last request would begin last, if that is not the newcomer's. When
+    /// it begins counts, not when it ends: a single long request is not over
+    /// its customer's share.
     fn most_over_share(&self, newcomer: &Entry<C, T>) -> Option<C> {
-        let last = |flow: &Flow<C, T>| flow.start.max(self.now) + flow.pending;
+        let last = |flow: &Flow<C, T>| {
+            let own = flow.waiting.back().map_or(0, |entry| u64::from(entry.cost));
+            flow.start.max(self.now) + normal(flow.units - own, flow.weight)
+        };
         let waiting = self.flows.iter().filter(|(_, flow)| !flow.waiting.is_empty());
         let (worst, victim) = waiting.map(|(customer, flow)| (last(flow), *customer)).max()?;
-        let base = self.flows.get(&newcomer.customer).map_or(self.now, last);
-        let own = base + normal(newcomer.cost, newcomer.weight);
+        let after = |flow: &Flow<C, T>| flow.start.max(self.now) + normal(flow.units, flow.weight);
+        let own = self.flows.get(&newcomer.customer).map_or(self.now, after);
         if victim == newcomer.customer {
             // Within one customer a better class puts out a worse one.
             let flow = self.flows.get(&victim)?;
@@ -234,12 +272,10 @@
     fn evict(&mut self, victim: C) -> Option<Entry<C, T>> {
         let flow = self.flows.get_mut(&victim)?;
         let entry = flow.waiting.pop_back()?;
-        flow.pending = flow.pending.saturating_sub(normal(entry.cost, entry.weight));
-        if flow.waiting.is_empty() {
-            self.order.remove(&(flow.start, victim));
-        }
+        flow.units -= u64::from(entry.cost);
         self.len -= 1;
         self.backlog -= u64::from(entry.cost);
+        self.reorder(victim);
         Some(entry)
     }
 
@@ -247,8 +283,8 @@
         if actual <= estimate {
             return;
         }
-        let start = self.now + normal(actual - estimate, weight);
-        let flow = Flow { start, pending: 0, waiting: VecDeque::new() };
+        let start = self.now + normal(u64::from(actual - estimate), weight);
+        let flow = Flow { start, due: start, units: 0, weight, waiting: VecDeque::new() };
         self.flows.insert(customer, flow);
     }
 
@@ -262,6 +298,6 @@
     }
 }
 
-fn normal(cost: u32, weight: u32) -> Tag {
+fn normal(cost: u64, weight: u32) -> Tag {
     u128::from(cost) * TAG_SCALE * WEIGHT_ONE / u128::from(weight.max(1))
 }
--- a/crates/mastweir-core/src/switch/coordinator.rs
+++ b/crates/mastweir-core/src/switch/coordinator.rs
@@ -5,7 +5,7 @@
 //! [`Coordinator::on`]. It never waits for a rank that is not there: without all
 //! ranks a switch can't begin, and the group is not fit to serve anyway.
 
-use super::{MapVersion, RankReply, RankStatus, Step, Verb};
+use super::{MapVersion, Order, RankReply, RankStatus, Step, Verb};
 
 /// Steps between the highest one seen and a cap at first.
 const MARGIN_MIN: Step = 4;
@@ -74,11 +74,6 @@
         self.epoch
     }
 
-    /// The present round, which orders carry.
-    pub const fn round(&self) -> u64 {
-        self.round
-    }
-
     /// What the ranks said last.
     pub fn statuses(&self) -> &[Option<RankStatus>] {
         &self.ranks
@@ -118,19 +113,19 @@
     }
 
     /// Orders to send now: to ranks whose reply is missing.
-    pub fn orders(&self) -> Vec<(usize, Verb)> {
+    pub fn orders(&self) -> Vec<(usize, Order)> {
         let waiting = (0..self.ranks.len()).filter(|&rank| !self.acked[rank]);
-        waiting.filter_map(|rank| Some((rank, self.verb(rank)?))).collect()
+        waiting.filter_map(|rank| Some((rank, self.order(rank)?))).collect()
     }
 
-    /// Takes the reply to an order of round `round` in.
-    pub fn on(&mut self, rank: usize, round: u64, verb: Verb, reply: RankReply) {
+    /// Takes the reply to an order in.
+    pub fn on(&mut self, rank: usize, order: &Order, reply: RankReply) {
         let (status, ok) = match reply {
             RankReply::Ok(status) => (status, true),
             RankReply::Refused(status) | RankReply::Busy(status) => (status, false),
             RankReply::NotReady => return,
         };
-        let current = round == self.round && self.verb(rank) == Some(verb);
+        let current = self.order(rank) == Some(*order);
         if status.epoch > self.epoch || !current {
             return;
         }
@@ -152,6 +147,12 @@
         }
     }
 
+    fn order(&self, rank: usize) -> Option<Order> {
+        let life = self.ranks[rank].map(|status| status.incarnation);
+        let verb = self.verb(rank)?;
+        Some(Order { epoch: self.epoch, round: self.round, life, verb })
+    }
+
     fn verb(&self, rank: usize) -> Option<Verb> {
         match self.progress {
             Progress::Sealing => Some(Verb::Seal),
--- a/crates/mastweir-core/src/switch/mod.rs
+++ b/crates/mastweir-core/src/switch/mod.rs
@@ -34,21 +34,30 @@
 /// Number of a step.
 pub type Step = u64;
 
-/// An order to a rank, under the epoch of the coordinator's lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RankOrder {
-    /// Name of the group.
-    pub group: String,
-    /// Number of the rank in its group.
-    pub rank: u16,
+/// An order under the epoch of the coordinator's lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
     /// Epoch of the lease.
     pub epoch: u64,
     /// Round of the epoch.
     pub round: u64,
+    /// The life of the rank that it is for. A seal is for any: it asks.
+    pub life: Option<Incarnation>,
     /// What to do.
     pub verb: Verb,
 }
 
+/// An order to one rank of a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankOrder {
+    /// Name of the group.
+    pub group: String,
+    /// Number of the rank in its group.
+    pub rank: u16,
+    /// The order.
+    pub order: Order,
+}
+
 /// What a rank is to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verb {
--- a/crates/mastweir-core/src/switch/rank.rs
+++ b/crates/mastweir-core/src/switch/rank.rs
@@ -1,6 +1,6 @@
 //! A rank's side of a switch.
 
-use super::{MapVersion, RankReply, RankStatus, Step, Verb};
+use super::{MapVersion, Order, RankReply, RankStatus, Step, Verb};
 use crate::id::Incarnation;
 
 /// What one rank has promised and was granted.
@@ -8,22 +8,25 @@
 /// ```
 /// use mastweir_core::{
 ///     id::Incarnation,
-///     switch::{MapVersion, Rank, RankReply, Verb},
+///     switch::{MapVersion, Order, Rank, RankReply, Verb},
 /// };
 ///
+/// let life = Some(Incarnation(1));
+/// let order = |epoch, round, verb| Order { epoch, round, life, verb };
 /// let mut rank = Rank::new(Incarnation(1));
 /// // Without a grant it runs nothing.
 /// assert_eq!(rank.next_step(), None);
-/// rank.on(1, 1, Verb::Seal);
-/// rank.on(1, 2, Verb::Prepare(MapVersion(1)));
+/// rank.on(&order(1, 1, Verb::Seal));
+/// rank.on(&order(1, 2, Verb::Prepare(MapVersion(1))));
 /// rank.load(MapVersion(1));
-/// rank.on(1, 2, Verb::Grant(MapVersion(1), 1));
+/// rank.on(&order(1, 2, Verb::Grant(MapVersion(1), 1)));
 /// assert_eq!(rank.next_step(), Some((1, MapVersion(1))));
 /// rank.begin(1);
-/// rank.on(1, 3, Verb::Cap(2));
+/// rank.on(&order(1, 3, Verb::Cap(2)));
 /// assert_eq!(rank.next_step(), None);
 /// // An order of a former coordinator comes late.
-/// assert!(matches!(rank.on(0, 9, Verb::Grant(MapVersion(9), 2)), RankReply::Refused(_)));
+/// let late = rank.on(&order(0, 9, Verb::Grant(MapVersion(9), 2)));
+/// assert!(matches!(late, RankReply::Refused(_)));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Rank {
@@ -53,16 +56,13 @@
     }
 
     /// Carries an order out, or refuses it.
-    pub fn on(&mut self, epoch: u64, round: u64, verb: Verb) -> RankReply {
-        if (epoch, round) < (self.epoch, self.round) {
+    pub fn on(&mut self, order: &Order) -> RankReply {
+        if !self.is_current(order) {
             return RankReply::Refused(self.status());
         }
-        if epoch > self.epoch && verb != Verb::Seal {
-            // The predecessor must be sealed first, or two could act at once.
-            return RankReply::Refused(self.status());
-        }
-        self.epoch = epoch;
-        self.round = round;
+        self.epoch = order.epoch;
+        self.round = order.round;
+        let verb = order.verb;
         let done = match verb {
             Verb::Seal => true,
             Verb::Prepare(map) => self.loaded >= map,
@@ -76,6 +76,17 @@
         }
     }
 
+    /// Whether an order may be carried out by this life, now.
+    fn is_current(&self, order: &Order) -> bool {
+        let late = (order.epoch, order.round) < (self.epoch, self.round);
+        let seals = order.verb == Verb::Seal;
+        // The predecessor must be sealed first, or two could act at once.
+        let unsealed = order.epoch > self.epoch && !seals;
+        // An order for a former life rests on what that one had promised.
+        let other_life = order.life != Some(self.incarnation) && !seals;
+        !late && !unsealed && !other_life
+    }
+
     /// The weights of a map are there.
     pub fn load(&mut self, map: MapVersion) {
         self.loaded = self.loaded.max(map);
--- a/crates/mastweir-core/src/table/merge.rs
+++ b/crates/mastweir-core/src/table/merge.rs
@@ -101,6 +101,9 @@
         }
         if delta.after == 0 && delta.upto >= self.complete {
             self.delete_absent(delta);
+            // Rows that came and went unseen have no tombstone here, so a peer
+            // that is further back has to be given the whole table.
+            self.floor = self.floor.max(delta.upto);
         }
         for stored in &delta.rows {
             self.put(stored.clone());
@@ -119,8 +122,10 @@
     }
 
     fn put(&mut self, stored: Stored) -> bool {
+        // Nothing up to `complete` is missing, so a row of such a version is one
+        // that was replaced or deleted since, whether or not that is still known.
         let held = self.version(&stored.key);
-        if held.is_some_and(|version| version >= stored.version) {
+        if stored.version <= self.complete.max(held.unwrap_or(0)) {
             return false;
         }
         let deleted = stored.row.is_none();
--- a/crates/mastweir-core/src/wire.rs
+++ b/crates/mastweir-core/src/wire.rs
@@ -198,3 +198,8 @@
     /// The content.
     pub packet: Packet,
 }
+
+/// Bytes of a message as `postcard` writes it; 0 if it can't be written.
+pub fn encoded_len<T: Serialize>(message: &T) -> usize {
+    postcard::to_stdvec(message).map_or(0, |bytes| bytes.len())
+}
--- a/crates/mastweir-test-support/src/ranks.rs
+++ b/crates/mastweir-test-support/src/ranks.rs
@@ -104,8 +104,8 @@
         let rank = usize::from(order.rank);
         let mut state = lock(&self.state);
         let Some(held) = state.ranks.get_mut(rank) else { return RankReply::NotReady };
-        let reply = held.on(order.epoch, order.round, order.verb);
-        if let (RankReply::Busy(_), Verb::Prepare(map)) = (reply, order.verb) {
+        let reply = held.on(&order.order);
+        if let (RankReply::Busy(_), Verb::Prepare(map)) = (reply, order.order.verb) {
             self.load(rank, map);
         }
         reply
--- a/src/mastweir/agent/jobs.rs
+++ b/src/mastweir/agent/jobs.rs
@@ -12,7 +12,7 @@
 use mastweir_core::{
     id::OpId,
     outcome::{Ledger, Limits, Order, Refusal, Verdict},
-    share::{CustomerTag, Entry, FairQueue, Offer},
+    share::{CustomerTag, Entry, FairQueue, Offer, WAIT_MAX_S},
     time::Uptime,
     wire::{Load, Start},
 };
@@ -23,6 +23,8 @@
 
 /// Part of the newest reading in the smoothed speed of a slot.
 const SPEED_SMOOTH: f64 = 0.1;
+/// Least room for what waits, in units.
+const ROOM_MIN: u32 = 1_000;
 /// Speed of a slot before any request has ended, in units a second.
 const SPEED_FIRST: f64 = 100.0;
 
@@ -146,6 +148,8 @@
         if let End::Whole(spent) = end {
             let speed = f64::from(spent.units) / took.as_secs_f64().max(1e-3);
             state.speed += SPEED_SMOOTH * (speed - state.speed);
+            let rate = state.speed * f64::from(self.slots);
+            state.queue.set_room((rate * WAIT_MAX_S).max(f64::from(ROOM_MIN)) as u64);
         }
         finish(&mut state, job, end);
     }
--- a/src/mastweir/agent/ranks.rs
+++ b/src/mastweir/agent/ranks.rs
@@ -60,10 +60,10 @@
     }
     let mut highest = shared.ranks.highest.lock().await;
     let Some(known) = *highest else { return RankReply::NotReady };
-    let given = (order.epoch, order.round);
+    let given = (order.order.epoch, order.order.round);
     if given < known {
         slog::warn!(shared.context.log, "refused an order of an earlier epoch";
-            "group" => &order.group, "epoch" => order.epoch, "known" => known.0);
+            "group" => &order.group, "epoch" => order.order.epoch, "known" => known.0);
         return RankReply::NotReady;
     }
     *highest = Some(given);
--- a/src/mastweir/entry/admit.rs
+++ b/src/mastweir/entry/admit.rs
@@ -1,13 +1,18 @@
 //! Limits of a customer, at this entry's part of them.
 
 use super::{Shared, lock, problem::Kind};
+use crate::platform::InstanceRole;
 use mastweir_core::{
     share::{Allowance, Bucket},
     table::Customer,
     time::Uptime,
 };
+use rand::Rng;
 use std::{collections::HashMap, sync::Arc};
 
+/// Seconds after which to come back when over the share.
+const OVER_SHARE_S: u32 = 2;
+
 /// What a customer has at this entry.
 #[derive(Debug)]
 struct Held {
@@ -55,18 +60,27 @@
     if estimate > row.largest {
         return Err(Denied { kind: Kind::TooLarge, retry_after: None });
     }
-    let (own, total, entries) = lock(&shared.usage).rates(name);
-    let part = Allowance::of(own, total, entries);
+    let (own, total) = lock(&shared.usage).rates(name);
+    let entries = lock(&shared.view).of_role(InstanceRole::Entry).count();
+    let part = Allowance::of(own, total, u32::try_from(entries).unwrap_or(u32::MAX));
     let now = shared.context.clock.now();
-    lock(&shared.limits).take(name, row, part, estimate, now)?;
-    lock(&shared.usage).waits(name);
-    Ok(Admitted {
+    let estimate = lock(&shared.usage).expect(name, estimate);
+    let taken = lock(&shared.limits).take(name, row, part, estimate, now);
+    let start = rand::rng().random_range(0.0..1.0);
+    let in_share = lock(&shared.usage).ask(name, row.weight, estimate, start);
+    taken?;
+    let admitted = Admitted {
         shared: shared.clone(),
         customer: name.to_owned(),
         estimate,
         waits: true,
         settled: false,
-    })
+    };
+    // Over its share while the servers are full: refused before it is sent.
+    if !in_share {
+        return Err(Denied { kind: Kind::Overloaded, retry_after: Some(OVER_SHARE_S) });
+    }
+    Ok(admitted)
 }
 
 impl Limits {
@@ -111,7 +125,6 @@
         if !std::mem::replace(&mut self.waits, false) {
             return;
         }
-        lock(&self.shared.usage).begins(&self.customer);
         if let Some(held) = lock(&self.shared.limits).held.get_mut(&self.customer) {
             held.waiting = held.waiting.saturating_sub(1);
         }
@@ -120,7 +133,7 @@
     /// It has cost this much.
     pub fn settle(&mut self, units: u32) {
         self.settled = true;
-        lock(&self.shared.usage).received(&self.customer, units);
+        lock(&self.shared.usage).received(&self.customer, self.estimate, units);
         if let Some(held) = lock(&self.shared.limits).held.get_mut(&self.customer) {
             held.bucket.settle(f64::from(self.estimate), f64::from(units));
         }
--- a/src/mastweir/entry/groups.rs
+++ b/src/mastweir/entry/groups.rs
@@ -213,26 +213,20 @@
     /// Sends the orders of a round at once, and takes the replies in.
     async fn round(&mut self, epoch: u64) {
         let Some((coordinator, ranks)) = &mut self.coordinator else { return };
-        let round = coordinator.round();
         let mut replies = JoinSet::new();
-        for (rank, verb) in coordinator.orders() {
-            let order = RankOrder {
-                group: self.group.clone(),
-                rank: u16::try_from(rank).unwrap_or(u16::MAX),
-                epoch,
-                round,
-                verb,
-            };
+        for (rank, order) in coordinator.orders() {
+            let group = self.group.clone();
+            let to = RankOrder { group, rank: u16::try_from(rank).unwrap_or(u16::MAX), order };
             let (shared, addr) = (self.shared.clone(), ranks[rank]);
-            replies.spawn(async move { (rank, verb, send(&shared, addr, order).await) });
+            replies.spawn(async move { (rank, order, send(&shared, addr, to).await) });
         }
         let before = coordinator.progress();
-        while let Some(Ok((rank, verb, reply))) = replies.join_next().await {
+        while let Some(Ok((rank, order, reply))) = replies.join_next().await {
             // Woken from a pause, the lease may be another's.
             if self.lease.epoch(self.shared.context.clock.now()) != Some(epoch) {
                 return;
             }
-            coordinator.on(rank, round, verb, reply);
+            coordinator.on(rank, &order, reply);
         }
         let switched = matches!(before, Progress::Granting(..))
             && matches!(coordinator.progress(), Progress::Steady(_));
--- a/src/mastweir/entry/status.rs
+++ b/src/mastweir/entry/status.rs
@@ -38,12 +38,12 @@
     pub weight: f64,
     /// Part of all weights, in percent.
     pub promised_pct: f64,
-    /// Units a second through this entry.
+    /// Units a second that it asks for here.
     pub own_rate: u64,
-    /// Units a second fleet-wide, as last heard.
+    /// Units a second that it asks for fleet-wide, as last heard.
     pub fleet_rate: u64,
-    /// Correction of its weight.
-    pub factor: f64,
+    /// Chance with which its requests are let in.
+    pub chance: f64,
     /// Requests in flight here.
     pub inflight: u32,
 }
@@ -148,14 +148,14 @@
     let usage = lock(&shared.usage);
     let limits = lock(&shared.limits);
     let share = |(name, row): (&String, &mastweir_core::table::Customer)| {
-        let (own_rate, fleet_rate, _) = usage.rates(name);
+        let (own_rate, fleet_rate) = usage.rates(name);
         ShareStatus {
             customer: name.clone(),
             weight: row.weight,
             promised_pct: 100.0 * row.weight / total.max(f64::MIN_POSITIVE),
             own_rate,
             fleet_rate,
-            factor: usage.factor(name),
+            chance: usage.chance(name, row.weight),
             inflight: limits.inflight(name),
         }
     };
--- a/src/mastweir/entry/usage.rs
+++ b/src/mastweir/entry/usage.rs
@@ -1,83 +1,78 @@
 //! What customers received, here and fleet-wide.
 
-use super::{Shared, lock};
+use super::{Shared, lock, view::Waits};
 use crate::platform::InstanceRole;
 use mastweir_core::{
-    share::{Corrector, CustomerTag, Received, Role, Tree, Usage, UsageRow},
+    share::{CustomerTag, Estimator, Fleet, Gate, Offered, Pending, Role, Tree, Usage, UsageRow},
     time::Uptime,
     wire::Packet,
 };
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, slice, sync::Arc, time::Duration};
 use tokio::time;
 
 /// Time between exchanges in a small fleet.
 const PERIOD: Duration = Duration::from_secs(1);
-/// Sums of others that are older than this are left out.
-const STALE: Duration = Duration::from_secs(4);
+/// Weight of the newest reading in a smoothed rate.
+const RATE_SMOOTH: f64 = 0.3;
+/// Units a second below which a customer is forgotten.
+const RATE_LEAST: f64 = 0.5;
+
+/// Weights of customers in the table.
+type Weights = HashMap<CustomerTag, f64>;
 /// Time between two subscriptions to the same server, in report intervals.
 const SUBSCRIBE_EVERY: u32 = 2;
 const SUBSCRIBE_MIN: Duration = Duration::from_secs(4);
 
-/// What was received in the present period.
-#[derive(Clone, Copy, Debug, Default)]
-struct Own {
-    units: u64,
-    waiting: u32,
-}
-
 /// The entry's part in the exchange.
 #[derive(Debug, Default)]
 pub struct Exchange {
-    own: HashMap<CustomerTag, Own>,
-    own_rate: HashMap<CustomerTag, u64>,
-    names: HashMap<CustomerTag, String>,
-    heard: BTreeMap<String, (Usage, Uptime)>,
-    total: HashMap<CustomerTag, UsageRow>,
-    entries: u32,
-    corrector: Corrector,
+    /// Units that customers asked for here in the present period.
+    own: HashMap<CustomerTag, u64>,
+    /// Units a second that they ask for here.
+    own_rate: HashMap<CustomerTag, f64>,
+    /// On its way up: from here and from children.
+    up: Pending,
+    /// What other halls' leaders sent.
+    foreign: Pending,
+    gate: Gate,
+    estimator: Estimator<String>,
     subscribed: HashMap<SocketAddr, Uptime>,
 }
 
 impl Exchange {
-    /// A request of a customer waits for its answer.
-    pub fn waits(&mut self, customer: &str) {
+    /// A customer asks for units. Whether that is within its share.
+    pub fn ask(&mut self, customer: &str, weight: f64, units: u32, start: f64) -> bool {
         let tag = CustomerTag::of(customer);
-        self.names.entry(tag).or_insert_with(|| customer.to_owned());
-        self.own.entry(tag).or_default().waiting += 1;
-    }
-
-    /// It waits no longer.
-    pub fn begins(&mut self, customer: &str) {
-        let own = self.own.entry(CustomerTag::of(customer)).or_default();
-        own.waiting = own.waiting.saturating_sub(1);
+        *self.own.entry(tag).or_default() += u64::from(units);
+        self.up.ask(tag, u64::from(units));
+        self.gate.admit(tag, weight, f64::from(units), start)
     }
 
-    /// A customer received service.
-    pub fn received(&mut self, customer: &str, units: u32) {
-        self.own.entry(CustomerTag::of(customer)).or_default().units += u64::from(units);
+    /// A customer received service for a request for which `named` units were
+    /// named.
+    pub fn received(&mut self, customer: &str, named: u32, units: u32) {
+        self.up.deliver(u64::from(units));
+        if units > 0 {
+            self.estimator.learn(customer.to_owned(), named, units);
+        }
     }
 
-    /// The effective weight that a customer's orders carry, in thousandths.
-    pub fn weight(&self, customer: &str, weight: f64) -> u32 {
-        self.corrector.weight_milli(CustomerTag::of(customer), weight)
+    /// Units to expect of a request for which `named` units were named.
+    pub fn expect(&self, customer: &str, named: u32) -> u32 {
+        self.estimator.expect(customer, named)
     }
 
-    /// A customer's rate here and fleet-wide, and the entries counted.
-    pub fn rates(&self, customer: &str) -> (u64, u64, u32) {
+    /// A customer's rate here and fleet-wide, in units a second.
+    pub fn rates(&self, customer: &str) -> (u64, u64) {
         let tag = CustomerTag::of(customer);
-        let own = self.own_rate.get(&tag).copied().unwrap_or(0);
-        let total = self.total.get(&tag).map_or(own, |row| u64::from(row.rate));
-        (own, total.max(own), self.entries.max(1))
+        let own = self.own_rate.get(&tag).copied().unwrap_or(0.0);
+        let fleet = self.gate.rate(tag).unwrap_or(0.0);
+        (own as u64, fleet.max(own) as u64)
     }
 
-    /// The factor on a customer's weight.
-    pub fn factor(&self, customer: &str) -> f64 {
-        self.corrector.factor(CustomerTag::of(customer))
+    /// The part of a customer's requests that is let in.
+    pub fn chance(&self, customer: &str, weight: f64) -> f64 {
+        self.gate.chance(CustomerTag::of(customer), weight)
     }
 
     /// Servers whose subscription is due.
@@ -100,41 +95,28 @@
         due
     }
 
-    /// Closes the period: own rows, and the sum with what others sent.
-    fn close(&mut self, now: Uptime, passed: Duration) -> Usage {
-        self.heard.retain(|_, (_, at)| now.since(*at) <= STALE);
-        self.own_rate.clear();
-        let mut sum: BTreeMap<CustomerTag, UsageRow> = BTreeMap::new();
-        for (&customer, own) in &mut self.own {
-            let rate = (own.units as f64 / passed.as_secs_f64().max(1e-3)) as u32;
-            self.own_rate.insert(customer, u64::from(rate));
-            if own.waiting > 0 || rate > 0 {
-                let row = UsageRow { customer, rate, waiting: own.waiting };
-                sum.insert(customer, row);
-            }
-            own.units = 0;
-        }
-        self.own.retain(|_, own| own.waiting > 0);
-        let parts = self.heard.values().filter(|(usage, _)| !usage.total);
-        let mut entries = 1;
-        for (usage, _) in parts {
-            entries += usage.entries;
-            add(&mut sum, &usage.rows);
+    /// Closes a period of so many seconds.
+    fn close(&mut self, seconds: f64, waits: &Waits) {
+        self.gate.observe(waits.seconds, waits.room);
+        for (customer, rate) in &mut self.own_rate {
+            let units = self.own.remove(customer).unwrap_or(0);
+            *rate += RATE_SMOOTH * (units as f64 / seconds - *rate);
         }
-        let mut usage = Usage { total: false, entries, rows: sum.into_values().collect() };
-        usage.truncate();
-        usage
+        let new = self.own.drain().map(|(customer, units)| (customer, units as f64 / seconds));
+        self.own_rate.extend(new);
+        self.own_rate.retain(|_, rate| *rate > RATE_LEAST);
     }
 
-    /// The fleet-wide sum has come.
-    fn set_total(&mut self, usage: &Usage, weights: &HashMap<CustomerTag, f64>) {
-        self.entries = u32::from(usage.entries);
-        self.total = usage.rows.iter().map(|row| (row.customer, *row)).collect();
-        let waiting = usage.rows.iter().filter(|row| row.waiting > 0);
-        let received: Vec<Received> = waiting
-            .filter_map(|row| Some(Received { row: *row, weight: *weights.get(&row.customer)? }))
-            .collect();
-        self.corrector.update(&received);
+    /// The fleet-wide sum of a period has come.
+    fn take_total(&mut self, now: Uptime, usage: &Usage, weights: &Weights) {
+        let offered = |row: &UsageRow| {
+            let weight = *weights.get(&row.customer)?;
+            Some(Offered { customer: row.customer, units: f64::from(row.units), weight })
+        };
+        let rows: Vec<Offered> = usage.rows.iter().filter_map(offered).collect();
+        let seconds = PERIOD.as_secs_f64();
+        let fleet = Fleet { asked: usage.asked as f64, delivered: usage.delivered as f64 };
+        self.gate.update(now.as_secs_f64(), &rows, seconds, fleet);
     }
 }
 
@@ -144,64 +126,58 @@
     loop {
         time::sleep(PERIOD).await;
         let now = shared.context.clock.now();
-        let tree = tree(&shared);
-        let sum = lock(&shared.usage).close(now, now.since(closed));
+        let waits = lock(&shared.view).waits(now);
+        lock(&shared.usage).close(now.since(closed).as_secs_f64().max(1e-3), &waits);
         closed = now;
+        let tree = tree(&shared);
+        let weights = weights(&shared);
+        let usage = lock(&shared.usage).up.take(false, |customer| weight(&weights, customer));
         match &tree.parent {
-            Some(parent) => send(&shared, parent, &sum).await,
-            None => share_total(&shared, &tree, sum).await,
+            Some(parent) => send_all(&shared, slice::from_ref(parent), &usage).await,
+            None => share_total(&shared, &tree, &usage, &weights).await,
         }
     }
 }
 
-/// Takes another entry's sum in. A total is passed on down the tree.
+/// Takes another entry's rows in. A total is passed on down the tree.
 pub fn receive(shared: &Arc<Shared>, from: &str, usage: Usage) {
     if usage.total {
-        take_total(shared, &usage);
+        let now = shared.context.clock.now();
+        lock(&shared.usage).take_total(now, &usage, &weights(shared));
         let tree = tree(shared);
-        if tree.role != Role::Member {
+        if tree.role == Role::Leader {
             let shared = shared.clone();
             tokio::spawn(async move { send_all(&shared, &tree.children, &usage).await });
         }
         return;
     }
-    let now = shared.context.clock.now();
-    lock(&shared.usage).heard.insert(from.to_owned(), (usage, now));
+    let near = lock(&shared.view).instance(from).is_some_and(|s| s.hall == shared.context.hall);
+    let mut exchange = lock(&shared.usage);
+    let pending = if near { &mut exchange.up } else { &mut exchange.foreign };
+    pending.add(&usage);
 }
 
-/// A hall's leader: its hall's sum goes to the other leaders, and the sum over
-/// all halls that it has heard of goes down.
-async fn share_total(shared: &Arc<Shared>, tree: &Tree, sum: Usage) {
-    let own_hall = hall_part(shared, tree, &sum);
-    send_all(shared, &tree.peers, &own_hall).await;
-    let total = Usage { total: true, ..sum };
-    take_total(shared, &total);
+/// A hall's leader: its hall's rows go to the other leaders, and the sum with
+/// theirs goes down.
+async fn share_total(shared: &Arc<Shared>, tree: &Tree, usage: &Usage, weights: &Weights) {
+    send_all(shared, &tree.peers, usage).await;
+    let total = {
+        let mut exchange = lock(&shared.usage);
+        exchange.foreign.add(usage);
+        let total = exchange.foreign.take(true, |customer| weight(weights, customer));
+        exchange.take_total(shared.context.clock.now(), &total, weights);
+        total
+    };
     send_all(shared, &tree.children, &total).await;
 }
 
-/// The sum without what other halls' leaders sent.
-fn hall_part(shared: &Shared, tree: &Tree, sum: &Usage) -> Usage {
-    let exchange = lock(&shared.usage);
-    let mut rows: BTreeMap<_, _> = sum.rows.iter().map(|row| (row.customer, *row)).collect();
-    let mut entries = sum.entries;
-    for peer in &tree.peers {
-        let Some((usage, _)) = exchange.heard.get(peer) else { continue };
-        entries = entries.saturating_sub(usage.entries);
-        for row in &usage.rows {
-            if let Some(own) = rows.get_mut(&row.customer) {
-                own.rate = own.rate.saturating_sub(row.rate);
-                own.waiting = own.waiting.saturating_sub(row.waiting);
-            }
-        }
-    }
-    let rows = rows.into_values().filter(|row| row.rate > 0 || row.waiting > 0).collect();
-    Usage { total: false, entries, rows }
+fn weight(weights: &Weights, customer: CustomerTag) -> f64 {
+    weights.get(&customer).copied().unwrap_or(1.0)
 }
 
-fn take_total(shared: &Shared, usage: &Usage) {
+fn weights(shared: &Shared) -> Weights {
     let rows = shared.config.rows();
-    let weights = rows.customers.iter().map(|(name, row)| (CustomerTag::of(name), row.weight));
-    lock(&shared.usage).set_total(usage, &weights.collect());
+    rows.customers.iter().map(|(name, row)| (CustomerTag::of(name), row.weight)).collect()
 }
 
 fn tree(shared: &Shared) -> Tree {
@@ -216,24 +192,11 @@
     Tree::of(own, &places)
 }
 
-async fn send(shared: &Shared, to: &str, usage: &Usage) {
-    let addr = lock(&shared.view).instance(to).map(|spec| spec.udp);
-    if let Some(addr) = addr {
-        shared.socket.send(addr, &Packet::Usage(usage.clone())).await;
-    }
-}
-
 async fn send_all(shared: &Shared, names: &[String], usage: &Usage) {
     for name in names {
-        send(shared, name, usage).await;
-    }
-}
-
-fn add(sum: &mut BTreeMap<CustomerTag, UsageRow>, rows: &[UsageRow]) {
-    for row in rows {
-        let zero = UsageRow { customer: row.customer, rate: 0, waiting: 0 };
-        let total = sum.entry(row.customer).or_insert(zero);
-        total.rate = total.rate.saturating_add(row.rate);
-        total.waiting = total.waiting.saturating_add(row.waiting);
+        let addr = lock(&shared.view).instance(name).map(|spec| spec.udp);
+        if let Some(addr) = addr {
+            shared.socket.send(addr, &Packet::Usage(usage.clone())).await;
+        }
     }
 }
--- a/src/mastweir/entry/view.rs
+++ b/src/mastweir/entry/view.rs
@@ -5,6 +5,7 @@
     id::Fence,
     outcome::Binding,
     route::{Choice, Known, Policy, Request, Router, Signal},
+    share::WAIT_MAX_S,
     time::Uptime,
     wire::Load,
 };
@@ -18,6 +19,18 @@
 /// Places of an operation that may not be repeated.
 const PLACES: usize = 3;
 
+/// Units of a request, while none waits.
+const COST_GUESS: f64 = 100.0;
+
+/// What waits at a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Waits {
+    /// Seconds of work.
+    pub seconds: f64,
+    /// Requests that its queue has room for.
+    pub room: f64,
+}
+
 /// A chosen server.
 #[derive(Clone, Debug)]
 pub struct Chosen {
@@ -94,6 +107,20 @@
         self.rebuild();
     }
 
+    /// What waits at a server, on average over all that are heard of.
+    pub fn waits(&self, now: Uptime) -> Waits {
+        let loads: Vec<&Load> = self.routers.values().flat_map(|r| r.loads(now)).collect();
+        let count = loads.len().max(1) as f64;
+        let rate = |load: &Load| f64::from(load.rate.max(1));
+        let waits = loads.iter().map(|load| f64::from(load.backlog) / rate(load));
+        let rates: f64 = loads.iter().map(|load| rate(load)).sum();
+        let backlog: f64 = loads.iter().map(|load| f64::from(load.backlog)).sum();
+        let waiting: f64 = loads.iter().map(|load| f64::from(load.waiting)).sum();
+        let cost = if waiting > 0.0 { backlog / waiting } else { COST_GUESS };
+        let room = WAIT_MAX_S * rates / count / cost.max(1.0);
+        Waits { seconds: waits.sum::<f64>() / count, room }
+    }
+
     /// An agent's report.
     pub fn report(&mut self, server: &str, load: &Load, now: Uptime) {
         for router in self.routers.values_mut() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,7 @@
 //! Tests of mastweir, a file a feature.
 
+mod faults;
+mod fuzz_outcomes;
+mod fuzz_switch;
+mod fuzz_table;
 mod path;
