--- a/crates/mastweir-bench/src/sim/mod.rs
+++ b/crates/mastweir-bench/src/sim/mod.rs
@@ -2,4 +2,5 @@
 //! service rate, time is simulated, randomness is seeded.
 
 pub mod events;
+pub mod experts;
 pub mod shares;
--- a/crates/mastweir-core/src/experts/mod.rs
+++ b/crates/mastweir-core/src/experts/mod.rs
@@ -1,1 +1,27 @@
 //! When to move an expert, and where to.
+//!
+//! All ranks of a group go at the pace of the slowest, so a popular expert holds
+//! the group back. Moving or copying one costs bytes from the rate-limited
+//! weight store and disturbs the group. The planner ([`Planner`]) estimates
+//! demand from lagged and noisy counts ([`Demand`]), looks for the few changes
+//! that help most, and makes them only if what they save over a horizon is
+//! worth more than they cost; one setting, [`Weighting`], says how much more.
+//!
+//! [`scratch`] is the baseline that is published for expert-parallel serving: a
+//! fresh placement by greedy replication and packing, without regard to what is
+//! where already.
+
+mod demand;
+mod placement;
+mod planner;
+mod scratch;
+
+pub use demand::Demand;
+pub use placement::{Change, Placement, skew};
+pub use planner::{Decision, Planner, Verdict, Weighting};
+pub use scratch::scratch;
+
+/// Number of an expert in its layer.
+pub type Expert = usize;
+/// Number of a rank in its group.
+pub type RankNumber = usize;
--- /dev/null
+++ b/crates/mastweir-core/src/experts/planner.rs
@@ -0,0 +1,224 @@
+//! Few changes, and only where they pay.
+
+use super::{Change, Demand, Placement, skew};
+
+/// How much step-time skew weighs against the cost of rebalancing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weighting {
+    /// Seconds for which a saving is taken to last.
+    pub horizon_s: f64,
+    /// Seconds of a group's time that loading one expert is worth.
+    pub load_s: f64,
+    /// Skew to spare: below it nothing is done.
+    pub spare: f64,
+    /// Changes at once at most.
+    pub changes: usize,
+    /// Standard errors of the estimate that a saving has to exceed.
+    pub sure: f64,
+}
+
+impl Weighting {
+    /// For a deployment that weighs skew more.
+    pub const SKEW: Self =
+        Self { horizon_s: 60.0, load_s: 0.12, spare: 1.02, changes: 12, sure: 2.5 };
+    /// For a deployment that weighs the cost of rebalancing more.
+    pub const COST: Self =
+        Self { horizon_s: 60.0, load_s: 0.9, spare: 1.05, changes: 6, sure: 3.0 };
+}
+
+/// Why a plan was made or not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Worth its cost.
+    Worth,
+    /// The group is even enough.
+    Even,
+    /// No change saves what it costs.
+    TooDear,
+    /// Too few reports, or a gap in them.
+    Uncertain,
+    /// A rank is stalled: what looks like skew is not.
+    Stalled,
+}
+
+/// A placement decision, for the log line too.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// Why.
+    pub verdict: Verdict,
+    /// Skew under the present placement, as estimated.
+    pub skew_now: f64,
+    /// Skew after the changes, as estimated.
+    pub skew_then: f64,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
+/// Plans changes for one group.
+#[derive(Clone, Copy, Debug)]
+pub struct Planner {
+    weighting: Weighting,
+}
+
+/// Reports before the first plan.
+const REPORTS_MIN: u32 = 24;
+
+impl Planner {
+    /// A planner under a weighting.
+    pub const fn new(weighting: Weighting) -> Self {
+        Self { weighting }
+    }
+
+    /// Plans from the demand and the present placement. `stalled`: a rank makes
+    /// no progress, or reports are missing.
+    pub fn plan(&self, demand: &Demand, placement: &Placement, stalled: bool) -> Decision {
+        let by_expert = demand.by_expert();
+        let skew_now = skew(&placement.loads(by_expert));
+        let nothing =
+            |verdict| Decision { verdict, skew_now, skew_then: skew_now, changes: Vec::new() };
+        if stalled {
+            return nothing(Verdict::Stalled);
+        }
+        if demand.reports() < REPORTS_MIN {
+            return nothing(Verdict::Uncertain);
+        }
+        let noise = self.weighting.sure * error(demand, placement);
+        if skew_now <= self.weighting.spare.max(1.0 + noise) {
+            return nothing(Verdict::Even);
+        }
+        let (changes, skew_then) = self.search(by_expert, placement, skew_now);
+        // The slowest rank is the one whose estimate is furthest up by chance.
+        if changes.is_empty() || skew_now - skew_then < noise {
+            return nothing(Verdict::TooDear);
+        }
+        Decision { verdict: Verdict::Worth, skew_now, skew_then, changes }
+    }
+
+    /// Adds changes one by one, each the best next one, and keeps the prefix
+    /// with the largest net gain: a second change may be what makes the first
+    /// one pay.
+    fn search(&self, demand: &[f64], from: &Placement, skew_now: f64) -> (Vec<Change>, f64) {
+        let mut placement = from.clone();
+        let mut changes: Vec<Change> = Vec::new();
+        let mut best = (0.0, 0, skew_now);
+        while changes.len() < self.weighting.changes {
+            let Some(mut step) = best_step(demand, &placement) else { break };
+            step.retain(|change| {
+                placement.apply(*change);
+                true
+            });
+            changes.extend(step);
+            let then = skew(&placement.loads(demand));
+            let net = self.gain(skew_now, then) - self.cost(changes.len());
+            if net > best.0 {
+                best = (net, changes.len(), then);
+            }
+            if then <= self.weighting.spare {
+                break;
+            }
+        }
+        changes.truncate(best.1);
+        (changes, best.2)
+    }
+
+    /// Seconds saved over the horizon: a group's time goes with its skew.
+    fn gain(&self, now: f64, then: f64) -> f64 {
+        self.weighting.horizon_s * (now - then) / now
+    }
+
+    /// Seconds that the loads are worth.
+    fn cost(&self, changes: usize) -> f64 {
+        self.weighting.load_s * changes as f64
+    }
+}
+
+/// Standard error of the slowest rank's load, over the mean load.
+fn error(demand: &Demand, placement: &Placement) -> f64 {
+    let loads = placement.loads(demand.by_expert());
+    let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+    let slowest = (0..loads.len()).max_by(|a, b| loads[*a].total_cmp(&loads[*b]));
+    let Some(slowest) = slowest.filter(|_| mean > 0.0) else { return 0.0 };
+    let part = |expert: &usize| {
+        demand.error(*expert) / f64::from(placement.copies(*expert).max(1)).powi(2)
+    };
+    placement.slots()[slowest].iter().map(part).sum::<f64>().sqrt() / mean
+}
+
+/// The change that lowers the slowest rank most: another copy of one of its
+/// experts, in the place of a copy that is not needed elsewhere, or a swap of
+/// one of its experts against a smaller one.
+fn best_step(demand: &[f64], placement: &Placement) -> Option<Vec<Change>> {
+    let loads = placement.loads(demand);
+    let slowest = (0..loads.len()).max_by(|a, b| loads[*a].total_cmp(&loads[*b]))?;
+    let copies = copy_steps(demand, placement, slowest);
+    let swaps = swap_steps(demand, placement, slowest, &loads);
+    // A swap takes two loads, so it has to be twice as good.
+    let score = |step: &Vec<Change>| {
+        let mut next = placement.clone();
+        step.iter().for_each(|change| next.apply(*change));
+        let after = next.loads(demand);
+        let most = after.iter().copied().fold(0.0, f64::max);
+        // Among steps that leave another rank the slowest, the one that lowers
+        // this rank more is better.
+        let lowered = loads[slowest] - after[slowest].min(loads[slowest]);
+        (loads[slowest] - most + lowered * 1e-3) / step.len() as f64
+    };
+    let scored = copies.into_iter().chain(swaps).map(|step| (score(&step), step));
+    let (best, step) = scored.max_by(|a, b| a.0.total_cmp(&b.0))?;
+    (best > 0.0).then_some(step)
+}
+
+/// Ranks that are looked at as targets: the least loaded ones.
+const TARGETS: usize = 6;
+
+fn lightest(loads: &[f64], but: usize) -> Vec<usize> {
+    let mut ranks: Vec<usize> = (0..loads.len()).filter(|rank| *rank != but).collect();
+    ranks.sort_by(|a, b| loads[*a].total_cmp(&loads[*b]));
+    ranks.truncate(TARGETS);
+    ranks
+}
+
+fn copy_steps(demand: &[f64], placement: &Placement, slowest: usize) -> Vec<Vec<Change>> {
+    let hot = &placement.slots()[slowest];
+    let mut steps = Vec::new();
+    for (rank, experts) in placement.slots().iter().enumerate() {
+        if rank == slowest {
+            continue;
+        }
+        // The spare copy whose loss shifts the least load.
+        let spare = (0..experts.len()).filter(|slot| placement.copies(experts[*slot]) > 1);
+        let shift = |slot: &usize| {
+            let expert = experts[*slot];
+            placement.part(expert, demand) / f64::from(placement.copies(expert) - 1)
+        };
+        let Some(slot) = spare.min_by(|a, b| shift(a).total_cmp(&shift(b))) else { continue };
+        let news = hot.iter().filter(|expert| !experts.contains(expert));
+        steps.extend(news.map(|expert| vec![Change { rank, slot, expert: *expert }]));
+    }
+    steps
+}
+
+fn swap_steps(
+    demand: &[f64],
+    placement: &Placement,
+    slowest: usize,
+    loads: &[f64],
+) -> Vec<Vec<Change>> {
+    let hot = &placement.slots()[slowest];
+    let mut steps = Vec::new();
+    for rank in lightest(loads, slowest) {
+        let experts = &placement.slots()[rank];
+        for (from, a) in hot.iter().enumerate() {
+            for (slot, b) in experts.iter().enumerate() {
+                let less = placement.part(*b, demand) < placement.part(*a, demand);
+                let fresh = !experts.contains(a) && !hot.contains(b);
+                if less && fresh {
+                    let there = Change { rank, slot, expert: *a };
+                    let here = Change { rank: slowest, slot: from, expert: *b };
+                    steps.push(vec![there, here]);
+                }
+            }
+        }
+    }
+    steps
+}
