Measure control, table, switch and path with real processes

Change: homes stay ordinary candidates; a fuzz of the router against 'only open servers, and one whenever there is one'; four measures, in which one process plays the peers; datagrams are counted with their headers.

Conclusion: the defect is gone, and the fuzz keeps it away.

--- a/crates/mastweir-bench/src/commands/mod.rs
+++ b/crates/mastweir-bench/src/commands/mod.rs
@@ -1,9 +1,13 @@
 //! One measure a command.
 
+mod control;
 mod experts;
 mod outcomes;
+mod path;
 mod routing;
 mod shares;
+mod switch;
+mod table;
 
 use argh::FromArgs;
 use std::{env, path::PathBuf, process};
@@ -11,19 +15,27 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
+    Control(control::Args),
     Experts(experts::Args),
     Outcomes(outcomes::Args),
+    Path(path::Args),
     Routing(routing::Args),
     Shares(shares::Args),
+    Switch(switch::Args),
+    Table(table::Args),
 }
 
 /// Runs the measure that was asked for.
 pub async fn exec(command: Command) -> eyre::Result<()> {
     match command {
+        Command::Control(args) => return control::exec(&args).await,
         Command::Experts(args) => experts::exec(&args),
         Command::Outcomes(args) => return outcomes::exec(&args).await,
+        Command::Path(args) => return path::exec(&args).await,
         Command::Routing(args) => routing::exec(&args),
         Command::Shares(args) => shares::exec(&args),
+        Command::Switch(args) => return switch::exec(&args).await,
+        Command::Table(args) => return table::exec(&args).await,
     }
     Ok(())
 }
--- a/crates/mastweir-bench/src/commands/outcomes.rs
+++ b/crates/mastweir-bench/src/commands/outcomes.rs
@@ -112,7 +112,8 @@
 
 struct Caller {
     client: Client,
-    urls: Vec<String>,
+    /// Where the entries serve; a restarted one is elsewhere.
+    urls: Arc<Mutex<Vec<String>>>,
     told: Arc<Mutex<Told>>,
     stop: Arc<AtomicBool>,
     rng: SmallRng,
@@ -141,11 +142,12 @@
     let mut fleet = bring_up().await?;
     let told = Arc::new(Mutex::new(Told::default()));
     let stop = Arc::new(AtomicBool::new(false));
+    let urls = Arc::new(Mutex::new(fleet.urls()));
     let mut callers = JoinSet::new();
     for i in 0..CALLERS {
         let caller = Caller {
             client: Client::builder().timeout(PATIENCE).build()?,
-            urls: fleet.urls(),
+            urls: urls.clone(),
             told: told.clone(),
             stop: stop.clone(),
             rng: SmallRng::seed_from_u64(args.seed * 1_000 + i as u64),
@@ -157,6 +159,7 @@
     let mut rng = SmallRng::seed_from_u64(args.seed);
     while Instant::now() < until {
         strike(&mut fleet, fault, &mut rng).await?;
+        *urls.lock().unwrap_or_else(PoisonError::into_inner) = fleet.urls();
         time::sleep(Duration::from_millis(400)).await;
         heal(&mut fleet, fault)?;
         time::sleep(Duration::from_millis(600)).await;
@@ -280,8 +283,8 @@
     }
 
     fn any_url(&mut self) -> String {
-        let i = self.rng.random_range(0..self.urls.len());
-        self.urls[i].clone()
+        let urls = self.urls.lock().unwrap_or_else(PoisonError::into_inner);
+        urls[self.rng.random_range(0..urls.len())].clone()
     }
 
     async fn stream(&mut self, marker: &str) -> String {
@@ -361,9 +364,15 @@
     Ticket,
 }
 
-/// Without an answer from the entry, nothing is known.
+/// Without an answer from the entry, nothing is known, but that a connection
+/// which did not open brought no request.
 fn of_error(error: &reqwest::Error) -> String {
-    if error.is_timeout() { "never".to_owned() } else { "unknown".to_owned() }
+    let outcome = match () {
+        () if error.is_timeout() => "never",
+        () if error.is_connect() => "not-run",
+        () => "unknown",
+    };
+    outcome.to_owned()
 }
 
 fn outcome_of(problem: Value) -> String {
--- a/crates/mastweir-core/src/route/router.rs
+++ b/crates/mastweir-core/src/route/router.rs
@@ -275,7 +275,7 @@
     ) -> Option<Choice> {
         let open = |place: usize| self.is_candidate(place, request, own_hall, now);
         let homes = self.homes(request, open);
-        let sampled = self.draw(open, &homes, rng);
+        let sampled = self.draw(open, rng);
         let consider = |home| move |place| self.consider(place, request, home, now);
         let sampled: Vec<Considered> = sampled.into_iter().map(consider(false)).collect();
         let homes: Vec<Considered> = homes.into_iter().map(consider(true)).collect();
@@ -375,16 +375,10 @@
         homes
     }
 
-    /// Open servers other than the homes: all in a small fleet, else a few at
-    /// random.
-    fn draw(
-        &self,
-        open: impl Fn(usize) -> bool,
-        homes: &[usize],
-        rng: &mut impl Rng,
-    ) -> Vec<usize> {
+    /// Open servers: all in a small fleet, else a few at random.
+    fn draw(&self, open: impl Fn(usize) -> bool, rng: &mut impl Rng) -> Vec<usize> {
         let total = self.servers.len();
-        let fits = |place: &usize| open(*place) && !homes.contains(place);
+        let fits = |place: &usize| open(*place);
         if total <= SCAN_MAX {
             return (0..total).filter(fits).collect();
         }
@@ -392,7 +386,7 @@
         let blind = index::sample(rng, total, self.policy.samples * 3);
         let mut drawn: Vec<usize> = blind.into_iter().filter(fits).collect();
         drawn.truncate(self.policy.samples);
-        if drawn.is_empty() && homes.is_empty() && total > 0 {
+        if drawn.is_empty() && total > 0 {
             let offset = rng.random_range(0..total);
             let scan = (0..total).map(|i| (i + offset) % total).filter(fits);
             drawn = scan.take(self.policy.samples).collect();
--- a/src/mastweir/agent/mod.rs
+++ b/src/mastweir/agent/mod.rs
@@ -17,7 +17,7 @@
 mod reports;
 mod serve;
 
-use crate::{Context, net::Socket, platform::GroupSpec};
+use crate::{Context, net::{Socket, Traffic}, platform::GroupSpec};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::TcpListener, sync::watch, task::JoinSet, time};
 
@@ -101,10 +101,9 @@
         Ok(Self { tcp, udp, shared, tasks })
     }
 
-    /// Bytes of datagrams sent and received, and datagrams dropped.
-    pub fn traffic(&self) -> (u64, u64, u64) {
-        let (sent, received) = self.shared.socket.traffic();
-        (sent, received, self.shared.socket.dropped())
+    /// Datagrams of its control traffic so far.
+    pub fn traffic(&self) -> Traffic {
+        self.shared.socket.traffic()
     }
 
     /// Stops as planned: takes nothing new, says so, and ends when all that
--- a/src/mastweir/entry/mod.rs
+++ b/src/mastweir/entry/mod.rs
@@ -32,7 +32,7 @@
 
 use crate::{
     Context,
-    net::{Pool, Socket},
+    net::{Pool, Socket, Traffic},
 };
 use mastweir_core::{member::Members, route::RetryBudget, switch::MapVersion, table::Table};
 use rand::{SeedableRng, rngs::StdRng};
@@ -146,10 +146,9 @@
         self.shared.context.platform.calls()
     }
 
-    /// Bytes of datagrams sent and received, and datagrams dropped.
-    pub fn traffic(&self) -> (u64, u64, u64) {
-        let (sent, received) = self.shared.socket.traffic();
-        (sent, received, self.shared.socket.dropped())
+    /// Datagrams of its control traffic so far.
+    pub fn traffic(&self) -> Traffic {
+        self.shared.socket.traffic()
     }
 
     /// Stops as planned: not ready first, then nothing new, then waits for what
--- a/src/mastweir/entry/status.rs
+++ b/src/mastweir/entry/status.rs
@@ -1,6 +1,7 @@
 //! What an entry says of itself to operators.
 
 use super::{Shared, http, lock};
+use crate::net::Traffic;
 use serde::{Deserialize, Serialize};
 use std::sync::atomic::Ordering;
 
@@ -92,10 +93,8 @@
     pub groups: Vec<GroupStatus>,
     /// Calls made to the object API.
     pub platform_calls: u64,
-    /// Bytes of datagrams sent and received.
-    pub datagram_bytes: (u64, u64),
-    /// Foreign and malformed datagrams.
-    pub dropped: u64,
+    /// Datagrams of its control traffic.
+    pub traffic: Traffic,
 }
 
 /// The status now.
@@ -112,8 +111,7 @@
         shares: shares(shared),
         groups: lock(&shared.groups).values().cloned().collect(),
         platform_calls: shared.context.platform.calls(),
-        datagram_bytes: shared.socket.traffic(),
-        dropped: shared.socket.dropped(),
+        traffic: shared.socket.traffic(),
     }
 }
 
--- a/src/mastweir/net/mod.rs
+++ b/src/mastweir/net/mod.rs
@@ -12,7 +12,7 @@
 
 pub use channel::{Channel, ChannelError, Receiver, Sender};
 pub use pool::Pool;
-pub use socket::{Received, Socket};
+pub use socket::{Received, Socket, Traffic};
 
 use crate::util::settings::SettingsError;
 use std::{fmt, str::FromStr};
--- a/src/mastweir/net/socket.rs
+++ b/src/mastweir/net/socket.rs
@@ -5,6 +5,7 @@
     id::{Fence, Incarnation},
     wire::{DATAGRAM_MAX, Datagram, Packet, VERSION},
 };
+use serde::{Deserialize, Serialize};
 use std::{
     collections::HashMap,
     io,
@@ -18,6 +19,8 @@
 
 const PURPOSE: &str = "mastweir 2026 datagram";
 const MAC_LEN: usize = 16;
+/// Bytes of the headers of IP (version 4) and UDP.
+const HEADERS: usize = 28;
 /// Senders remembered at most; foreign ones never get that far.
 const SENDERS_MAX: usize = 8_192;
 
@@ -39,8 +42,33 @@
     seq: AtomicU64,
     last: Mutex<HashMap<String, (Incarnation, u64)>>,
     dropped: AtomicU64,
-    bytes_out: AtomicU64,
-    bytes_in: AtomicU64,
+    sent: Count,
+    received: Count,
+}
+
+/// Datagrams and their bytes, counted.
+#[derive(Debug, Default)]
+struct Count {
+    messages: AtomicU64,
+    bytes: AtomicU64,
+}
+
+impl Count {
+    fn add(&self, bytes: usize) {
+        self.messages.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+/// Datagrams that a process sent and received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Traffic {
+    /// Datagrams.
+    pub messages: u64,
+    /// Their bytes, with the headers of IP and UDP.
+    pub bytes: u64,
+    /// Foreign, malformed and replayed ones, which were dropped.
+    pub dropped: u64,
 }
 
 impl Socket {
@@ -57,8 +85,8 @@
             seq: AtomicU64::new(1),
             last: Mutex::default(),
             dropped: AtomicU64::new(0),
-            bytes_out: AtomicU64::new(0),
-            bytes_in: AtomicU64::new(0),
+            sent: Count::default(),
+            received: Count::default(),
         })
     }
 
@@ -71,14 +99,16 @@
         self.udp.local_addr()
     }
 
-    /// Foreign, malformed and replayed datagrams so far.
-    pub fn dropped(&self) -> u64 {
-        self.dropped.load(Ordering::Relaxed)
-    }
-
-    /// Bytes sent and received so far, without the headers of IP and UDP.
-    pub fn traffic(&self) -> (u64, u64) {
-        (self.bytes_out.load(Ordering::Relaxed), self.bytes_in.load(Ordering::Relaxed))
+    /// Datagrams so far, both ways.
+    pub fn traffic(&self) -> Traffic {
+        let sum = |of: fn(&Count) -> &AtomicU64| {
+            of(&self.sent).load(Ordering::Relaxed) + of(&self.received).load(Ordering::Relaxed)
+        };
+        Traffic {
+            messages: sum(|count| &count.messages),
+            bytes: sum(|count| &count.bytes),
+            dropped: self.dropped.load(Ordering::Relaxed),
+        }
     }
 
     /// Sends a packet. Whether it arrives is not known.
@@ -97,7 +127,7 @@
         }
         let mac = blake3::keyed_hash(&self.key, &bytes);
         bytes.extend_from_slice(&mac.as_bytes()[..MAC_LEN]);
-        self.bytes_out.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        self.sent.add(bytes.len() + HEADERS);
         // A full or closed socket loses the packet as the network may.
         let _ = self.udp.send_to(&bytes, to).await;
     }
@@ -118,7 +148,7 @@
             };
             match self.open(&buffer[..len]) {
                 Some(datagram) => {
-                    self.bytes_in.fetch_add(len as u64, Ordering::Relaxed);
+                    self.received.add(len + HEADERS);
                     return Ok(Received { addr, datagram });
                 }
                 None => self.dropped.fetch_add(1, Ordering::Relaxed),
--- /dev/null
+++ b/tests/testsuite/fuzz_routing.rs
@@ -0,0 +1,119 @@
+//! Fuzz of the router: whatever it has heard and seen, it names only servers
+//! that may be named, and some server whenever there is one.
+
+use mastweir_core::{
+    id::Incarnation,
+    route::{Known, Policy, Request, Router, Signal},
+    time::Uptime,
+    wire::Load,
+};
+use proptest::{prelude::*, test_runner::Config};
+use rand::{SeedableRng, rngs::SmallRng};
+use std::time::Duration;
+
+/// What the router hears and sees.
+#[derive(Clone, Debug)]
+enum Step {
+    Report(usize, u32, bool),
+    Send(usize),
+    End(usize, Signal),
+    Pass(u64),
+    Choose(u64, usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let place = 0..200_usize;
+    let signal = prop_oneof![Just(Signal::Good), Just(Signal::Failed), Just(Signal::Stalled)];
+    let step = prop_oneof![
+        4 => (place.clone(), 0..5_000_u32, prop::bool::weighted(0.1))
+            .prop_map(|(i, backlog, leaving)| Step::Report(i, backlog, leaving)),
+        3 => place.clone().prop_map(Step::Send),
+        2 => (place.clone(), signal).prop_map(|(i, signal)| Step::End(i, signal)),
+        1 => (1..4_000_u64).prop_map(Step::Pass),
+        4 => (any::<u64>(), place).prop_map(|(prefix, tried)| Step::Choose(prefix, tried)),
+    ];
+    prop::collection::vec(step, 1..120)
+}
+
+fn is_open(known: &Known, now: Uptime, policy: &Policy, tried: &[String]) -> bool {
+    let Some((load, at)) = &known.report else { return false };
+    let on_trial = known.health.is_trial(now) && known.flying > 0;
+    !load.leaving
+        && now.since(*at) <= policy.silent
+        && !known.health.is_ejected(now)
+        && !on_trial
+        && !tried.contains(&known.name)
+}
+
+fn check(router: &Router, prefix: u64, tried: usize, now: Uptime, rng: &mut SmallRng) {
+    let tried = vec![router.servers()[tried].name.clone()];
+    let request = Request { prefix: Some(prefix), saves: 10, cost: 100, tried: &tried };
+    let policy = Policy::default();
+    let open = |known: &Known| is_open(known, now, &policy, &tried);
+    match router.choose(&request, now, rng) {
+        Some(choice) => {
+            let known = &router.servers()[choice.place];
+            assert!(open(known), "named a server that is not open: {known:?}");
+        }
+        None => assert!(!router.servers().iter().any(open), "an open server was not named"),
+    }
+}
+
+fn run(servers: usize, steps: &[Step]) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut router = Router::new(Policy::default());
+    let known = |i| Known::new(format!("s{i}"), i % 3 != 0);
+    router.set_servers((0..servers).map(known).collect());
+    let mut now = Uptime::from_secs(1);
+    for step in steps {
+        match step {
+            Step::Report(i, backlog, leaving) => {
+                let load = Load {
+                    incarnation: Incarnation(1),
+                    uptime: now,
+                    slots: 4,
+                    running: 2,
+                    each: 50,
+                    rate: 400,
+                    backlog: *backlog,
+                    leaving: *leaving,
+                    ..Load::default()
+                };
+                router.report(i % servers, &load, now);
+            }
+            Step::Send(i) => router.sent(i % servers, 100, now),
+            Step::End(i, signal) => {
+                router.ended(i % servers, Some(*signal), now);
+            }
+            Step::Pass(millis) => now = now + Duration::from_millis(*millis),
+            Step::Choose(prefix, tried) => {
+                check(&router, *prefix, tried % servers, now, &mut rng);
+            }
+        }
+        let out = router.servers().iter().filter(|known| known.health.is_ejected(now)).count();
+        assert!(out * 100 <= servers * Policy::default().eject_pct, "too many are ejected");
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 600,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x6d77_0004),
+        ..Config::default()
+    })]
+
+    #[test]
+    fn only_open_servers_are_named(servers in 1..170_usize, steps in steps()) {
+        run(servers, &steps);
+    }
+}
+
+/// Found by the outcomes measure: where all servers of a hall are homes of a
+/// prefix, and none of them has room for a request out of turn, none was named.
+#[test]
+fn homes_that_are_full_are_still_candidates() {
+    let full: Vec<Step> = (0..2).map(|i| Step::Report(i, 4_000, false)).collect();
+    let steps = [full, vec![Step::Choose(7, 0), Step::Choose(9, 1)]].concat();
+    run(2, &steps);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod fuzz_outcomes;
+mod fuzz_routing;
 mod fuzz_switch;
 mod fuzz_table;
 mod path;
