--- a/crates/mastweir-bench/src/commands/control.rs
+++ b/crates/mastweir-bench/src/commands/control.rs
@@ -48,6 +48,7 @@
 pub struct Args {
     /// taken for uniformity; the peers' times are real
     #[argh(option, default = "1")]
+    #[expect(dead_code, reason = "every measure takes a seed")]
     seed: u64,
     /// seconds that each case is measured for (default 8)
     #[argh(option, default = "8")]
@@ -85,7 +86,7 @@
         let mut points = Vec::new();
         for value in values {
             report.progress(&format!("entry, {what}={value}"));
-            let figures = entry(size(value), time, args.seed).await?;
+            let figures = entry(size(value), time).await?;
             add(&mut report, &format!("entry/{what}={value}"), "current", figures);
             points.push((value as f64, figures));
         }
@@ -120,7 +121,7 @@
 }
 
 /// An entry among peers that this process plays.
-async fn entry(size: Size, length: Duration, seed: u64) -> eyre::Result<Figures> {
+async fn entry(size: Size, length: Duration) -> eyre::Result<Figures> {
     let mut fleet = Processes::new(daemon_program()?).await?;
     fleet.row("assistant", &model());
     for i in 0..size.customers {
@@ -146,7 +147,6 @@
     }
     let http = fleet.entries[0].daemon.listening.http;
     let http = http.ok_or_else(|| eyre::eyre!("the entry serves no one"))?;
-    let _ = seed;
     if size.changes > 0 {
         peers.spawn(change_rows(fleet.platform.clone(), size.changes));
     }
@@ -281,10 +281,8 @@
             socket.send(to, &packet).await;
         }
         if child {
-            let rows = (0..size.customers.min(Usage::ROWS_MAX)).map(|i| UsageRow {
-                customer: CustomerTag::of(&format!("c{i}")),
-                units: 5_000,
-            });
+            let rows = (0..size.customers.min(Usage::ROWS_MAX))
+                .map(|i| UsageRow { customer: CustomerTag::of(&format!("c{i}")), units: 5_000 });
             let usage =
                 Usage { total: false, asked: 50_000, delivered: 40_000, rows: rows.collect() };
             socket.send(to, &Packet::Usage(usage)).await;
--- a/crates/mastweir-bench/src/commands/mod.rs
+++ b/crates/mastweir-bench/src/commands/mod.rs
@@ -40,12 +40,17 @@
     Ok(())
 }
 
-/// Builds the daemon next to this program, and gives its path.
+/// Path of the daemon next to this program. Under `cargo run` it is built
+/// first, so that it is never an older one.
 pub fn daemon_program() -> eyre::Result<PathBuf> {
-    let cargo = env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
+    let program = env::current_exe()?.with_file_name("mastweird");
+    let Ok(cargo) = env::var("CARGO") else {
+        let found = program.exists();
+        eyre::ensure!(found, "starting the daemon: none is here; use 'cargo run' for the measure");
+        return Ok(program);
+    };
     let args = ["build", "--release", "--quiet", "--package", "mastweir", "--bin", "mastweird"];
     let status = process::Command::new(cargo).args(args).status()?;
     eyre::ensure!(status.success(), "building the daemon: it fails; run 'cargo build --release'");
-    let own = env::current_exe()?;
-    Ok(own.with_file_name("mastweird"))
+    Ok(program)
 }
--- a/crates/mastweir-bench/src/commands/outcomes.rs
+++ b/crates/mastweir-bench/src/commands/outcomes.rs
@@ -5,12 +5,12 @@
     report::{Metric, Report},
 };
 use argh::FromArgs;
+use mastweir_core::table::{Drain, Row, RowKind};
 use mastweir_test_support::{
     engine,
     fleet::{customer, model, once, put_row, remove_row},
     procs::Processes,
 };
-use mastweir_core::table::{Drain, Row, RowKind};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use reqwest::Client;
 use serde_json::{Value, json};
--- a/crates/mastweir-bench/src/commands/path.rs
+++ b/crates/mastweir-bench/src/commands/path.rs
@@ -34,6 +34,7 @@
 pub struct Args {
     /// taken for uniformity; the times are real
     #[argh(option, default = "1")]
+    #[expect(dead_code, reason = "every measure takes a seed")]
     seed: u64,
     /// seconds for each case and way (default 3)
     #[argh(option, default = "3")]
@@ -45,7 +46,6 @@
 
 /// Runs the measure.
 pub async fn exec(args: &Args) -> eyre::Result<()> {
-    let _ = args.seed;
     let mut report = Report::new("path", args.json);
     let mut fleet = Processes::new(daemon_program()?).await?;
     fleet.row("c0", &customer("c0", 1.0));
--- a/crates/mastweir-bench/src/commands/routing.rs
+++ b/crates/mastweir-bench/src/commands/routing.rs
@@ -74,14 +74,8 @@
 }
 
 fn cases() -> Vec<(&'static str, Case)> {
-    let base = Case {
-        entries: 8,
-        servers: 32,
-        lag: 1.0,
-        load: 0.8,
-        prefixes: 2.0,
-        fault: Fault::None,
-    };
+    let base =
+        Case { entries: 8, servers: 32, lag: 1.0, load: 0.8, prefixes: 2.0, fault: Fault::None };
     let large = Case { entries: 410, servers: 128, ..base };
     vec![
         ("lag-0.1", Case { lag: 0.1, ..base }),
--- a/crates/mastweir-bench/src/commands/switch.rs
+++ b/crates/mastweir-bench/src/commands/switch.rs
@@ -7,7 +7,11 @@
 use argh::FromArgs;
 use mastweir::platform::GroupSpec;
 use mastweir_core::switch::MapVersion;
-use mastweir_test_support::{fleet::{OPERATOR_KEY, customer, model}, procs::Processes, ranks::RankGroup};
+use mastweir_test_support::{
+    fleet::{OPERATOR_KEY, customer, model},
+    procs::Processes,
+    ranks::RankGroup,
+};
 use reqwest::Client;
 use serde_json::json;
 use std::{
@@ -20,7 +24,7 @@
 const STEP: Duration = Duration::from_millis(5);
 const SWITCHES: u64 = 12;
 /// Time that a switch may take before the next one is asked for.
-const PATIENCE: Duration = Duration::from_secs(20);
+const PATIENCE: Duration = Duration::from_secs(15);
 const METRICS: [Metric; 8] = [
     ("steps", "count"),
     ("steps_two_maps", "count"),
@@ -40,7 +44,11 @@
 pub struct Args {
     /// taken for uniformity; the times are real
     #[argh(option, default = "1")]
+    #[expect(dead_code, reason = "every measure takes a seed")]
     seed: u64,
+    /// only faults whose name contains this
+    #[argh(option, default = "String::new()")]
+    case: String,
     /// print one JSON object a line
     #[argh(switch)]
     json: bool,
@@ -48,9 +56,8 @@
 
 /// Runs the measure.
 pub async fn exec(args: &Args) -> eyre::Result<()> {
-    let _ = args.seed;
     let mut report = Report::new("switch", args.json);
-    for fault in FAULTS {
+    for fault in FAULTS.into_iter().filter(|fault| fault.contains(&args.case)) {
         report.progress(fault);
         let figures = run(fault).await?;
         report.add(fault, "current", &METRICS.into_iter().zip(figures).collect::<Vec<_>>());
@@ -66,12 +73,7 @@
     let group = RankGroup::start(RANKS, STEP);
     fleet.group = Some(group.clone());
     for i in 0..RANKS {
-        let spec = GroupSpec {
-            name: "g1".to_owned(),
-            first: i as u16,
-            ranks: 1,
-            of: RANKS as u16,
-        };
+        let spec = GroupSpec { name: "g1".to_owned(), first: i as u16, ranks: 1, of: RANKS as u16 };
         fleet.add_server(&format!("s{i}"), "north", &["assistant"], Some(spec)).await?;
     }
     for name in ["e0", "e1"] {
@@ -127,12 +129,7 @@
     }
 }
 
-fn strike(
-    fleet: &mut Processes,
-    group: &RankGroup,
-    fault: &str,
-    i: usize,
-) -> eyre::Result<()> {
+fn strike(fleet: &mut Processes, group: &RankGroup, fault: &str, i: usize) -> eyre::Result<()> {
     let faults = fleet.servers[i % RANKS].agent.proxy.faults.clone();
     match fault {
         "delay" => faults.delay_ms.store(25, Ordering::Relaxed),
--- a/crates/mastweir-bench/src/commands/table.rs
+++ b/crates/mastweir-bench/src/commands/table.rs
@@ -42,7 +42,11 @@
 pub struct Args {
     /// taken for uniformity; the times are real
     #[argh(option, default = "1")]
+    #[expect(dead_code, reason = "every measure takes a seed")]
     seed: u64,
+    /// only faults whose name contains this
+    #[argh(option, default = "String::new()")]
+    case: String,
     /// print one JSON object a line
     #[argh(switch)]
     json: bool,
@@ -57,9 +61,8 @@
 
 /// Runs the measure.
 pub async fn exec(args: &Args) -> eyre::Result<()> {
-    let _ = args.seed;
     let mut report = Report::new("table", args.json);
-    for fault in FAULTS {
+    for fault in FAULTS.into_iter().filter(|fault| fault.contains(&args.case)) {
         report.progress(fault);
         let figures = run(fault).await?;
         report.add(fault, "current", &METRICS.into_iter().zip(figures).collect::<Vec<_>>());
@@ -76,8 +79,7 @@
     }
     fleet.wait_ready().await?;
     time::sleep(Duration::from_secs(3)).await;
-    let mut watch =
-        Watch { client: Client::new(), highest: vec![0; ENTRIES], reverts: 0 };
+    let mut watch = Watch { client: Client::new(), highest: vec![0; ENTRIES], reverts: 0 };
     let mut times = Times::new();
     let mut lost = 0;
     let calls = fleet.platform.calls();
--- a/crates/mastweir-core/src/route/router.rs
+++ b/crates/mastweir-core/src/route/router.rs
@@ -293,13 +293,7 @@
     }
 
     /// What is expected of a server.
-    fn consider(
-        &self,
-        place: usize,
-        request: &Request<'_>,
-        home: bool,
-        now: Uptime,
-    ) -> Considered {
+    fn consider(&self, place: usize, request: &Request<'_>, home: bool, now: Uptime) -> Considered {
         let known = &self.servers[place];
         let Some((load, at)) = &known.report else {
             let wait = f64::INFINITY;
--- a/crates/mastweir-test-support/src/procs.rs
+++ b/crates/mastweir-test-support/src/procs.rs
@@ -166,8 +166,17 @@
     fn common(&self, role: &str, name: &str, hall: &str) -> Vec<String> {
         let platform = self.served.url();
         let args = [
-            role, "--name", name, "--hall", hall, "--secret", SECRET, "--platform", &platform,
-            "--log", "off",
+            role,
+            "--name",
+            name,
+            "--hall",
+            hall,
+            "--secret",
+            SECRET,
+            "--platform",
+            &platform,
+            "--log",
+            "off",
         ];
         words(&args)
     }
--- a/src/mastweir/agent/mod.rs
+++ b/src/mastweir/agent/mod.rs
@@ -17,7 +17,11 @@
 mod reports;
 mod serve;
 
-use crate::{Context, net::{Socket, Traffic}, platform::GroupSpec};
+use crate::{
+    Context,
+    net::{Socket, Traffic},
+    platform::GroupSpec,
+};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::TcpListener, sync::watch, task::JoinSet, time};
 
--- a/src/mastweir/ops/daemon.rs
+++ b/src/mastweir/ops/daemon.rs
@@ -8,7 +8,7 @@
     platform::GroupSpec,
     util::{
         log::{self, Format},
-        settings::SettingsError,
+        settings::{SettingsError, addr, base_url},
     },
 };
 use mastweir_core::table::is_key_hash;
@@ -130,7 +130,7 @@
         context,
         AgentOptions {
             listen: addr("listen", options.common.listen)?,
-            engine: url("engine", options.engine)?,
+            engine: base_url("engine", options.engine)?,
             services,
             slots: options.slots,
             queue: options.queue,
@@ -170,28 +170,13 @@
         name: options.name.to_owned(),
         hall: options.hall.to_owned(),
         secret: Secret::from_str(options.secret)?,
-        platform: url("platform", options.platform)?,
+        platform: base_url("platform", options.platform)?,
         token: options.token.to_owned(),
         statsd: options.statsd.map(|text| addr("statsd", text)).transpose()?,
         log: log::make(format, level),
     })
 }
 
-fn addr(flag: &'static str, text: &str) -> Result<SocketAddr, SettingsError> {
-    let remedy = "give an IP number and a port, as in 10.0.0.1:7100";
-    text.parse().map_err(|_| SettingsError::new(flag, text, "is no address", remedy))
-}
-
-fn url(flag: &'static str, text: &str) -> Result<String, SettingsError> {
-    let rest = text.strip_prefix("http://").unwrap_or_default();
-    let host = rest.split('/').next().unwrap_or_default();
-    if SocketAddr::from_str(host).is_ok() {
-        return Ok(text.to_owned());
-    }
-    let remedy = "give http:// with an IP number and a port, as in http://10.0.0.1:7000";
-    Err(SettingsError::new(flag, text, "is no base address", remedy))
-}
-
 fn group(text: &str) -> Result<GroupSpec, SettingsError> {
     let bad = || {
         let remedy = "give NAME:FIRST:RANKS:OF, as in g1:0:2:32";
--- a/src/mastweir/util/log.rs
+++ b/src/mastweir/util/log.rs
@@ -1,5 +1,9 @@
 //! Logs: for people or as JSON, to standard error.
+//!
+//! Rocket has a log of its own, through the `log` crate, at levels that it sets
+//! itself. It is compiled out: the `log` dependency is there for that alone.
 
+use log as _;
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use std::{io, sync::Mutex};
 
--- a/src/mastweir/util/settings.rs
+++ b/src/mastweir/util/settings.rs
@@ -5,7 +5,7 @@
 //! is read, so both are checked in the same way and by the same messages.
 
 use argh::FromArgs;
-use std::{collections::HashMap, env, process};
+use std::{collections::HashMap, env, net::SocketAddr, process, str::FromStr};
 
 const PREFIX: &str = "MASTWEIR_";
 /// Exit code for settings that can't be.
@@ -62,6 +62,31 @@
     if error.downcast_ref::<SettingsError>().is_some() { EXIT_SETTINGS } else { EXIT_FAILURE }
 }
 
+/// An address.
+///
+/// # Errors
+///
+/// The text is none.
+pub fn addr(flag: &'static str, text: &str) -> Result<SocketAddr, SettingsError> {
+    let remedy = "give an IP number and a port, as in 10.0.0.1:7100";
+    text.parse().map_err(|_| SettingsError::new(flag, text, "is no address", remedy))
+}
+
+/// A base address for HTTP.
+///
+/// # Errors
+///
+/// The text is none.
+pub fn base_url(flag: &'static str, text: &str) -> Result<String, SettingsError> {
+    let rest = text.strip_prefix("http://").unwrap_or_default();
+    let host = rest.split('/').next().unwrap_or_default();
+    if SocketAddr::from_str(host).is_ok() {
+        return Ok(text.to_owned());
+    }
+    let remedy = "give http:// with an IP number and a port, as in http://10.0.0.1:7000";
+    Err(SettingsError::new(flag, text, "is no base address", remedy))
+}
+
 /// A setting that can't be.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("reading --{flag}: {value:?} {problem}; {remedy} (or set {})", variable(flag))]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of mastweir, a file a feature.
 
+mod cli;
 mod faults;
 mod fuzz_outcomes;
 mod fuzz_routing;
