Ask all ranks anew when a rank was replaced in a steady group

Change: servers' reports carry a number that changes with their ranks' lives; the coordinator seals anew when it does. No message more.

--- a/crates/mastweir-core/src/wire.rs
+++ b/crates/mastweir-core/src/wire.rs
@@ -95,6 +95,8 @@
     pub kv_free: u16,
     /// Version of the expert map in force.
     pub map: u64,
+    /// Changes when a rank here was replaced by one that knows nothing.
+    pub lives: u64,
     /// Whether the server is leaving.
     pub leaving: bool,
 }
--- a/crates/mastweir-test-support/src/engine.rs
+++ b/crates/mastweir-test-support/src/engine.rs
@@ -83,6 +83,7 @@
     skew: u16,
     kv_free: u16,
     map: u64,
+    lives: u64,
 }
 
 impl Engine {
@@ -252,6 +253,7 @@
         skew: 1_000,
         kv_free: 900,
         map: engine.group.as_ref().map_or(0, |group| group.record().map.0),
+        lives: engine.group.as_ref().map_or(0, |group| group.lives()),
     };
     Json(json!(load))
 }
--- a/crates/mastweir-test-support/src/ranks.rs
+++ b/crates/mastweir-test-support/src/ranks.rs
@@ -99,6 +99,11 @@
         state.inside[rank] = None;
     }
 
+    /// Ranks born so far.
+    pub fn lives(&self) -> u64 {
+        self.births.load(Ordering::Relaxed)
+    }
+
     /// Carries an order out.
     pub fn order(self: &Arc<Self>, order: &RankOrder) -> RankReply {
         let rank = usize::from(order.rank);
--- a/src/mastweir/agent/engine.rs
+++ b/src/mastweir/agent/engine.rs
@@ -41,6 +41,8 @@
     pub kv_free: u16,
     /// Version of the expert map in force.
     pub map: u64,
+    /// Changes when a rank here was replaced.
+    pub lives: u64,
 }
 
 /// Usage in an unstreamed answer.
--- a/src/mastweir/agent/jobs.rs
+++ b/src/mastweir/agent/jobs.rs
@@ -220,6 +220,7 @@
             skew: state.engine.skew,
             kv_free: state.engine.kv_free,
             map: state.engine.map,
+            lives: state.engine.lives,
             leaving: state.leaving,
         }
     }
--- a/src/mastweir/entry/groups.rs
+++ b/src/mastweir/entry/groups.rs
@@ -11,6 +11,7 @@
     switch::{
         Coordinator, Holding, Lease, LeaseRecord, MapVersion, Progress, RankOrder, RankReply,
     },
+    time::Uptime,
     wire::{FromAgent, ToAgent},
 };
 use rand::Rng;
@@ -88,6 +89,7 @@
         renewed: None,
         coordinator: None,
         begun_at: None,
+        lives: BTreeMap::new(),
         counts: Counts::default(),
         shared,
         group,
@@ -111,9 +113,11 @@
     shared: Arc<Shared>,
     group: String,
     lease: Lease,
-    renewed: Option<mastweir_core::time::Uptime>,
+    renewed: Option<Uptime>,
     coordinator: Option<(Coordinator, Ranks)>,
-    begun_at: Option<mastweir_core::time::Uptime>,
+    begun_at: Option<Uptime>,
+    /// What servers last said of their ranks' lives.
+    lives: BTreeMap<String, u64>,
     counts: Counts,
 }
 
@@ -182,6 +186,7 @@
             let coordinator = Coordinator::new(epoch, ranks.len(), FIRST_MAP);
             self.coordinator = Some((coordinator, ranks));
         }
+        self.look_for_replaced();
         self.begin_or_give_up(now);
         self.round(epoch).await;
         self.note();
@@ -191,7 +196,21 @@
         !self.coordinator.as_ref().is_some_and(steady)
     }
 
-    fn begin_or_give_up(&mut self, now: mastweir_core::time::Uptime) {
+    /// A group whose rank was replaced stands still until all ranks are asked
+    /// anew. Servers' reports tell.
+    fn look_for_replaced(&mut self) {
+        let lives = lock(&self.shared.view).lives(&self.group);
+        let changed =
+            |(name, life): (&String, &u64)| self.lives.get(name).is_some_and(|known| known != life);
+        let replaced = lives.iter().any(changed);
+        self.lives.extend(lives);
+        if let (true, Some((coordinator, _))) = (replaced, &mut self.coordinator) {
+            coordinator.reseal();
+            decide(&self.shared, &self.group, "ask all ranks anew", "a rank was replaced");
+        }
+    }
+
+    fn begin_or_give_up(&mut self, now: Uptime) {
         let wanted = lock(&self.shared.wanted).get(&self.group).copied();
         let Some((coordinator, _)) = &mut self.coordinator else { return };
         if let Some(map) = wanted
--- a/src/mastweir/entry/view.rs
+++ b/src/mastweir/entry/view.rs
@@ -121,6 +121,18 @@
         Waits { seconds: waits.sum::<f64>() / count, room }
     }
 
+    /// What the servers of a rank group last said of their ranks' lives. It
+    /// changes when a rank was replaced.
+    pub fn lives(&self, group: &str) -> BTreeMap<String, u64> {
+        let of_group = |name: &str| {
+            let part = self.instances.get(name).and_then(|spec| spec.group.as_ref());
+            part.is_some_and(|part| part.name == group)
+        };
+        let known = self.routers.values().flat_map(Router::servers);
+        let own = known.filter(|known| of_group(&known.name));
+        own.filter_map(|known| Some((known.name.clone(), known.report.as_ref()?.0.lives))).collect()
+    }
+
     /// An agent's report.
     pub fn report(&mut self, server: &str, load: &Load, now: Uptime) {
         for router in self.routers.values_mut() {
--- a/tests/testsuite/faults.rs
+++ b/tests/testsuite/faults.rs
@@ -1,8 +1,12 @@
 //! What must hold when things fail, with real connections in one process.
 
 use googletest::prelude::*;
+use mastweir::platform::GroupSpec;
 use mastweir_core::table::RowKind;
-use mastweir_test_support::fleet::{Fleet, ServerOptions, customer, model, once, remove_row};
+use mastweir_test_support::{
+    fleet::{Fleet, ServerOptions, customer, model, once, remove_row},
+    ranks::RankGroup,
+};
 use reqwest::{Client, Response};
 use serde_json::{Value, json};
 use std::{sync::atomic::Ordering, time::Duration};
@@ -225,3 +229,43 @@
     }
     Ok(())
 }
+
+/// Found by the switch measure: nobody told the coordinator of a steady group
+/// that a rank was replaced, and the group stood still.
+#[tokio::test]
+async fn group_goes_on_after_a_rank_was_replaced() -> eyre::Result<()> {
+    let mut fleet = Fleet::new(13).await?;
+    fleet.row("quaystep", &customer("quaystep", 1.0));
+    fleet.row("assistant", &model());
+    let ranks = RankGroup::start(2, Duration::from_millis(5));
+    for i in 0..2 {
+        let group = GroupSpec { name: "g1".to_owned(), first: i, ranks: 1, of: 2 };
+        fleet
+            .add_server(&ServerOptions {
+                name: &format!("s{i}"),
+                hall: "north",
+                services: &["assistant"],
+                slots: 4,
+                queue: 16,
+                group: Some((group, ranks.clone())),
+            })
+            .await?;
+    }
+    fleet.add_entry("e0", "north").await?;
+    wait_for_steps(&ranks, 1).await?;
+    ranks.replace(1);
+    let steps = ranks.record().steps;
+    wait_for_steps(&ranks, steps + 10).await?;
+    assert_that!(ranks.record().two_maps, eq(0));
+    Ok(())
+}
+
+async fn wait_for_steps(ranks: &RankGroup, steps: u64) -> eyre::Result<()> {
+    for _ in 0..1_000 {
+        if ranks.record().steps >= steps {
+            return Ok(());
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    Err(eyre::eyre!("the group stands still at {:?}", ranks.record()))
+}
