Charge broken and lost calls for what they used

Cause: a call that broke off was charged its whole estimate at the agent and nothing at the entry; the users ask that it pays for what it used.

Change: the agent charges prompt and units written, the entry prompt and units handed on; one place in the core turns tokens into units.

Conclusion: both sides now charge by the same rule.

--- a/crates/mastweir-bench/src/commands/control.rs
+++ b/crates/mastweir-bench/src/commands/control.rs
@@ -72,12 +72,14 @@
 const BASE: Size = Size { servers: 16, entries: 8, customers: 10, changes: 0 };
 
 type Figures = [f64; 4];
+/// What is varied, its values, and the size that makes.
+type Varied = (&'static str, [usize; 3], fn(usize) -> Size);
 
 /// Runs the measure.
 pub async fn exec(args: &Args) -> eyre::Result<()> {
     let mut report = Report::new("control", args.json);
     let time = Duration::from_secs(args.seconds);
-    let vary: [(&str, [usize; 3], fn(usize) -> Size); 4] = [
+    let vary: [Varied; 4] = [
         ("servers", SERVERS, |servers| Size { servers, ..BASE }),
         ("entries", ENTRIES, |entries| Size { entries, ..BASE }),
         ("customers", CUSTOMERS, |customers| Size { customers, ..BASE }),
--- a/crates/mastweir-bench/src/commands/outcomes.rs
+++ b/crates/mastweir-bench/src/commands/outcomes.rs
@@ -299,7 +299,7 @@
             Err(error) => return of_error(&error),
         };
         if !response.status().is_success() {
-            return outcome_of(response.json().await.unwrap_or_default());
+            return outcome_of(&response.json().await.unwrap_or_default());
         }
         let Ok(text) = response.text().await else { return "unknown".to_owned() };
         stream_outcome(&text, marker)
@@ -352,7 +352,7 @@
         match (done, answer["receipt"].as_str()) {
             (true, Some(receipt)) if receipt == marker => "done".to_owned(),
             (true, _) => "wrong".to_owned(),
-            (false, _) => outcome_of(answer),
+            (false, _) => outcome_of(&answer),
         }
     }
 }
@@ -375,7 +375,7 @@
     outcome.to_owned()
 }
 
-fn outcome_of(problem: Value) -> String {
+fn outcome_of(problem: &Value) -> String {
     let outcome = problem.get("outcome").and_then(Value::as_str);
     outcome.unwrap_or("unknown").to_owned()
 }
--- a/crates/mastweir-bench/src/commands/shares.rs
+++ b/crates/mastweir-bench/src/commands/shares.rs
@@ -129,10 +129,11 @@
     let capacity = 3_100.0 * 8.0 * 100.0;
     let weight = |i: usize| 1.0 + 60.0 / (1.0 + i as f64 / 10.0);
     let total: f64 = (0..1_100).map(weight).sum();
+    let ask = |i: usize| if i.is_multiple_of(5) { 4.0 } else { 0.8 };
     let customer = |i: usize| Customer {
         weight: weight(i),
         // Most ask for less than their share, a fifth for much more.
-        demand: vec![(0.0, capacity * weight(i) / total * if i % 5 == 0 { 4.0 } else { 0.8 })],
+        demand: vec![(0.0, capacity * weight(i) / total * ask(i))],
         cost: 150.0,
         entry: None,
     };
--- a/crates/mastweir-bench/src/commands/table.rs
+++ b/crates/mastweir-bench/src/commands/table.rs
@@ -122,7 +122,7 @@
         "slow" => fleet.platform.faults.slow_ms.store(300, Ordering::Relaxed),
         "stale-lists" => {
             fleet.platform.set_stale(true);
-            if i % 5 == 0 {
+            if i.is_multiple_of(5) {
                 // An entry that starts anew lists, and gets what was before.
                 fleet.restart_entry(i % ENTRIES)?;
             }
--- a/crates/mastweir-core/src/experts/planner.rs
+++ b/crates/mastweir-core/src/experts/planner.rs
@@ -102,11 +102,8 @@
         let mut changes: Vec<Change> = Vec::new();
         let mut best = (0.0, 0, skew_now);
         while changes.len() < self.weighting.changes {
-            let Some(mut step) = best_step(demand, &placement) else { break };
-            step.retain(|change| {
-                placement.apply(*change);
-                true
-            });
+            let Some(step) = best_step(demand, &placement) else { break };
+            step.iter().for_each(|change| placement.apply(*change));
             changes.extend(step);
             let then = skew(&placement.loads(demand));
             let net = self.gain(skew_now, then) - self.cost(changes.len());
--- a/crates/mastweir-core/src/outcome/call.rs
+++ b/crates/mastweir-core/src/outcome/call.rs
@@ -168,6 +168,11 @@
         self.tries
     }
 
+    /// Units of the answer that were handed on.
+    pub const fn delivered(&self) -> u64 {
+        self.delivered
+    }
+
     /// Place in the list of a call that runs once, from 0.
     pub const fn place(&self) -> usize {
         self.place
--- a/crates/mastweir-core/src/wire.rs
+++ b/crates/mastweir-core/src/wire.rs
@@ -9,7 +9,7 @@
     id::{Fence, Incarnation, OpId},
     member::Heard,
     outcome::Refusal,
-    share::Usage,
+    share::{Cost, Usage},
     switch::{RankOrder, RankReply},
     table::{Delta, Digest},
     time::Uptime,
@@ -68,6 +68,14 @@
     pub body_len: u32,
 }
 
+impl Start {
+    /// Service units of the request once so many tokens were generated.
+    pub fn units(&self, generated: u64) -> u32 {
+        let decode = Cost { prefill_milli: 0, decode_milli: self.decode_milli, fixed: 0 };
+        self.prefill.saturating_add(decode.units(0, generated))
+    }
+}
+
 /// A service of a server and the work on it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
--- a/src/mastweir/agent/answer.rs
+++ b/src/mastweir/agent/answer.rs
@@ -130,6 +130,12 @@
         self.lock().size
     }
 
+    /// Units written so far.
+    pub fn units(&self) -> u64 {
+        let state = self.lock();
+        state.first + state.chunks.len() as u64
+    }
+
     /// Waits for the reader's next item.
     pub async fn next(&self, reader: &mut Reader) -> Item {
         loop {
--- a/src/mastweir/agent/engine.rs
+++ b/src/mastweir/agent/engine.rs
@@ -9,7 +9,6 @@
 use futures_util::StreamExt;
 use mastweir_core::{
     outcome::Refusal,
-    share::Cost,
     switch::{RankOrder, RankReply},
     wire::{PIECE_MAX, Spent},
 };
@@ -193,8 +192,7 @@
 
 /// What a request has cost, now that its length is known.
 fn spent(job: &Job, generated: u64) -> Spent {
-    let cost = Cost { prefill_milli: 0, decode_milli: job.start.decode_milli, fixed: 0 };
-    Spent { units: job.start.prefill + cost.units(0, generated) }
+    Spent { units: job.start.units(generated) }
 }
 
 /// Lets nobody wait for an answer for ever.
--- a/src/mastweir/agent/jobs.rs
+++ b/src/mastweir/agent/jobs.rs
@@ -144,7 +144,10 @@
         state.running -= 1;
         let actual = match end {
             End::Whole(spent) => spent.units,
-            _ => job.start.cost,
+            // Charged for what it used. Its first units may have come from
+            // another server, and were charged there.
+            End::Broken => job.start.units(job.answer.units().saturating_sub(job.start.from)),
+            End::Refused(_) => 0,
         };
         let customer = CustomerTag::of(&job.start.customer);
         state.queue.settle(customer, job.start.weight, job.start.cost, actual);
--- a/src/mastweir/entry/calls.rs
+++ b/src/mastweir/entry/calls.rs
@@ -210,6 +210,12 @@
                 }
                 Action::Deliver => self.deliver(&mut call).await,
                 Action::Finish { outcome, evidence, cancel } => {
+                    if outcome == Outcome::Unknown {
+                        // Charged for what came of it, its prompt at least.
+                        let cost = self.order.service.cost;
+                        let decoded = cost.units(0, call.delivered());
+                        self.admitted.settle(self.order.prefill.saturating_add(decoded));
+                    }
                     self.close(outcome, evidence, cancel).await;
                     return (outcome, evidence);
                 }
