--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,8 +2,10 @@
 
 mod cli;
 mod faults;
+mod fuzz_lease;
 mod fuzz_outcomes;
 mod fuzz_routing;
 mod fuzz_switch;
 mod fuzz_table;
 mod path;
+mod processes;
