--- a/crates/mastweir-bench/src/sim/routing.rs
+++ b/crates/mastweir-bench/src/sim/routing/mod.rs
@@ -1,5 +1,11 @@
 //! Entries that route requests to servers by what they know of them.
 
+mod case;
+mod decision;
+
+pub use case::{Case, Fault, Outcome, Policy};
+pub use decision::decision_ns;
+
 use super::events::Events;
 use crate::stats::Times;
 use mastweir_core::{
@@ -8,7 +14,7 @@
     time::Uptime,
     wire::Load,
 };
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::index};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::collections::VecDeque;
 
 const SLOTS: usize = 16;
@@ -33,50 +39,6 @@
 const LISTED: f64 = 5.0;
 const TRIES_MAX: u32 = 4;
 
-/// How a server is chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Policy {
-    Current,
-    Random,
-    RoundRobin,
-    LeastLoad,
-    TwoChoices,
-    Bound,
-}
-
-/// What goes wrong.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    None,
-    SlowRank,
-    StalledRank,
-    RackLost,
-    Return,
-}
-
-/// A case.
-#[derive(Clone, Copy, Debug)]
-pub struct Case {
-    pub entries: usize,
-    pub servers: usize,
-    pub lag: f64,
-    pub load: f64,
-    /// Prefixes in use for each place in a cache.
-    pub prefixes: f64,
-    pub fault: Fault,
-}
-
-/// What came out.
-pub struct Outcome {
-    pub ttft: Times,
-    pub itl: Times,
-    pub skew: f64,
-    pub hits: u64,
-    pub refused: u64,
-    pub requests: u64,
-    pub retries: u64,
-}
-
 #[derive(Clone, Debug)]
 struct Job {
     entry: usize,
@@ -483,28 +445,3 @@
         Uptime((self.events.now * 1e6) as u64)
     }
 }
-
-/// Nanoseconds of a decision among so many servers.
-pub fn decision_ns(servers: usize, seed: u64) -> f64 {
-    const DECISIONS: u32 = 20_000;
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let mut router = Router::new(RouterPolicy::default());
-    let known = |i| Known::new(format!("server-{i}"), true);
-    router.set_servers((0..servers).map(known).collect());
-    for place in 0..servers {
-        let load = Load { slots: 16, rate: 1_600, each: 60, step_us: 10_000, ..Load::default() };
-        router.report(place, &load, Uptime(0));
-    }
-    for place in index::sample(&mut rng, servers, servers / 4) {
-        router.sent(place, COST, Uptime(0));
-    }
-    let begun = std::time::Instant::now();
-    let mut chosen = 0;
-    for i in 0..DECISIONS {
-        let prefix = Some(u64::from(i).wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        let request = Request { prefix, saves: SAVES, cost: COST, tried: &[] };
-        chosen += router.choose(&request, Uptime(1), &mut rng).map_or(0, |choice| choice.place);
-    }
-    std::hint::black_box(chosen);
-    begun.elapsed().as_secs_f64() * 1e9 / f64::from(DECISIONS)
-}
