Wait for the event in tests of processes, not for a time

Cause: three tests with real daemons and one with a stalled stream slept a fixed time until a request had reached its server; on a loaded machine it might not have, and the test would judge something else.

Change: they wait until the server has run it. An entry refuses beyond 8,192 requests at once, whoever asks.

Conclusion: the same verdict on a slow machine.

--- a/src/mastweir/entry/http.rs
+++ b/src/mastweir/entry/http.rs
@@ -38,6 +38,8 @@
     [Method::Get, Method::Post, Method::Put, Method::Delete, Method::Patch, Method::Head];
 const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
 const TICKET_PATH: &str = "/v1/tickets";
+/// Requests that run at an entry at once at most, of all customers.
+const ACTIVE_MAX: usize = 8_192;
 /// Characters of a caller's key at most.
 const KEY_MAX: usize = 1_024;
 /// Characters of a prompt that count as its prefix.
@@ -145,6 +147,9 @@
         if !self.shared.is_ready() {
             return Err((Kind::NotReady, Some(1)));
         }
+        if active(&self.shared) >= ACTIVE_MAX {
+            return Err((Kind::Overloaded, Some(1)));
+        }
         let (customer, row) = self.authorize(request).ok_or((Kind::Unauthorized, None))?;
         let body = data.open(ByteUnit::from(BODY_MAX)).into_bytes().await;
         let body = body.map_err(|_| (Kind::BadRequest, None))?;
--- a/tests/testsuite/faults.rs
+++ b/tests/testsuite/faults.rs
@@ -120,23 +120,25 @@
 async fn stalled_stream_moves_without_a_repeated_or_missing_token() -> eyre::Result<()> {
     let fleet = fleet_of(2).await?;
     let body = json!({
-        "model": "assistant", "prompt": "bag", "user": "m", "max_tokens": 60, "stream": true,
+        "model": "assistant", "prompt": "bag", "user": "m", "max_tokens": 200, "stream": true,
     });
     let request = Client::new().post(format!("{}/v1/completions", fleet.url(0)));
     let response = request.bearer_auth("quaystep").json(&body).send().await?;
-    time::sleep(Duration::from_millis(100)).await;
-    let busy = fleet.servers.iter().find(|s| s.engine.tokens.load(Ordering::Relaxed) > 0);
-    let busy = busy.map(|server| &server.engine.stalled);
-    if let Some(stalled) = busy {
-        stalled.store(true, Ordering::Relaxed);
-    }
+    let busy = loop {
+        let busy = fleet.servers.iter().find(|s| s.engine.tokens.load(Ordering::Relaxed) > 0);
+        if let Some(server) = busy {
+            break server;
+        }
+        time::sleep(Duration::from_millis(5)).await;
+    };
+    busy.engine.stalled.store(true, Ordering::Relaxed);
     let text = response.text().await?;
     let tokens: Vec<String> = text
         .lines()
         .filter_map(|line| serde_json::from_str::<Value>(line.strip_prefix("data: ")?).ok())
         .filter_map(|event| event["choices"][0]["delta"]["content"].as_str().map(str::to_owned))
         .collect();
-    let wanted: Vec<String> = (0..60).map(|i| format!("m/{i} ")).collect();
+    let wanted: Vec<String> = (0..200).map(|i| format!("m/{i} ")).collect();
     assert_that!(tokens, eq(&wanted));
     assert_that!(fleet.runs.of("m"), eq(2));
     Ok(())
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -39,19 +39,30 @@
     Ok(answer["outcome"].as_str().unwrap_or("done").to_owned())
 }
 
+/// Waits until a request has reached a server, however busy the machine is.
+async fn wait_for_run(fleet: &Processes, marker: &str) -> eyre::Result<()> {
+    for _ in 0..1_000 {
+        if fleet.runs.of(marker) > 0 {
+            return Ok(());
+        }
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    Err(eyre::eyre!("{marker} does not reach a server"))
+}
+
 #[tokio::test]
 async fn connection_lost_after_the_order_left_is_joined_and_not_run_twice() -> eyre::Result<()> {
     let fleet = bring_up().await?;
     let ticket = ticket(&fleet).await?;
     for server in &fleet.servers {
-        server.engine.plain_us.store(300_000, Ordering::Relaxed);
+        server.engine.plain_us.store(800_000, Ordering::Relaxed);
     }
     let url = fleet.urls()[0].clone();
     let call = {
         let ticket = ticket.clone();
         tokio::spawn(async move { submit(&url, &ticket, "lost").await })
     };
-    time::sleep(Duration::from_millis(150)).await;
+    wait_for_run(&fleet, "lost").await?;
     for server in &fleet.servers {
         server.agent.proxy.faults.refuse.store(true, Ordering::SeqCst);
     }
@@ -70,14 +81,14 @@
     let mut fleet = bring_up().await?;
     let ticket = ticket(&fleet).await?;
     for server in &fleet.servers {
-        server.engine.plain_us.store(500_000, Ordering::Relaxed);
+        server.engine.plain_us.store(1_500_000, Ordering::Relaxed);
     }
     let url = fleet.urls()[0].clone();
     let call = {
         let ticket = ticket.clone();
         tokio::spawn(async move { submit(&url, &ticket, "killed").await })
     };
-    time::sleep(Duration::from_millis(200)).await;
+    wait_for_run(&fleet, "killed").await?;
     for server in 0..fleet.servers.len() {
         fleet.restart_agent(server)?;
     }
@@ -94,13 +105,13 @@
     let ticket = ticket(&fleet).await?;
     let urls = fleet.urls();
     for server in &fleet.servers {
-        server.engine.plain_us.store(300_000, Ordering::Relaxed);
+        server.engine.plain_us.store(800_000, Ordering::Relaxed);
     }
     let first = {
         let (url, ticket) = (urls[0].clone(), ticket.clone());
         tokio::spawn(async move { submit(&url, &ticket, "paused").await })
     };
-    time::sleep(Duration::from_millis(100)).await;
+    wait_for_run(&fleet, "paused").await?;
     fleet.entries[0].daemon.pause();
     assert_that!(submit(&urls[1], &ticket, "paused").await?, eq("done"));
     fleet.entries[0].daemon.resume();
