--- a/tests/testsuite/faults.rs
+++ b/tests/testsuite/faults.rs
@@ -4,7 +4,7 @@
 use mastweir::{entry::EntryInstance, platform::GroupSpec};
 use mastweir_core::table::RowKind;
 use mastweir_test_support::{
-    fleet::{Fleet, OPERATOR_KEY, ServerOptions, customer, model, once, remove_row},
+    fleet::{Fleet, ServerOptions, customer, model, once, remove_row},
     ranks::RankGroup,
 };
 use reqwest::{Client, Response};
@@ -232,8 +232,8 @@
     Ok(())
 }
 
-/// Found by the switch measure: nobody told the coordinator of a steady group
-/// that a rank was replaced, and the group stood still.
+/// Nobody told the coordinator of a steady group that a rank was replaced, and
+/// the group stood still.
 #[tokio::test]
 async fn group_goes_on_after_a_rank_was_replaced() -> eyre::Result<()> {
     let mut fleet = Fleet::new(13).await?;
@@ -272,7 +272,8 @@
     Err(eyre::eyre!("the group stands still at {:?}", ranks.record()))
 }
 
-/// Found by the table measure: a burst of rows was not in force everywhere.
+/// Written while the table measure hung after some bursts; the cause was another,
+/// see `processes::status_does_not_stop_an_entry`.
 #[tokio::test]
 async fn burst_of_rows_is_in_force_everywhere() -> eyre::Result<()> {
     let mut fleet = Fleet::new(17).await?;
@@ -298,32 +299,3 @@
     let versions: Vec<u64> = fleet.entries.iter().map(EntryInstance::table_version).collect();
     Err(eyre::eyre!("wanted {version} everywhere, got {versions:?}"))
 }
-
-/// Found by the table measure: a status took the members' lock before the
-/// view's, the exchange the other way round, and the entry stood still.
-#[tokio::test(flavor = "multi_thread")]
-async fn status_does_not_stop_an_entry() -> eyre::Result<()> {
-    let fleet = fleet_of(2).await?;
-    let url = format!("{}/-/status", fleet.url(0));
-    let client = Client::builder().timeout(Duration::from_secs(10)).build()?;
-    let polls: Vec<_> = (0..8)
-        .map(|_| {
-            let (client, url) = (client.clone(), url.clone());
-            tokio::spawn(async move {
-                for _ in 0..300 {
-                    client.get(&url).bearer_auth(OPERATOR_KEY).send().await?;
-                }
-                Ok::<(), reqwest::Error>(())
-            })
-        })
-        .collect();
-    for i in 0..400 {
-        let name = format!("c{}", i % 20);
-        fleet.row(&name, &customer(&name, f64::from(i)));
-        time::sleep(Duration::from_millis(2)).await;
-    }
-    for poll in polls {
-        poll.await??;
-    }
-    Ok(())
-}
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use mastweir_test_support::{
-    fleet::{customer, model, once},
+    fleet::{OPERATOR_KEY, customer, model, once},
     procs::Processes,
 };
 use reqwest::Client;
@@ -139,3 +139,32 @@
     }
     Err(eyre::eyre!("the entry does not end"))
 }
+
+/// Found by the table measure: a status took the members' lock before the
+/// view's, the exchange the other way round, and the entry stood still.
+#[tokio::test]
+async fn status_does_not_stop_an_entry() -> eyre::Result<()> {
+    let fleet = bring_up().await?;
+    let url = format!("{}/-/status", fleet.urls()[0]);
+    let client = Client::builder().timeout(Duration::from_secs(10)).build()?;
+    let polls: Vec<_> = (0..8)
+        .map(|_| {
+            let (client, url) = (client.clone(), url.clone());
+            tokio::spawn(async move {
+                for _ in 0..300 {
+                    client.get(&url).bearer_auth(OPERATOR_KEY).send().await?;
+                }
+                Ok::<(), reqwest::Error>(())
+            })
+        })
+        .collect();
+    for i in 0..400 {
+        let name = format!("c{}", i % 20);
+        fleet.row(&name, &customer(&name, f64::from(i)));
+        time::sleep(Duration::from_millis(2)).await;
+    }
+    for poll in polls {
+        poll.await??;
+    }
+    Ok(())
+}
