Make the README's steps by hand work

Cause: done as written, they failed twice: 'argh' takes '-' for a flag that it does not know, and variables were put behind the command of a command, which does not know their flags. Tests of the tool also read the settings of whoever runs them.

Change: '-' stands for standard input before the command line is read, variables go behind the first word, tests of programs drop MASTWEIR_*.

Two tests added.

--- a/src/bin/mastweir/commands/key.rs
+++ b/src/bin/mastweir/commands/key.rs
@@ -2,6 +2,7 @@
 
 use super::EXIT_DONE;
 use argh::FromArgs;
+use mastweir::util::settings::STDIN;
 use mastweir_core::table::hash_key;
 use std::io;
 
@@ -31,7 +32,7 @@
 /// Runs it.
 pub fn exec(args: &Args) -> eyre::Result<i32> {
     let Command::Hash(args) = &args.command;
-    let key = if args.key == "-" {
+    let key = if args.key == STDIN {
         io::read_to_string(io::stdin())?.trim_end_matches('\n').to_owned()
     } else {
         args.key.clone()
--- a/src/bin/mastweir/commands/table.rs
+++ b/src/bin/mastweir/commands/table.rs
@@ -3,9 +3,12 @@
 use super::{EXIT_DONE, EXIT_PARTIAL, print_json, table_options};
 use argh::FromArgs;
 use eyre::WrapErr;
-use mastweir::ops::{
-    EntryClient,
-    table::{self, Accepted, TableOptions},
+use mastweir::{
+    ops::{
+        EntryClient,
+        table::{self, Accepted, TableOptions},
+    },
+    util::settings::STDIN,
 };
 use mastweir_core::table::{Row, RowKey};
 use std::{fs, io, str::FromStr, time::Duration};
@@ -169,9 +172,9 @@
     Ok(EXIT_DONE)
 }
 
-/// The text of a file, or of standard input for `-`.
+/// The text of a file, or of standard input.
 pub fn read_input(file: &str) -> eyre::Result<String> {
-    if file == "-" {
+    if file == STDIN {
         return Ok(io::read_to_string(io::stdin())?);
     }
     fs::read_to_string(file).wrap_err_with(|| format!("reading {file}"))
--- a/src/mastweir/util/settings.rs
+++ b/src/mastweir/util/settings.rs
@@ -11,10 +11,15 @@
 /// Exit code for settings that can't be.
 pub const EXIT_SETTINGS: i32 = 2;
 const EXIT_FAILURE: i32 = 1;
+/// What stands for standard input in an argument that names a file.
+pub const STDIN: &str = "/dev/stdin";
+/// What people write for it. `argh` takes it for a flag that it does not know.
+const STDIN_SHORT: &str = "-";
 
 /// Reads the process's command line and environment; ends it if they are bad.
 pub fn read<T: FromArgs>(name: &str, flags: &[&str]) -> T {
-    let words: Vec<String> = env::args().skip(1).collect();
+    let stdin = |word: String| if word == STDIN_SHORT { STDIN.to_owned() } else { word };
+    let words: Vec<String> = env::args().skip(1).map(stdin).collect();
     let vars: HashMap<String, String> =
         env::vars().filter(|(name, _)| name.starts_with(PREFIX)).collect();
     let words = with_variables(words, &vars, flags);
@@ -33,7 +38,9 @@
     }
 }
 
-/// Appends a flag for each variable whose flag is among `flags` and not given.
+/// Adds a flag for each variable whose flag is among `flags` and not given.
+/// They go behind the first word, the command: what follows may be a command of
+/// that one, with flags of its own.
 pub fn with_variables(
     mut words: Vec<String>,
     vars: &HashMap<String, String>,
@@ -45,8 +52,8 @@
         if words.contains(&long) {
             continue;
         }
-        words.push(long);
-        words.push(value.clone());
+        let behind = words.len().min(1);
+        words.splice(behind..behind, [long, value.clone()]);
     }
     words
 }
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -7,6 +7,7 @@
     platform::Platform,
 };
 use std::{
+    io::Write,
     process::{Command, Stdio},
     sync::atomic::Ordering,
 };
@@ -19,7 +20,13 @@
     let (program, args): (String, Vec<String>) =
         (program.to_owned(), args.iter().map(|arg| (*arg).to_owned()).collect());
     let running = tokio::task::spawn_blocking(move || {
-        Command::new(program).args(args).stdin(Stdio::null()).output()
+        let mut command = Command::new(program);
+        // Whoever runs the tests may have settings of their own.
+        let own = std::env::vars().filter(|(name, _)| name.starts_with("MASTWEIR_"));
+        own.for_each(|(name, _)| {
+            command.env_remove(name);
+        });
+        command.args(args).stdin(Stdio::null()).output()
     });
     let output = match running.await {
         Ok(Ok(output)) => output,
@@ -176,3 +183,34 @@
         }
     }
 }
+
+/// Found by doing what the README says: `argh` took `-` for a flag.
+#[tokio::test]
+async fn dash_reads_standard_input() -> eyre::Result<()> {
+    let hash = tokio::task::spawn_blocking(|| {
+        let mut child = Command::new(TOOL)
+            .args(["key", "hash", "-"])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        if let Some(mut stdin) = child.stdin.take() {
+            stdin.write_all(b"secret")?;
+        }
+        child.wait_with_output()
+    });
+    let output = hash.await??;
+    let printed = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_that!(printed.trim(), eq(hash_key("secret")));
+    Ok(())
+}
+
+/// Found by doing what the README says: variables were put behind the command
+/// of the command, which does not know their flags.
+#[test]
+fn variables_stand_behind_the_first_command() {
+    let words = ["table", "add", "quaystep"].map(str::to_owned).to_vec();
+    let vars = [("MASTWEIR_PLATFORM".to_owned(), "http://127.0.0.1:1".to_owned())].into();
+    let words = mastweir::util::settings::with_variables(words, &vars, &["platform", "token"]);
+    let wanted = ["table", "--platform", "http://127.0.0.1:1", "add", "quaystep"];
+    assert_eq!(words, wanted);
+}
