Count the entries once a change of the list, not once a request

Change: the view counts entries where it brings its routers in line with the list, and admission reads the number. Behaviour is the same.

No timing is claimed.

Conclusion: work on the hot path that need not be there is gone.

--- a/src/mastweir/entry/admit.rs
+++ b/src/mastweir/entry/admit.rs
@@ -1,7 +1,6 @@
 //! Limits of a customer, at this entry's part of them.
 
 use super::{Shared, lock, problem::Kind};
-use crate::platform::InstanceRole;
 use mastweir_core::{
     share::{Allowance, Bucket},
     table::Customer,
@@ -61,8 +60,7 @@
         return Err(Denied { kind: Kind::TooLarge, retry_after: None });
     }
     let (own, total) = lock(&shared.usage).rates(name);
-    let entries = lock(&shared.view).of_role(InstanceRole::Entry).count();
-    let part = Allowance::of(own, total, u32::try_from(entries).unwrap_or(u32::MAX));
+    let part = Allowance::of(own, total, lock(&shared.view).entries());
     let now = shared.context.clock.now();
     let estimate = lock(&shared.usage).expect(name, estimate);
     let taken = lock(&shared.limits).take(name, row, part, estimate, now);
--- a/src/mastweir/entry/view.rs
+++ b/src/mastweir/entry/view.rs
@@ -49,6 +49,8 @@
     instances: BTreeMap<String, InstanceSpec>,
     routers: HashMap<String, Router>,
     drained: HashSet<String>,
+    /// Entries in the list, counted once a change and not once a request.
+    entries: u32,
     listed: bool,
 }
 
@@ -60,6 +62,7 @@
             instances: BTreeMap::new(),
             routers: HashMap::new(),
             drained: HashSet::new(),
+            entries: 0,
             listed: false,
         }
     }
@@ -80,6 +83,11 @@
         all.map(|(name, spec)| (name.as_str(), spec))
     }
 
+    /// Number of entries in the list.
+    pub const fn entries(&self) -> u32 {
+        self.entries
+    }
+
     /// The routers by service.
     pub fn routers(&self) -> impl Iterator<Item = (&str, &Router)> {
         self.routers.iter().map(|(service, router)| (service.as_str(), router))
@@ -231,6 +239,8 @@
 
     /// Brings the routers in line with the instances; what is known stays.
     fn rebuild(&mut self) {
+        let entries = self.of_role(InstanceRole::Entry).count();
+        self.entries = u32::try_from(entries).unwrap_or(u32::MAX);
         let mut wanted: HashMap<&str, Vec<&str>> = HashMap::new();
         for (name, spec) in &self.instances {
             for service in &spec.services {
