--- a/crates/mastweir-bench/src/commands/control.rs
+++ b/crates/mastweir-bench/src/commands/control.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 use mastweir::{
     net::{Secret, Socket, Traffic},
-    platform::{InstanceRole, InstanceSpec, InstanceState},
+    objects::{InstanceRole, InstanceSpec, InstanceState},
 };
 use mastweir_core::{
     id::{Fence, Incarnation},
--- a/crates/mastweir-bench/src/commands/switch.rs
+++ b/crates/mastweir-bench/src/commands/switch.rs
@@ -5,7 +5,7 @@
     report::{Metric, Report},
 };
 use argh::FromArgs;
-use mastweir::platform::GroupSpec;
+use mastweir::objects::GroupSpec;
 use mastweir_core::switch::MapVersion;
 use mastweir_test_support::{
     fleet::{OPERATOR_KEY, customer, model},
--- /dev/null
+++ b/crates/mastweir-core/src/experts/layers.rs
@@ -0,0 +1,254 @@
+//! Plans for groups whose ranks have room for copies, over all sets of layers.
+//!
+//! A pass lasts, set by set, as long as its most loaded rank. So a plan lowers the
+//! sum over the sets of that rank's load. Loading an expert takes a rank time,
+//! during which demand moves on; so a plan loads little ([`LayerPlanner::plan`] weighs each
+//! number of loads a rank by what it saves in the time that is left of a horizon),
+//! and the next plan goes on from there.
+
+use crate::switch::hold::GroupMap;
+
+/// Bounds and weights of plans.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LayerPlanner {
+    /// Experts that a rank holds in a set at most.
+    pub places: usize,
+    /// Experts new to a rank in a set that one plan may bring.
+    pub fresh: usize,
+    /// Seconds that loading one expert takes a rank.
+    pub load_s: f64,
+    /// Seconds for which a plan is taken to help.
+    pub horizon_s: f64,
+    /// Part of the passes' work that a plan has to save.
+    pub least_gain: f64,
+}
+
+/// A map, and what it is expected to do.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LayerPlan {
+    /// The map.
+    pub map: GroupMap,
+    /// Most loads at one rank.
+    pub loads: usize,
+    /// Sum over the sets of the most loaded rank's load over the mean, before.
+    pub skew_now: f64,
+    /// And after, per set on average.
+    pub skew_then: f64,
+}
+
+/// Loads at one rank that are tried.
+const LOADS: [usize; 6] = [1, 2, 3, 5, 8, 12];
+/// Steps of a plan, over all sets: far more than there are places to change.
+const STEPS_MAX: usize = 600;
+
+struct Set<'a> {
+    demand: &'a [f64],
+    ranks: Vec<Vec<u16>>,
+    before: Vec<Vec<u16>>,
+    copies: Vec<u32>,
+    loads: Vec<f64>,
+}
+
+struct Move {
+    set: usize,
+    to: usize,
+    expert: u16,
+    evicted: Option<u16>,
+    gain: f64,
+}
+
+/// Mean skew over the sets: the most loaded rank over the mean.
+pub fn mean_skew(map: &GroupMap, demand: &[Vec<f64>]) -> f64 {
+    let sets: Vec<Set<'_>> = sets(map, demand);
+    sets.iter().map(Set::skew).sum::<f64>() / sets.len().max(1) as f64
+}
+
+fn sets<'a>(map: &GroupMap, demand: &'a [Vec<f64>]) -> Vec<Set<'a>> {
+    map.iter().zip(demand).map(|(ranks, demand)| Set::new(ranks, demand)).collect()
+}
+
+impl<'a> Set<'a> {
+    fn new(ranks: &[Vec<u16>], demand: &'a [f64]) -> Self {
+        let mut copies = vec![0; demand.len()];
+        ranks.iter().flatten().for_each(|expert| copies[usize::from(*expert)] += 1);
+        let (ranks, before) = (ranks.to_vec(), ranks.to_vec());
+        let mut set = Self { demand, ranks, before, copies, loads: Vec::new() };
+        set.loads = set.ranks.iter().map(|rank| set.load(rank)).collect();
+        set
+    }
+
+    fn load(&self, rank: &[u16]) -> f64 {
+        rank.iter().map(|expert| self.part(*expert)).sum()
+    }
+
+    fn part(&self, expert: u16) -> f64 {
+        let expert = usize::from(expert);
+        self.demand[expert] / f64::from(self.copies[expert].max(1))
+    }
+
+    fn most(&self) -> f64 {
+        self.loads.iter().copied().fold(0.0, f64::max)
+    }
+
+    fn mean(&self) -> f64 {
+        self.loads.iter().sum::<f64>() / self.loads.len().max(1) as f64
+    }
+
+    fn skew(&self) -> f64 {
+        let mean = self.mean();
+        if mean > 0.0 { self.most() / mean } else { 1.0 }
+    }
+
+    /// The most loaded rank, and the load of the next.
+    fn peak(&self) -> (usize, f64) {
+        let mut peak = (0, f64::MIN);
+        let mut second = f64::MIN;
+        for (rank, load) in self.loads.iter().enumerate() {
+            if *load > peak.1 {
+                second = peak.1;
+                peak = (rank, *load);
+            } else if *load > second {
+                second = *load;
+            }
+        }
+        (peak.0, second)
+    }
+
+    fn holds(&self, rank: usize, expert: u16) -> bool {
+        self.ranks[rank].contains(&expert)
+    }
+
+    /// Loads that a plan so far brings a rank in this set.
+    fn fresh(&self, rank: usize) -> usize {
+        self.ranks[rank].iter().filter(|expert| !self.before[rank].contains(expert)).count()
+    }
+
+    /// Loads of the ranks if `expert` were copied to `to` in place of `evicted`.
+    fn after(&self, to: usize, expert: u16, evicted: Option<u16>) -> Vec<f64> {
+        let mut loads = self.loads.clone();
+        let of = usize::from(expert);
+        let old = self.part(expert);
+        let new = self.demand[of] / f64::from(self.copies[of] + 1);
+        for (rank, load) in loads.iter_mut().enumerate() {
+            if self.holds(rank, expert) {
+                *load += new - old;
+            }
+        }
+        loads[to] += new;
+        let Some(out) = evicted else { return loads };
+        let of = usize::from(out);
+        let old = self.part(out);
+        let new = self.demand[of] / f64::from((self.copies[of] - 1).max(1));
+        for (rank, load) in loads.iter_mut().enumerate() {
+            if rank != to && self.holds(rank, out) {
+                *load += new - old;
+            }
+        }
+        loads[to] -= old;
+        loads
+    }
+
+    /// What can go from a rank to make room: the copy that is missed least.
+    fn evictable(&self, rank: usize, but: u16) -> Option<u16> {
+        let spare = self.ranks[rank]
+            .iter()
+            .filter(|expert| **expert != but && self.copies[usize::from(**expert)] > 1);
+        let missed = |expert: &u16| {
+            let copies = f64::from(self.copies[usize::from(*expert)]);
+            self.demand[usize::from(*expert)] / (copies * (copies - 1.0))
+        };
+        spare.copied().min_by(|a, b| missed(a).total_cmp(&missed(b)))
+    }
+
+    fn apply(&mut self, step: &Move) {
+        if let Some(out) = step.evicted {
+            self.ranks[step.to].retain(|expert| *expert != out);
+            self.copies[usize::from(out)] -= 1;
+        }
+        self.ranks[step.to].push(step.expert);
+        self.copies[usize::from(step.expert)] += 1;
+        self.loads = self.ranks.iter().map(|rank| self.load(rank)).collect();
+    }
+}
+
+impl LayerPlanner {
+    /// The best plan from a map on, if one is worth it. `demand` is by set and
+    /// expert.
+    pub fn plan(&self, map: &GroupMap, demand: &[Vec<f64>]) -> Option<LayerPlan> {
+        let now = mean_skew(map, demand);
+        let tried = LOADS.iter().map(|loads| self.with_loads(map, demand, *loads));
+        let worth = |plan: &LayerPlan| {
+            let late = plan.loads as f64 * self.load_s;
+            (now - plan.skew_then) * (self.horizon_s - late).max(0.0)
+        };
+        let best = tried.max_by(|a, b| worth(a).total_cmp(&worth(b)))?;
+        (now - best.skew_then > self.least_gain * now).then_some(best)
+    }
+
+    /// The plan that loads at most `budget` experts at a rank, over all sets.
+    fn with_loads(&self, map: &GroupMap, demand: &[Vec<f64>], budget: usize) -> LayerPlan {
+        let mut sets = sets(map, demand);
+        let skew_now = sets.iter().map(Set::skew).sum::<f64>() / sets.len().max(1) as f64;
+        let ranks = map.first().map_or(0, Vec::len);
+        let mut spent = vec![0; ranks];
+        let mut best: Vec<Option<Move>> =
+            (0..sets.len()).map(|at| self.best(&sets, at, &spent, budget)).collect();
+        for _ in 0..STEPS_MAX {
+            let gain = |at: &usize| best[*at].as_ref().map_or(0.0, |step| step.gain);
+            let Some(at) = (0..sets.len()).max_by(|a, b| gain(a).total_cmp(&gain(b))) else {
+                break;
+            };
+            let Some(step) = best[at].take() else { break };
+            sets[at].apply(&step);
+            spent[step.to] += 1;
+            let full = spent[step.to] >= budget;
+            for other in 0..sets.len() {
+                let touched = best[other].as_ref().is_some_and(|best| best.to == step.to);
+                if other == at || (full && touched) {
+                    best[other] = self.best(&sets, other, &spent, budget);
+                }
+            }
+        }
+        let skew_then = sets.iter().map(Set::skew).sum::<f64>() / sets.len().max(1) as f64;
+        let loads = spent.iter().copied().max().unwrap_or(0);
+        LayerPlan {
+            map: sets.into_iter().map(|set| set.ranks).collect(),
+            loads,
+            skew_now,
+            skew_then,
+        }
+    }
+
+    /// The step in a set that lowers its most loaded rank most, over the mean.
+    fn best(&self, sets: &[Set<'_>], at: usize, spent: &[usize], budget: usize) -> Option<Move> {
+        let set = &sets[at];
+        let (peak, second) = set.peak();
+        let most = set.loads[peak];
+        let mean = set.mean();
+        let mut best: Option<Move> = None;
+        for expert in &set.ranks[peak] {
+            for (to, spent) in spent.iter().enumerate() {
+                let barred = set.holds(to, *expert) || *spent >= budget;
+                if barred || set.fresh(to) >= self.fresh {
+                    continue;
+                }
+                let evicted = if set.ranks[to].len() < self.places {
+                    None
+                } else {
+                    let Some(out) = set.evictable(to, *expert) else { continue };
+                    Some(out)
+                };
+                let after = set.after(to, *expert, evicted);
+                let most_then = after.iter().copied().fold(0.0, f64::max);
+                // Where two ranks are equally loaded, lowering one of them only
+                // prepares the next step.
+                let lowered = (most - after[peak]).min(most - second.min(most)).max(0.0);
+                let gain = (most - most_then + 0.05 * lowered) / mean.max(f64::MIN_POSITIVE);
+                if gain > 1e-6 && best.as_ref().is_none_or(|best| gain > best.gain) {
+                    best = Some(Move { set: at, to, expert: *expert, evicted, gain });
+                }
+            }
+        }
+        best.filter(|step| step.set == at)
+    }
+}
--- a/crates/mastweir-core/src/experts/mod.rs
+++ b/crates/mastweir-core/src/experts/mod.rs
@@ -12,8 +12,10 @@
 //! where already.
 
 mod demand;
+pub mod layers;
 mod placement;
 mod planner;
+pub mod recent;
 mod scratch;
 
 pub use demand::Demand;
--- /dev/null
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -0,0 +1,320 @@
+//! The servers a gateway knows, and the choice among them.
+//!
+//! [`Directory`] is what the platform's list says, in one revision. [`Fleet`]
+//! joins it with what this gateway sees itself: its requests in flight, the
+//! reports of the servers' sidecars, and how attempts ended. Reports lag, and all
+//! gateways see the same; so a choice is the least loaded of a few drawn at
+//! random, and requests sent since a report count on top of it.
+
+use crate::time::Uptime;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+/// What a server says of its own life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ServerState {
+    /// Takes requests.
+    Ready,
+    /// Finishes what it has.
+    Leaving,
+}
+
+/// One life of a server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// Names this life alone.
+    pub id: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its data hall.
+    pub hall: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes requests.
+    pub state: ServerState,
+}
+
+/// All servers, as of one revision of the platform's list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Directory {
+    /// Revision of the list.
+    pub revision: u64,
+    /// Servers by id.
+    pub servers: BTreeMap<String, Server>,
+}
+
+/// What a server's sidecar reports.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Tokens in its memory that can't give way, in thousandths of its room.
+    pub memory_milli: u32,
+    /// Rank group that it belongs to, if any.
+    pub group: Option<String>,
+    /// Whether that group makes passes.
+    pub group_open: bool,
+    /// The last pass begun.
+    pub pass: u64,
+    /// Milliseconds that the last passes took, on average.
+    pub pass_ms: u32,
+}
+
+/// Why no server was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No server of the service is known that might serve.
+    NoServer,
+    /// All are full.
+    Full,
+}
+
+/// A server that was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its id.
+    pub id: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its load at the choice, over its slots, in thousandths.
+    pub load_milli: u32,
+    /// Age of the report that the choice used, if there was one.
+    pub report_age: Option<Duration>,
+}
+
+/// A report older than this is not used; four of them are missing by then.
+const REPORT_LASTS: Duration = Duration::from_millis(1_000);
+/// A missing server is kept this long as a last resort: entries that lapsed
+/// while the platform's list was away are back within two seconds.
+const MISSING_LASTS: Duration = Duration::from_millis(1_500);
+/// Servers drawn for a choice.
+const DRAWN: usize = 4;
+/// Failures in a row after which a server is left out for a while.
+const FAILURES_MAX: u32 = 3;
+/// Time for which it is left out, and for which a refused connection counts.
+const LEFT_OUT: Duration = Duration::from_millis(1_000);
+/// Load of another hall's server, over that of one's own: a tenth of a place.
+const OTHER_HALL: f64 = 0.1;
+/// Load of a server whose group stands still, over that of one whose group runs.
+const STANDING: f64 = 100.0;
+
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    in_flight: u32,
+    sent_since: u32,
+    ended_since: u32,
+    told: Option<(Uptime, Told)>,
+    failures: u32,
+    left_out: Option<Uptime>,
+}
+
+/// Servers with what is known of each.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    hall: String,
+    directory: Directory,
+    by_service: HashMap<String, Vec<String>>,
+    missing: HashMap<String, (Server, Uptime)>,
+    seen: HashMap<String, Seen>,
+}
+
+impl Fleet {
+    /// A fleet as seen from a hall.
+    pub fn new(hall: &str) -> Self {
+        Self { hall: hall.to_owned(), ..Self::default() }
+    }
+
+    /// The list in force.
+    pub const fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Takes a newer list in. Older ones are ignored, so no peer and no stale
+    /// read takes a gateway back.
+    pub fn replace(&mut self, directory: Directory, now: Uptime) -> bool {
+        if directory.revision <= self.directory.revision {
+            return false;
+        }
+        let old = std::mem::replace(&mut self.directory, directory);
+        for (id, server) in old.servers {
+            let was_ready = server.state == ServerState::Ready;
+            if was_ready && !self.directory.servers.contains_key(&id) {
+                self.missing.insert(id, (server, now));
+            }
+        }
+        self.missing.retain(|id, _| !self.directory.servers.contains_key(id));
+        self.index();
+        true
+    }
+
+    fn index(&mut self) {
+        self.by_service.clear();
+        for server in self.directory.servers.values() {
+            if server.state == ServerState::Ready {
+                self.by_service.entry(server.service.clone()).or_default().push(server.id.clone());
+            }
+        }
+        let known = &self.directory.servers;
+        self.seen.retain(|id, seen| known.contains_key(id) || seen.in_flight > 0);
+    }
+
+    /// Takes a sidecar's report in.
+    pub fn told(&mut self, id: &str, told: Told, now: Uptime) {
+        if !self.directory.servers.contains_key(id) {
+            return;
+        }
+        let seen = self.seen.entry(id.to_owned()).or_default();
+        seen.told = Some((now, told));
+        seen.sent_since = 0;
+        seen.ended_since = 0;
+    }
+
+    /// Takes in the load that a server wrote into an answer.
+    pub fn answered_load(&mut self, id: &str, running: u32, waiting: u32, now: Uptime) {
+        let Some(seen) = self.seen.get_mut(id) else { return };
+        let fresh = seen.told.as_ref().is_some_and(|(at, _)| now.since(*at) < REPORT_LASTS);
+        if fresh {
+            return;
+        }
+        let told = Told { running, waiting, group_open: true, ..Told::default() };
+        seen.told = Some((now, told));
+        seen.sent_since = 0;
+        seen.ended_since = 0;
+    }
+
+    /// Chooses a server of a service that is not among `tried`. With `full`, one
+    /// at which the request would have to wait counts as well.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] says whether there is no server, or none with room.
+    pub fn choose(
+        &self,
+        service: &str,
+        tried: &[String],
+        room: f64,
+        now: Uptime,
+        rng: &mut impl Rng,
+    ) -> Result<Candidate, Refusal> {
+        let ready = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let untried: Vec<&String> = ready.iter().filter(|id| !tried.contains(id)).collect();
+        let mut usable: Vec<&String> =
+            untried.iter().copied().filter(|id| !self.is_left_out(id, now)).collect();
+        // When most look bad the fault is more likely on this side.
+        if usable.len() * 2 < untried.len() {
+            usable.clone_from(&untried);
+        }
+        if usable.is_empty() {
+            return self.last_resort(service, tried, now).ok_or(Refusal::NoServer);
+        }
+        let scored = |id: &String| (self.score(id, now), id.clone());
+        let drawn = draw(&usable, rng).into_iter().map(scored);
+        let best = drawn.min_by(|a, b| a.0.total_cmp(&b.0));
+        let mut best = best.ok_or(Refusal::NoServer)?;
+        if best.0 > room {
+            // The few drawn are full: look at all of them.
+            let all = usable.iter().map(|id| scored(id));
+            best = all.min_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or(best);
+        }
+        if best.0 > room {
+            return Err(Refusal::Full);
+        }
+        let server = &self.directory.servers[&best.1];
+        Ok(self.candidate(server, best.0, now))
+    }
+
+    /// A request was sent to a server.
+    pub fn sent(&mut self, id: &str) {
+        let seen = self.seen.entry(id.to_owned()).or_default();
+        seen.in_flight += 1;
+        seen.sent_since += 1;
+    }
+
+    /// A request ended there; `failed` if it got no whole answer.
+    pub fn ended(&mut self, id: &str, failed: bool, now: Uptime) {
+        let Some(seen) = self.seen.get_mut(id) else { return };
+        seen.in_flight = seen.in_flight.saturating_sub(1);
+        seen.ended_since += 1;
+        seen.failures = if failed { seen.failures + 1 } else { 0 };
+        if seen.failures >= FAILURES_MAX {
+            seen.left_out = Some(now);
+            seen.failures = 0;
+        }
+    }
+
+    /// A server could not be reached, or is another one by now.
+    pub fn unreachable(&mut self, id: &str, now: Uptime) {
+        let seen = self.seen.entry(id.to_owned()).or_default();
+        seen.left_out = Some(now);
+    }
+
+    /// Requests of this gateway that are in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.seen.values().map(|seen| seen.in_flight).sum()
+    }
+
+    /// Whether a server's group stands still, by a report that is fresh.
+    pub fn is_standing(&self, id: &str, now: Uptime) -> bool {
+        let told = self.seen.get(id).and_then(|seen| seen.told.as_ref());
+        told.is_some_and(|(at, told)| now.since(*at) < REPORT_LASTS && !told.group_open)
+    }
+
+    fn is_left_out(&self, id: &str, now: Uptime) -> bool {
+        let since = self.seen.get(id).and_then(|seen| seen.left_out);
+        since.is_some_and(|since| now.since(since) < LEFT_OUT)
+    }
+
+    fn score(&self, id: &str, now: Uptime) -> f64 {
+        let server = &self.directory.servers[id];
+        let seen = self.seen.get(id);
+        let places = f64::from(server.slots.max(1));
+        let away = if server.hall == self.hall { 0.0 } else { OTHER_HALL };
+        let told = seen.and_then(|seen| seen.told.as_ref());
+        let told = told.filter(|(at, _)| now.since(*at) < REPORT_LASTS);
+        let own = seen.map_or(0, |seen| seen.in_flight);
+        let Some((_, told)) = told else { return (f64::from(own) + away) / places };
+        let since = seen.map_or(0, |seen| seen.sent_since);
+        let ended = seen.map_or(0, |seen| seen.ended_since);
+        let load = (told.running + told.waiting + since).saturating_sub(ended).max(own);
+        let standing = if told.group_open { 0.0 } else { STANDING };
+        (f64::from(load) + away) / places + standing
+    }
+
+    fn candidate(&self, server: &Server, score: f64, now: Uptime) -> Candidate {
+        let told = self.seen.get(&server.id).and_then(|seen| seen.told.as_ref());
+        Candidate {
+            id: server.id.clone(),
+            addr: server.addr,
+            load_milli: (score * 1_000.0) as u32,
+            report_age: told.map(|(at, _)| now.since(*at)),
+        }
+    }
+
+    /// A server that the list lost a moment ago: better than none.
+    fn last_resort(&self, service: &str, tried: &[String], now: Uptime) -> Option<Candidate> {
+        let fits = |(server, since): &&(Server, Uptime)| {
+            server.service == service
+                && !tried.contains(&server.id)
+                && now.since(*since) < MISSING_LASTS
+        };
+        let (server, _) = self.missing.values().find(fits)?;
+        Some(self.candidate(server, 0.0, now))
+    }
+}
+
+fn draw<'a>(ids: &[&'a String], rng: &mut impl Rng) -> Vec<&'a String> {
+    if ids.len() <= DRAWN {
+        return ids.to_vec();
+    }
+    let picks = rand::seq::index::sample(rng, ids.len(), DRAWN);
+    picks.into_iter().map(|at| ids[at]).collect()
+}
--- /dev/null
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -0,0 +1,19 @@
+//! Forwarding of requests to servers: what a gateway decides.
+//!
+//! A gateway passes requests through unchanged, so its decisions are few: which
+//! route a request takes ([`Config`]), which server gets it ([`Fleet`]), what the
+//! end of an attempt proves and what follows from it ([`Proof`], [`next`]), and
+//! whether the fleet can afford another attempt ([`RetryWindow`]). Streams are cut
+//! into whole events ([`Events`]), so that another server can take one up.
+
+mod config;
+mod events;
+mod fleet;
+mod proof;
+mod window;
+
+pub use config::{Config, Kind, Limits, Model, Route, RouteIndex, Service, Target};
+pub use events::Events;
+pub use fleet::{Candidate, Directory, Fleet, Refusal, Server, ServerState, Told};
+pub use proof::{Answer, Next, Proof, Step, ending, next};
+pub use window::RetryWindow;
--- a/crates/mastweir-core/src/lib.rs
+++ b/crates/mastweir-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`outcome`]: how a request ends exactly once, and why it may be retried.
 //! - [`share`]: weighted fair queues, limits, and the fleet-wide correction.
 //! - [`route`]: the choice of server, ejection, and the retry budget.
+//! - [`gateway`]: how requests are passed through to servers unchanged.
 //! - [`experts`]: when to move an expert, and where to.
 //! - [`switch`]: how all ranks of a group change their map at one step.
 //! - [`table`]: the rows that operators edit, and why a version never reverts.
@@ -19,6 +20,7 @@
 //! - [`wire`]: the messages between mastweir's own processes.
 
 pub mod experts;
+pub mod gateway;
 pub mod id;
 pub mod member;
 pub mod outcome;
--- a/crates/mastweir-core/src/switch/mod.rs
+++ b/crates/mastweir-core/src/switch/mod.rs
@@ -15,6 +15,7 @@
 //! [`Rank`] is the rank's side. It belongs beside the engine's step loop.
 
 mod coordinator;
+pub mod hold;
 mod lease;
 mod rank;
 
--- a/crates/mastweir-test-support/src/fleet.rs
+++ b/crates/mastweir-test-support/src/fleet.rs
@@ -10,7 +10,7 @@
     Context, ContextOptions,
     agent::{Agent, AgentOptions},
     entry::{EntryInstance, EntryOptions},
-    platform::{Collection, GroupSpec, InstanceRole, InstanceSpec, InstanceState},
+    objects::{Collection, GroupSpec, InstanceRole, InstanceSpec, InstanceState},
     util::log::{self, Format},
 };
 use mastweir_core::{
--- a/crates/mastweir-test-support/src/platform.rs
+++ b/crates/mastweir-test-support/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform: an object API in memory, with faults to switch on.
 
 use crate::{Served, lock, serve};
-use mastweir::platform::{Collection, InstanceSpec, Object};
+use mastweir::objects::{Collection, InstanceSpec, Object};
 use rocket::{
     Build, Rocket, Shutdown, State,
     http::{ContentType, Status},
--- a/crates/mastweir-test-support/src/procs.rs
+++ b/crates/mastweir-test-support/src/procs.rs
@@ -10,7 +10,7 @@
     proxy::Proxy,
     ranks::RankGroup,
 };
-use mastweir::platform::{GroupSpec, InstanceRole, InstanceSpec, InstanceState};
+use mastweir::objects::{GroupSpec, InstanceRole, InstanceSpec, InstanceState};
 use mastweir_core::table::{Row, hash_key};
 use reqwest::Client;
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -3,7 +3,7 @@
 //! with `-- --stay` it goes on until Ctrl-C.
 
 use futures_util::future;
-use mastweir::{entry::EntryStatus, platform::GroupSpec};
+use mastweir::{entry::EntryStatus, objects::GroupSpec};
 use mastweir_core::switch::MapVersion;
 use mastweir_test_support::{
     engine,
--- a/src/bin/mastweird/commands/mod.rs
+++ b/src/bin/mastweird/commands/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod agent;
 pub mod entry;
+pub mod gateway;
+pub mod sidecar;
 
 use std::env;
 
@@ -10,14 +12,16 @@
 
 /// Flags that may come from variables, for the role that was asked for.
 pub fn flags() -> Vec<&'static str> {
-    let own: &[&str] = match env::args().nth(1).as_deref() {
-        Some("entry") => &entry::FLAGS,
-        Some("agent") => &agent::FLAGS,
+    let (common, own): (&[&str], &[&str]) = match env::args().nth(1).as_deref() {
+        Some("entry") => (&COMMON, &entry::FLAGS),
+        Some("agent") => (&COMMON, &agent::FLAGS),
+        Some("gateway") => (&[], &gateway::FLAGS),
+        Some("sidecar") => (&[], &sidecar::FLAGS),
         _ => return Vec::new(),
     };
     // `--help` is answered without the settings.
     if env::args().any(|word| word == "--help" || word == "help") {
         return Vec::new();
     }
-    COMMON.iter().chain(own).copied().collect()
+    common.iter().chain(own).copied().collect()
 }
--- a/src/mastweir/agent/mod.rs
+++ b/src/mastweir/agent/mod.rs
@@ -20,7 +20,7 @@
 use crate::{
     Context,
     net::{Socket, Traffic},
-    platform::GroupSpec,
+    objects::GroupSpec,
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::TcpListener, sync::watch, task::JoinSet, time};
--- a/src/mastweir/agent/ranks.rs
+++ b/src/mastweir/agent/ranks.rs
@@ -7,7 +7,7 @@
 //! the lease, where the epoch lasts.
 
 use super::Shared;
-use crate::platform::{Collection, GroupSpec, PlatformError};
+use crate::objects::{Collection, GroupSpec, PlatformError};
 use mastweir_core::switch::{LeaseRecord, RankOrder, RankReply};
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::Mutex, time};
--- a/src/mastweir/context.rs
+++ b/src/mastweir/context.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     net::Secret,
-    platform::Platform,
+    objects::Platform,
     util::{clock::Clock, metrics::Metrics},
 };
 use mastweir_core::id::{Fence, Incarnation};
--- a/src/mastweir/entry/fleet.rs
+++ b/src/mastweir/entry/fleet.rs
@@ -1,7 +1,7 @@
 //! Who is there: the instance list, heartbeats and reports.
 
 use super::{Shared, lock, table, usage};
-use crate::platform::{Collection, InstanceRole, InstanceSpec, InstanceState, WatchEvent};
+use crate::objects::{Collection, InstanceRole, InstanceSpec, InstanceState, WatchEvent};
 use futures_util::StreamExt;
 use mastweir_core::{member::Heard, wire::Packet};
 use rand::{
--- a/src/mastweir/entry/groups.rs
+++ b/src/mastweir/entry/groups.rs
@@ -6,7 +6,7 @@
 //! the platform no lease is taken or renewed, and groups go on as they are.
 
 use super::{Shared, decisions::Decision, lock, status::GroupStatus};
-use crate::platform::{Collection, InstanceRole, Object, PlatformError};
+use crate::objects::{Collection, InstanceRole, Object, PlatformError};
 use mastweir_core::{
     switch::{
         Coordinator, Holding, Lease, LeaseRecord, MapVersion, Progress, RankOrder, RankReply,
--- a/src/mastweir/entry/keys.rs
+++ b/src/mastweir/entry/keys.rs
@@ -6,7 +6,7 @@
 //! submission can't be looked up is refused as unknown: it may have run.
 
 use super::{Shared, calls::Order, lock, problem::Kind, view::Chosen};
-use crate::platform::{Collection, KeySpec, Object, PlatformError};
+use crate::objects::{Collection, KeySpec, Object, PlatformError};
 use mastweir_core::{
     id::OpId,
     outcome::{Binding, Ticket},
--- a/src/mastweir/entry/table.rs
+++ b/src/mastweir/entry/table.rs
@@ -8,7 +8,7 @@
 use super::{Shared, lock};
 use crate::{
     net::{Channel, ChannelError},
-    platform::{Collection, InstanceRole, Object, WatchEvent},
+    objects::{Collection, InstanceRole, Object, WatchEvent},
 };
 use futures_util::StreamExt;
 use mastweir_core::{
--- a/src/mastweir/entry/usage.rs
+++ b/src/mastweir/entry/usage.rs
@@ -1,7 +1,7 @@
 //! What customers received, here and fleet-wide.
 
 use super::{Shared, lock, view::Waits};
-use crate::platform::InstanceRole;
+use crate::objects::InstanceRole;
 use mastweir_core::{
     share::{CustomerTag, Estimator, Fleet, Gate, Offered, Pending, Role, Tree, Usage, UsageRow},
     time::Uptime,
--- a/src/mastweir/entry/view.rs
+++ b/src/mastweir/entry/view.rs
@@ -1,6 +1,6 @@
 //! What this entry knows of instances and servers.
 
-use crate::platform::{InstanceRole, InstanceSpec, InstanceState};
+use crate::objects::{InstanceRole, InstanceSpec, InstanceState};
 use mastweir_core::{
     id::Fence,
     outcome::Binding,
--- /dev/null
+++ b/src/mastweir/gateway/forward.rs
@@ -0,0 +1,528 @@
+//! One request, from its head to its final answer.
+
+use super::{
+    state::{Active, Gateway},
+    stream::{self, StreamReply},
+};
+use crate::{
+    net::http::{CallError, Exchange},
+    platform::headers::{self, Added, AnswerHead, CallHead},
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Either, Full, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::Incoming,
+    header::{CONNECTION, HOST, HeaderValue},
+    http::response::Parts,
+};
+use mastweir_core::gateway::{
+    Answer, Candidate, Kind, Next, Proof, Refusal, Route, Step, ending, next,
+};
+use rand::Rng;
+use slog::info;
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::time::{self, Instant};
+
+/// An answer to a caller.
+pub type Reply = Response<Either<Full<Bytes>, StreamReply>>;
+
+/// Opening a connection takes a round trip; a machine that is gone says nothing.
+const CONNECT_LASTS: Duration = Duration::from_millis(250);
+/// Largest answer that is held back until it is whole. The users' are some KB.
+const ANSWER_BYTES_MAX: usize = 8 << 20;
+/// Load of a model's server, over its slots, up to which it gets requests.
+const MODEL_ROOM: f64 = 1.25;
+/// The same for other services, whose queues are short.
+const PLAIN_ROOM: f64 = 3.0;
+/// Part of the objective after which a request that found no room is refused: so
+/// much later a caller that comes back can still be served in time.
+const HELD_PART: f64 = 0.2;
+/// Pause between two looks for room.
+const LOOK_AGAIN: Duration = Duration::from_millis(8);
+/// When a refused caller is told to come back: a place frees within a few passes.
+const COME_BACK: Duration = Duration::from_millis(300);
+/// Sends of a request that may not have run, beyond the servers it may run at.
+const SENDS_SPARE: u32 = 2;
+/// Waits for a caller whose request has no deadline of its own.
+const WAIT_USUAL: Duration = Duration::from_secs(30);
+/// Largest wait that is taken from a caller.
+const WAIT_MAX: Duration = Duration::from_secs(3_600);
+
+/// A request that was read whole.
+#[derive(Debug)]
+pub struct Call {
+    /// What its head says.
+    pub head: CallHead,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its body.
+    pub body: Bytes,
+    /// The configuration under which it was admitted.
+    pub active: Rc<Active>,
+    /// Number of its route there.
+    pub number: usize,
+    /// The service that serves it.
+    pub service: String,
+    /// The customer whose key it carried.
+    pub customer: Option<String>,
+    /// When it was read.
+    pub arrived: Instant,
+    /// When its answer is due.
+    pub deadline: Instant,
+}
+
+impl Call {
+    /// Its route.
+    pub fn route(&self) -> &Route {
+        &self.active.config.routes[self.number]
+    }
+
+    /// Time that is left.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// What became of a request so far.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Servers that it was sent to.
+    pub tried: Vec<String>,
+    /// Sends after which it may have run.
+    pub runs: u32,
+}
+
+/// An answer whose head was read.
+#[derive(Debug)]
+pub struct Got {
+    /// Status and headers.
+    pub parts: Parts,
+    /// What its head says.
+    pub head: AnswerHead,
+    /// Its body.
+    pub body: Incoming,
+    /// The connection.
+    pub exchange: Exchange,
+    /// Its place at the server.
+    pub place: Place,
+}
+
+/// A request's place at a server: counted from the choice to the end.
+#[derive(Debug)]
+pub struct Place {
+    gateway: Rc<Gateway>,
+    /// The server.
+    pub server: Candidate,
+    failed: Cell<bool>,
+}
+
+impl Place {
+    fn take(gateway: &Rc<Gateway>, server: Candidate) -> Self {
+        gateway.fleet.borrow_mut().sent(&server.id);
+        Self { gateway: gateway.clone(), server, failed: Cell::new(false) }
+    }
+
+    /// Notes that the server gave no whole answer, or a failure.
+    pub fn fail(&self) {
+        self.failed.set(true);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = self.gateway.clock.now();
+        self.gateway.fleet.borrow_mut().ended(&self.server.id, self.failed.get(), now);
+    }
+}
+
+/// Counts a held request.
+struct Held(Rc<Gateway>);
+
+impl Held {
+    fn new(gateway: &Rc<Gateway>) -> Self {
+        gateway.held.set(gateway.held.get() + 1);
+        Self(gateway.clone())
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.held.set(self.0.held.get() - 1);
+    }
+}
+
+/// Serves one request of a caller.
+pub async fn serve(gateway: Rc<Gateway>, request: Request<Incoming>) -> Reply {
+    let held = Held::new(&gateway);
+    let mut reply = match admit(&gateway, request).await {
+        Ok(call) => carry(&gateway, call).await,
+        Err(reply) => reply,
+    };
+    drop(held);
+    if gateway.stopping.get() {
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+/// Finds route and customer, and reads the body.
+async fn admit(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Result<Call, Reply> {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let head = headers::read_call(&parts.headers);
+    let Some(active) = gateway.active() else {
+        return Err(refuse(gateway, &head.id, StatusCode::SERVICE_UNAVAILABLE, "no_config"));
+    };
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let Some(number) = active.index.find(host, parts.uri.path()) else {
+        return Err(refuse(gateway, &head.id, StatusCode::NOT_FOUND, "no_route"));
+    };
+    let route = &active.config.routes[number];
+    let known = |keys: &std::collections::HashMap<String, String>| {
+        head.key.as_ref().and_then(|key| keys.get(key)).cloned()
+    };
+    let customer = active.config.customers.as_ref().and_then(known);
+    if active.config.customers.is_some() && !route.public && customer.is_none() {
+        return Err(refuse(gateway, &head.id, StatusCode::UNAUTHORIZED, "no_key"));
+    }
+    let Some(service) = pick_target(gateway, route) else {
+        return Err(refuse(gateway, &head.id, StatusCode::SERVICE_UNAVAILABLE, "no_target"));
+    };
+    let wait = head.wait.unwrap_or(WAIT_USUAL).min(Duration::from_millis(route.timeout_ms));
+    let deadline = arrived + wait.min(WAIT_MAX);
+    let limit = active.config.limits.body_bytes;
+    let body = time::timeout_at(deadline, Limited::new(body, limit).collect()).await;
+    let body = match body {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(refuse(gateway, &head.id, StatusCode::PAYLOAD_TOO_LARGE, "large_body"));
+        }
+        Ok(Err(_)) => return Err(refuse(gateway, &head.id, StatusCode::BAD_REQUEST, "bad_body")),
+        Err(_) => return Err(refuse(gateway, &head.id, StatusCode::REQUEST_TIMEOUT, "late_body")),
+    };
+    Ok(Call {
+        head,
+        headers: parts.headers,
+        method: parts.method,
+        uri: parts.uri,
+        body,
+        number,
+        service,
+        customer,
+        arrived,
+        deadline,
+        active,
+    })
+}
+
+/// Draws a service by the weights of a route's targets.
+fn pick_target(gateway: &Gateway, route: &Route) -> Option<String> {
+    let total: u32 = route.targets.iter().map(|target| target.weight).sum();
+    let mut drawn = match total {
+        0 => return route.targets.first().map(|target| target.service.clone()),
+        total => gateway.rng.borrow_mut().random_range(0..total),
+    };
+    for target in &route.targets {
+        if drawn < target.weight {
+            return Some(target.service.clone());
+        }
+        drawn -= target.weight;
+    }
+    None
+}
+
+/// Carries a request to its final answer.
+async fn carry(gateway: &Rc<Gateway>, call: Call) -> Reply {
+    gateway.count_request(&call.service);
+    let call = Rc::new(call);
+    let mut progress = Progress::default();
+    loop {
+        let server = match find_server(gateway, &call, &progress).await {
+            Ok(server) => server,
+            Err(refusal) => return no_server(gateway, &call, &progress, refusal),
+        };
+        let got = attempt(gateway, &call, server, None, &mut progress).await;
+        let answer = match got {
+            Err(answer) => answer,
+            Ok(got) if is_stream(&call, &got) => {
+                log_end(gateway, &call, &progress, "streaming", got.parts.status);
+                return stream::reply(gateway.clone(), call, got, progress);
+            }
+            Ok(got) => match whole(gateway, &call, got, &progress).await {
+                Ok(reply) => return reply,
+                Err(answer) => answer,
+            },
+        };
+        let step = step(&call, &progress);
+        if next(step, answer) == Next::Retry && may_retry(gateway, &call, &progress, answer) {
+            info!(gateway.log, "request sent again"; "id" => &call.head.id, "after" => ?answer,
+                "tried" => progress.tried.join(","), "left_ms" => call.left().as_millis() as u64);
+            continue;
+        }
+        return end(gateway, &call, &progress, ending(step, answer));
+    }
+}
+
+fn is_stream(call: &Call, got: &Got) -> bool {
+    call.route().kind == Kind::Stream && got.parts.status == StatusCode::OK
+}
+
+fn step(call: &Call, progress: &Progress) -> Step {
+    let route = call.route();
+    Step {
+        repeatable: route.repeatable(),
+        maybe_run: progress.runs > 0,
+        attempts_left: route.attempts.saturating_sub(progress.runs),
+        left: call.left(),
+    }
+}
+
+/// Whether the fleet's retries, and this request's sends, allow another one. One
+/// that never left is not a retry to any server.
+pub fn may_retry(gateway: &Gateway, call: &Call, progress: &Progress, answer: Answer) -> bool {
+    let sends = u32::try_from(progress.tried.len()).unwrap_or(u32::MAX);
+    if sends >= call.route().attempts + SENDS_SPARE {
+        return false;
+    }
+    let unsent = answer == Answer::NotRun(Proof::NeverSent);
+    let allowed = unsent || gateway.take_retry(&call.service);
+    if !allowed {
+        gateway.tally.count("retries_denied_total", "budget");
+    }
+    allowed
+}
+
+/// Chooses a server, waiting for room a little if there is none.
+async fn find_server(
+    gateway: &Gateway,
+    call: &Call,
+    progress: &Progress,
+) -> Result<Candidate, Refusal> {
+    let service = call.active.config.services.get(&call.service);
+    let is_model = service.is_some_and(|service| service.model.is_some());
+    let room = if is_model { MODEL_ROOM } else { PLAIN_ROOM };
+    let held = Duration::from_millis(call.route().objective_ms).mul_f64(HELD_PART);
+    let until = (call.arrived + held).min(call.deadline);
+    loop {
+        let found = {
+            let fleet = gateway.fleet.borrow();
+            let now = gateway.clock.now();
+            let mut rng = gateway.rng.borrow_mut();
+            fleet.choose(&call.service, &progress.tried, room, now, &mut *rng)
+        };
+        match found {
+            Ok(server) => return Ok(server),
+            Err(refusal) if Instant::now() + LOOK_AGAIN >= until => return Err(refusal),
+            Err(_) => time::sleep(LOOK_AGAIN).await,
+        }
+    }
+}
+
+/// Sends a request to a server, and reads the head of the answer.
+pub async fn attempt(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    server: Candidate,
+    last_event: Option<&str>,
+    progress: &mut Progress,
+) -> Result<Got, Answer> {
+    progress.tried.push(server.id.clone());
+    let place = Place::take(gateway, server);
+    let addr = place.server.addr;
+    let idle = if call.route().repeatable() { gateway.servers.reuse(addr) } else { None };
+    let opened = match idle {
+        Some(exchange) => Ok(exchange),
+        None => gateway.servers.open(addr, CONNECT_LASTS.min(call.left())).await,
+    };
+    let mut exchange = opened.map_err(|error| {
+        unreachable(gateway, call, &place, &error);
+        Answer::NotRun(Proof::NeverSent)
+    })?;
+    let added = Added {
+        left: call.left(),
+        server: &place.server.id,
+        customer: call.customer.as_deref(),
+        last_event,
+    };
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = headers::for_server(&call.headers, added);
+    let sent = time::timeout_at(call.deadline, exchange.send(request)).await;
+    let response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) if error.is_unsent() => {
+            unreachable(gateway, call, &place, &error);
+            return Err(Answer::NotRun(Proof::NeverSent));
+        }
+        Ok(Err(error)) => {
+            progress.runs += 1;
+            broken(gateway, call, &place, &error);
+            return Err(Answer::Broken);
+        }
+        Err(_) => {
+            progress.runs += 1;
+            return Err(Answer::Broken);
+        }
+    };
+    let (parts, body) = response.into_parts();
+    let head = headers::read_answer(&parts.headers);
+    note_load(gateway, &place, &head);
+    if !head.id.is_empty() && head.id != call.head.id {
+        progress.runs += 1;
+        place.fail();
+        info!(gateway.log, "answer belongs to another request"; "id" => &call.head.id,
+            "answer_id" => &head.id, "server" => &place.server.id);
+        return Err(Answer::Broken);
+    }
+    let wrong_server = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    if wrong_server || head.not_run {
+        let proof = if wrong_server { Proof::WrongServer } else { Proof::Refused };
+        refused(gateway, call, &place, proof);
+        return Err(Answer::NotRun(proof));
+    }
+    progress.runs += 1;
+    Ok(Got { parts, head, body, exchange, place })
+}
+
+fn note_load(gateway: &Gateway, place: &Place, head: &AnswerHead) {
+    if let Some((running, waiting)) = head.load {
+        let now = gateway.clock.now();
+        gateway.fleet.borrow_mut().answered_load(&place.server.id, running, waiting, now);
+    }
+}
+
+fn unreachable(gateway: &Gateway, call: &Call, place: &Place, error: &CallError) {
+    gateway.fleet.borrow_mut().unreachable(&place.server.id, gateway.clock.now());
+    gateway.tally.count("attempts_failed_total", "unreachable");
+    info!(gateway.log, "server not reached"; "id" => &call.head.id, "server" => &place.server.id,
+        "error" => %error);
+}
+
+fn broken(gateway: &Gateway, call: &Call, place: &Place, error: &CallError) {
+    place.fail();
+    gateway.tally.count("attempts_failed_total", "broken");
+    info!(gateway.log, "attempt broken"; "id" => &call.head.id, "server" => &place.server.id,
+        "error" => %error);
+}
+
+fn refused(gateway: &Gateway, call: &Call, place: &Place, proof: Proof) {
+    if proof == Proof::WrongServer {
+        gateway.fleet.borrow_mut().unreachable(&place.server.id, gateway.clock.now());
+    }
+    gateway.tally.count("attempts_failed_total", "refused");
+    info!(gateway.log, "server refused"; "id" => &call.head.id, "server" => &place.server.id,
+        "proof" => ?proof, "load_milli" => place.server.load_milli,
+        "report_age_ms" => place.server.report_age.map(|age| age.as_millis() as u64));
+}
+
+/// Reads an answer to its end before any of it goes to the caller.
+async fn whole(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    got: Got,
+    progress: &Progress,
+) -> Result<Reply, Answer> {
+    let Got { parts, head, body, exchange, place } = got;
+    let read = Limited::new(body, ANSWER_BYTES_MAX).collect();
+    let Ok(Ok(body)) = time::timeout_at(call.deadline, read).await else {
+        place.fail();
+        gateway.tally.count("attempts_failed_total", "cut");
+        return Err(Answer::Broken);
+    };
+    gateway.servers.give_back(exchange, head.keep);
+    let status = parts.status;
+    let failed = status.is_server_error();
+    if failed {
+        place.fail();
+    }
+    let success = status.is_success();
+    // A success without a signature, and an answer without its id, are not the
+    // server's.
+    if success && (!head.signed || head.id != call.head.id) {
+        place.fail();
+        return Err(Answer::Broken);
+    }
+    let retry = next(step(call, progress), Answer::Failed) == Next::Retry;
+    if failed && retry && may_retry(gateway, call, progress, Answer::Failed) {
+        return Err(Answer::Failed);
+    }
+    // These would tell the caller that it has not run.
+    if promises_not_run(status) {
+        return Err(Answer::Broken);
+    }
+    let mut reply = Response::new(Either::Left(Full::new(body.to_bytes())));
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers::for_caller(&parts.headers);
+    log_end(gateway, call, progress, "answered", status);
+    Ok(reply)
+}
+
+fn promises_not_run(status: StatusCode) -> bool {
+    let promises = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    promises.contains(&status)
+}
+
+/// The final answer where no server is left to try.
+fn no_server(gateway: &Gateway, call: &Call, progress: &Progress, refusal: Refusal) -> Reply {
+    let reason = if refusal == Refusal::Full { "full" } else { "no_server" };
+    gateway.tally.count("refusals_total", reason);
+    let run = progress.runs > 0;
+    let next = if run { Next::EndUnknown } else { Next::EndNotRun };
+    end(gateway, call, progress, next)
+}
+
+/// The final answer of the gateway's own.
+fn end(gateway: &Gateway, call: &Call, progress: &Progress, next: Next) -> Reply {
+    let late = call.left().is_zero();
+    let (status, retry_after) = match next {
+        Next::EndNotRun => (StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK)),
+        _ if late => (StatusCode::GATEWAY_TIMEOUT, None),
+        _ => (StatusCode::BAD_GATEWAY, None),
+    };
+    log_end(gateway, call, progress, "ended", status);
+    own(&call.head.id, status, retry_after)
+}
+
+fn refuse(gateway: &Gateway, id: &str, status: StatusCode, reason: &'static str) -> Reply {
+    gateway.tally.count("refusals_total", reason);
+    info!(gateway.log, "request refused"; "id" => id, "status" => status.as_u16(),
+        "reason" => reason, "config" => gateway.version());
+    let retry = (status == StatusCode::SERVICE_UNAVAILABLE).then_some(COME_BACK);
+    own(id, status, retry)
+}
+
+fn own(id: &str, status: StatusCode, retry_after: Option<Duration>) -> Reply {
+    let mut reply = Response::new(Either::Left(Full::default()));
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers::own_answer(id, retry_after);
+    reply
+}
+
+/// The line of a request that has its answer, or its stream's head.
+fn log_end(
+    gateway: &Gateway,
+    call: &Call,
+    progress: &Progress,
+    outcome: &'static str,
+    status: StatusCode,
+) {
+    let took = call.arrived.elapsed();
+    gateway.tally.count("requests_total", outcome);
+    gateway.tally.observe("request_seconds", took);
+    info!(gateway.log, "request"; "id" => &call.head.id, "route" => &call.route().name,
+        "outcome" => outcome, "status" => status.as_u16(), "took_ms" => took.as_millis() as u64,
+        "sends" => progress.tried.len(), "server" => progress.tried.last(),
+        "config" => call.active.config.version);
+}
--- /dev/null
+++ b/src/mastweir/gateway/peers.rs
@@ -0,0 +1,218 @@
+//! The other gateways and the sidecars, over UDP, and what is fetched from them.
+//!
+//! Each gateway says hello to the gateways and sidecars that it knows of, and
+//! names others, so a few seeds are enough to find all. A hello tells how far its
+//! sender's configuration and list of servers are; whoever is behind fetches them
+//! from it. That is how a gateway that the store turns away keeps up.
+
+use super::{
+    message::{DATAGRAM_MAX, GATEWAYS_NAMED, Hello, Message, RANKS_NAMED, Report},
+    state::Gateway,
+};
+use crate::net::internal;
+use mastweir_core::gateway::{Config, Directory};
+use slog::{info, warn};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{net::UdpSocket, task, time};
+
+/// Hellos go out this often while there are few gateways.
+const HELLO_EVERY: Duration = Duration::from_millis(250);
+/// And this much less often for each gateway, so that the traffic of one gateway
+/// does not grow with their number.
+const HELLO_PER_GATEWAY: Duration = Duration::from_millis(15);
+/// A gateway that was not heard for this long is gone.
+const GATEWAY_LASTS: Duration = Duration::from_secs(4);
+/// How long another's newer state has to last before it is fetched: the store
+/// usually brings it by itself.
+const BEHIND_LASTS: Duration = Duration::from_millis(120);
+/// A fetch of some hundred KB between halls.
+const FETCH_LASTS: Duration = Duration::from_millis(800);
+
+/// Since when another is known to have a newer state.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    since: time::Instant,
+}
+
+/// Talks to the others, for ever.
+pub async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    let ranks: Rc<RefCell<HashMap<SocketAddr, String>>> = Rc::default();
+    task::spawn_local(send_hellos(gateway.clone(), socket.clone(), ranks.clone()));
+    let mut behind: Option<Behind> = None;
+    let mut buffer = vec![0; DATAGRAM_MAX * 2];
+    loop {
+        let received = match socket.recv_from(&mut buffer).await {
+            Ok((len, from)) => (len, from.ip()),
+            // An earlier datagram met a closed port.
+            Err(_) => continue,
+        };
+        let message = postcard::from_bytes(&buffer[..received.0]);
+        match message {
+            Ok(Message::Hello(hello)) => heard(&gateway, &hello, received.1, &mut behind),
+            Ok(Message::Report(report)) => reported(&gateway, report, &ranks),
+            Ok(Message::Rank(_) | Message::Lead(_)) | Err(_) => {
+                gateway.tally.count("datagrams_ignored_total", "unexpected");
+            }
+        }
+    }
+}
+
+fn reported(gateway: &Gateway, report: Report, ranks: &RefCell<HashMap<SocketAddr, String>>) {
+    let mut fleet = gateway.fleet.borrow_mut();
+    let servers = &fleet.directory().servers;
+    let server = servers.values().find(|server| server.addr == report.server);
+    let Some(id) = server.map(|server| server.id.clone()) else { return };
+    if let Some(group) = &report.told.group {
+        ranks.borrow_mut().insert(report.server, group.clone());
+    }
+    fleet.told(&id, report.told, gateway.clock.now());
+}
+
+fn heard(gateway: &Rc<Gateway>, hello: &Hello, from: IpAddr, behind: &mut Option<Behind>) {
+    let own = gateway.settings.borrow().ip;
+    let now = gateway.clock.now();
+    {
+        let mut gateways = gateway.gateways.borrow_mut();
+        if hello.leaving {
+            gateways.remove(&from);
+        } else if gateways.insert(from, now).is_none() {
+            info!(gateway.log, "gateway found"; "peer" => %from, "config" => hello.config);
+        }
+        for other in &hello.gateways {
+            if *other != own && !gateways.contains_key(other) {
+                // Heard of, not heard: it counts only for a while.
+                gateways.insert(*other, now);
+            }
+        }
+    }
+    let newer = hello.config > gateway.version()
+        || hello.directory > gateway.fleet.borrow().directory().revision;
+    if !newer {
+        return;
+    }
+    let at = time::Instant::now();
+    match behind {
+        None => *behind = Some(Behind { since: at }),
+        // A fresh start has nothing to wait for.
+        Some(first) if at - first.since < BEHIND_LASTS && gateway.is_ready() => (),
+        Some(_) => {
+            *behind = None;
+            task::spawn_local(fetch(gateway.clone(), from));
+        }
+    }
+}
+
+/// Fetches what another gateway has newer.
+async fn fetch(gateway: Rc<Gateway>, from: IpAddr) {
+    let addr = gateway.internal_addr(from);
+    let version = gateway.version();
+    let config = internal::call(&gateway.internal, addr, "/config", &version, FETCH_LASTS).await;
+    match config {
+        Ok(Some(config)) => gateway.adopt_config(config, &from.to_string()),
+        Ok(None) => (),
+        Err(error) => {
+            warn!(gateway.log, "configuration not fetched"; "peer" => %from, "error" => %error);
+        }
+    }
+    let revision = gateway.fleet.borrow().directory().revision;
+    let directory =
+        internal::call(&gateway.internal, addr, "/servers", &revision, FETCH_LASTS).await;
+    match directory {
+        Ok(Some(directory)) => gateway.adopt_directory(directory, &from.to_string()),
+        Ok(None) => (),
+        Err(error) => warn!(gateway.log, "servers not fetched"; "peer" => %from, "error" => %error),
+    }
+}
+
+/// Answers another process's call: what is newer than what it has.
+pub fn answer(gateway: &Gateway, path: &str, body: &[u8]) -> Option<Vec<u8>> {
+    let has: u64 = postcard::from_bytes(body).ok()?;
+    let bytes = match path {
+        "/config" => {
+            let active = gateway.active();
+            let newer = active.as_ref().filter(|active| active.config.version > has);
+            let newer: Option<&Config> = newer.map(|active| &active.config);
+            postcard::to_stdvec(&newer)
+        }
+        "/servers" => {
+            let fleet = gateway.fleet.borrow();
+            let newer: Option<&Directory> =
+                Some(fleet.directory()).filter(|directory| directory.revision > has);
+            postcard::to_stdvec(&newer)
+        }
+        _ => return None,
+    };
+    bytes.ok()
+}
+
+async fn send_hellos(
+    gateway: Rc<Gateway>,
+    socket: Rc<UdpSocket>,
+    ranks: Rc<RefCell<HashMap<SocketAddr, String>>>,
+) {
+    loop {
+        forget_gone(&gateway, &ranks);
+        let gateways = gateway.gateways.borrow().len();
+        let sent = hellos(&gateway, &ranks.borrow());
+        for (addr, hello) in sent {
+            let Ok(bytes) = postcard::to_stdvec(&Message::Hello(hello)) else { continue };
+            // A full buffer drops it; the next hello comes soon.
+            let _ = socket.try_send_to(&bytes, addr);
+        }
+        let pause = HELLO_EVERY + HELLO_PER_GATEWAY * u32::try_from(gateways).unwrap_or(u32::MAX);
+        time::sleep(pause).await;
+    }
+}
+
+fn forget_gone(gateway: &Gateway, ranks: &RefCell<HashMap<SocketAddr, String>>) {
+    let now = gateway.clock.now();
+    gateway.gateways.borrow_mut().retain(|ip, heard| {
+        let lives = now.since(*heard) < GATEWAY_LASTS;
+        if !lives {
+            info!(gateway.log, "gateway lost"; "peer" => %ip);
+        }
+        lives
+    });
+    let fleet = gateway.fleet.borrow();
+    let known: HashSet<SocketAddr> =
+        fleet.directory().servers.values().map(|server| server.addr).collect();
+    ranks.borrow_mut().retain(|addr, _| known.contains(addr));
+}
+
+/// Hellos to all gateways and seeds, and to the sidecars of all models' servers.
+fn hellos(gateway: &Gateway, ranks: &HashMap<SocketAddr, String>) -> Vec<(SocketAddr, Hello)> {
+    let settings = gateway.settings.borrow();
+    let known: Vec<IpAddr> = gateway.gateways.borrow().keys().copied().collect();
+    let fleet = gateway.fleet.borrow();
+    let hello = Hello {
+        config: gateway.version(),
+        directory: fleet.directory().revision,
+        leaving: gateway.stopping.get(),
+        gateways: known.iter().copied().take(GATEWAYS_NAMED).collect(),
+        ranks: Vec::new(),
+        model: None,
+    };
+    let to_gateways: HashSet<IpAddr> =
+        known.into_iter().chain(settings.seeds.clone()).filter(|ip| *ip != settings.ip).collect();
+    let at = |ip| SocketAddr::new(ip, settings.internal_port);
+    let mut sent: Vec<(SocketAddr, Hello)> =
+        to_gateways.into_iter().map(|ip| (at(ip), hello.clone())).collect();
+    let Some(active) = gateway.active() else { return sent };
+    for server in fleet.directory().servers.values() {
+        let service = active.config.services.get(&server.service);
+        let Some(model) = service.and_then(|service| service.model.clone()) else { continue };
+        let group = ranks.get(&server.addr);
+        let same = ranks.iter().filter(|(_, other)| Some(*other) == group);
+        let same = same.map(|(addr, _)| addr.ip()).take(RANKS_NAMED).collect();
+        let hello = Hello { ranks: same, model: Some(model), ..hello.clone() };
+        sent.push((at(server.addr.ip()), hello));
+    }
+    sent
+}
--- /dev/null
+++ b/src/mastweir/gateway/state.rs
@@ -0,0 +1,182 @@
+//! What a gateway knows, shared by its tasks on one thread.
+
+use super::settings::Settings;
+use crate::{
+    net::http::Pool,
+    platform::store::Store,
+    util::{clock::Clock, tally::Tally},
+};
+use mastweir_core::{
+    gateway::{Config, Directory, Fleet, RetryWindow, Route, RouteIndex},
+    time::Uptime,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use slog::{Logger, info};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+};
+use tokio::sync::watch;
+
+/// Gateways among which the shared retries are split at least: one that has just
+/// started knows none of the others yet. The users' smallest sites have seven.
+const GATEWAYS_LEAST: usize = 6;
+
+/// What a gateway is made from.
+#[derive(Clone, Debug)]
+pub struct GatewayOptions {
+    /// Where it runs; may change.
+    pub settings: watch::Receiver<Settings>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub ready: SocketAddr,
+    /// Port for metrics, on its own address.
+    pub metrics_port: Option<u16>,
+    /// Seed of random choices; drawn if none is given.
+    pub seed: Option<u64>,
+    /// The log.
+    pub log: Logger,
+}
+
+/// A configuration with its index.
+#[derive(Debug)]
+pub struct Active {
+    /// The configuration.
+    pub config: Config,
+    /// Its routes by host and prefix.
+    pub index: RouteIndex,
+}
+
+impl Active {
+    /// The route of a request.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        self.index.find(host, path).map(|number| &self.config.routes[number])
+    }
+}
+
+/// A gateway's state.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Where it runs; may change.
+    pub settings: watch::Receiver<Settings>,
+    /// Monotonic clock.
+    pub clock: Clock,
+    /// The log.
+    pub log: Logger,
+    /// Counters and histograms.
+    pub tally: Tally,
+    /// The platform's store.
+    pub store: Store,
+    /// Connections to servers.
+    pub servers: Pool,
+    /// Connections to other processes of mastweir.
+    pub internal: Pool,
+    /// Servers.
+    pub fleet: RefCell<Fleet>,
+    /// Randomness of choices.
+    pub rng: RefCell<SmallRng>,
+    /// Live gateways besides this one, and when each was heard.
+    pub gateways: RefCell<HashMap<IpAddr, Uptime>>,
+    /// Requests that are held.
+    pub held: Cell<usize>,
+    /// Connections of callers.
+    pub connections: Cell<usize>,
+    /// Whether it was asked to stop.
+    pub stopping: Cell<bool>,
+    active: RefCell<Option<Rc<Active>>>,
+    retries: RefCell<HashMap<String, RetryWindow>>,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(options: &GatewayOptions) -> Self {
+        let settings = options.settings.borrow().clone();
+        let seeded = options.seed.map(SmallRng::seed_from_u64);
+        Self {
+            clock: Clock::start(),
+            log: options.log.new(slog::o!("instance" => settings.name.clone())),
+            tally: Tally::default(),
+            store: Store::new(settings.store, Rc::new(Pool::default())),
+            servers: Pool::default(),
+            internal: Pool::default(),
+            fleet: RefCell::new(Fleet::new(&settings.hall)),
+            rng: RefCell::new(seeded.unwrap_or_else(SmallRng::from_os_rng)),
+            gateways: RefCell::default(),
+            held: Cell::new(0),
+            connections: Cell::new(0),
+            stopping: Cell::new(false),
+            active: RefCell::default(),
+            retries: RefCell::default(),
+            settings: options.settings.clone(),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn active(&self) -> Option<Rc<Active>> {
+        self.active.borrow().clone()
+    }
+
+    /// Its version; zero before there is one.
+    pub fn version(&self) -> u64 {
+        self.active.borrow().as_ref().map_or(0, |active| active.config.version)
+    }
+
+    /// Whether callers may come.
+    pub fn is_ready(&self) -> bool {
+        let known = self.version() > 0 && self.fleet.borrow().directory().revision > 0;
+        known && !self.stopping.get()
+    }
+
+    /// Takes a configuration into force if it is newer.
+    pub fn adopt_config(&self, config: Config, from: &str) {
+        if config.version <= self.version() {
+            return;
+        }
+        info!(self.log, "configuration adopted"; "version" => config.version, "before" => self.version(),
+            "routes" => config.routes.len(), "from" => from);
+        let index = RouteIndex::new(&config);
+        *self.active.borrow_mut() = Some(Rc::new(Active { config, index }));
+    }
+
+    /// Takes a list of servers into force if it is newer.
+    pub fn adopt_directory(&self, directory: Directory, from: &str) {
+        let (revision, servers) = (directory.revision, directory.servers.len());
+        let before = self.fleet.borrow().directory().revision;
+        if self.fleet.borrow_mut().replace(directory, self.clock.now()) {
+            info!(self.log, "servers adopted"; "revision" => revision, "before" => before,
+                "servers" => servers, "from" => from);
+        }
+    }
+
+    /// Counts a request of a service.
+    pub fn count_request(&self, service: &str) {
+        let now = self.clock.now();
+        self.window(service, |window| window.arrived(now));
+    }
+
+    /// Takes a retry out of the service's budget.
+    pub fn take_retry(&self, service: &str) -> bool {
+        let now = self.clock.now();
+        let gateways = (self.gateways.borrow().len() + 1).max(GATEWAYS_LEAST);
+        let extra = self.settings.borrow().bounds.retry_extra / gateways as f64;
+        self.window(service, |window| window.take(now, extra))
+    }
+
+    fn window<T>(&self, service: &str, act: impl FnOnce(&mut RetryWindow) -> T) -> T {
+        let mut retries = self.retries.borrow_mut();
+        if let Some(window) = retries.get_mut(service) {
+            return act(window);
+        }
+        let bounds = self.settings.borrow().bounds;
+        let window = RetryWindow::new(bounds.retry_window, bounds.retry_ratio);
+        act(retries.entry(service.to_owned()).or_insert(window))
+    }
+
+    /// Address of another process of mastweir.
+    pub fn internal_addr(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.settings.borrow().internal_port)
+    }
+}
--- /dev/null
+++ b/src/mastweir/gateway/stream.rs
@@ -0,0 +1,168 @@
+//! A stream of events, passed on and, if it breaks, taken up by another server.
+
+use super::{
+    forward::{Call, Got, Place, Progress, Reply, attempt, may_retry},
+    state::Gateway,
+};
+use crate::{net::http::Exchange, platform::headers};
+use bytes::Bytes;
+use futures_util::stream::{self, Stream};
+use http_body_util::{BodyExt, Either, StreamBody};
+use hyper::{
+    Response, StatusCode,
+    body::{Frame, Incoming},
+};
+use mastweir_core::gateway::{Answer, Events};
+use slog::info;
+use std::{pin::Pin, rc::Rc, time::Duration};
+use tokio::time;
+
+/// The body of a stream's answer.
+pub type StreamReply = StreamBody<Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, StreamCut>>>>>;
+
+/// Room of a server that takes a stream up: it goes on where it stood, so it goes
+/// before new requests.
+const RESUME_ROOM: f64 = 2.5;
+
+/// A stream that can't be finished. Its connection is closed, so that the caller
+/// sees that it is not complete.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the stream broke off; ask again with the id of the last event")]
+pub struct StreamCut;
+
+struct Source {
+    body: Incoming,
+    exchange: Exchange,
+    place: Place,
+    keep: Option<Duration>,
+}
+
+struct Relay {
+    gateway: Rc<Gateway>,
+    call: Rc<Call>,
+    progress: Progress,
+    events: Events,
+    source: Option<Source>,
+    resumed: u32,
+}
+
+enum Piece {
+    Events(Bytes),
+    End,
+    Cut,
+}
+
+/// The answer to a caller, of a stream that has begun.
+pub fn reply(gateway: Rc<Gateway>, call: Rc<Call>, got: Got, progress: Progress) -> Reply {
+    let mut head = headers::for_caller(&got.parts.headers);
+    head.remove(hyper::header::CONTENT_LENGTH);
+    let events = Events::after(call.head.last_event.clone());
+    let source = Some(source(got));
+    let relay = Relay { gateway, call, progress, events, source, resumed: 0 };
+    let pieces = stream::unfold(Some(relay), async |relay| {
+        let mut relay = relay?;
+        match relay.next().await {
+            Piece::Events(bytes) => Some((Ok(Frame::data(bytes)), Some(relay))),
+            Piece::End => None,
+            Piece::Cut => Some((Err(StreamCut), None)),
+        }
+    });
+    let pieces: Pin<Box<dyn Stream<Item = _>>> = Box::pin(pieces);
+    let mut reply = Response::new(Either::Right(StreamBody::new(pieces)));
+    *reply.status_mut() = StatusCode::OK;
+    *reply.headers_mut() = head;
+    reply
+}
+
+fn source(got: Got) -> Source {
+    Source { body: got.body, exchange: got.exchange, place: got.place, keep: got.head.keep }
+}
+
+impl Relay {
+    /// The next whole events, or the end.
+    async fn next(&mut self) -> Piece {
+        loop {
+            let Some(source) = &mut self.source else { return Piece::Cut };
+            let frame = time::timeout_at(self.call.deadline, source.body.frame()).await;
+            match frame {
+                Err(_) => return self.cut("late"),
+                Ok(Some(Ok(frame))) => {
+                    let Some(bytes) = frame.data_ref() else { continue };
+                    let whole = self.events.push(bytes);
+                    if !whole.is_empty() {
+                        return Piece::Events(whole.into());
+                    }
+                    if self.events.is_oversized() {
+                        return self.cut("oversized event");
+                    }
+                }
+                Ok(None) if self.events.is_whole() => return self.finish(),
+                Ok(None) | Ok(Some(Err(_))) => {
+                    if let Some(source) = self.source.take() {
+                        source.place.fail();
+                    }
+                    if !self.resume().await {
+                        return self.cut("not taken up");
+                    }
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self) -> Piece {
+        let Some(source) = self.source.take() else { return Piece::Cut };
+        self.gateway.servers.give_back(source.exchange, source.keep);
+        let took = self.call.arrived.elapsed();
+        self.gateway.tally.count("streams_total", "complete");
+        self.gateway.tally.observe("stream_seconds", took);
+        info!(self.gateway.log, "stream complete"; "id" => &self.call.head.id,
+            "took_ms" => took.as_millis() as u64, "resumed" => self.resumed);
+        Piece::End
+    }
+
+    fn cut(&mut self, reason: &'static str) -> Piece {
+        self.source = None;
+        self.gateway.tally.count("streams_total", "cut");
+        info!(self.gateway.log, "stream cut"; "id" => &self.call.head.id, "reason" => reason,
+            "last_event" => self.events.last_id(), "tried" => self.progress.tried.join(","),
+            "took_ms" => self.call.arrived.elapsed().as_millis() as u64);
+        Piece::Cut
+    }
+
+    /// Has another server go on behind the last whole event.
+    async fn resume(&mut self) -> bool {
+        self.events.drop_part();
+        if !self.call.route().resumable {
+            return false;
+        }
+        let mut answer = Answer::Broken;
+        while self.progress.runs < self.call.route().attempts {
+            if !may_retry(&self.gateway, &self.call, &self.progress, answer) {
+                return false;
+            }
+            let found = {
+                let fleet = self.gateway.fleet.borrow();
+                let now = self.gateway.clock.now();
+                let mut rng = self.gateway.rng.borrow_mut();
+                let tried = &self.progress.tried;
+                fleet.choose(&self.call.service, tried, RESUME_ROOM, now, &mut *rng)
+            };
+            let Ok(server) = found else { return false };
+            let last = self.events.last_id().map(str::to_owned);
+            let got =
+                attempt(&self.gateway, &self.call, server, last.as_deref(), &mut self.progress);
+            match got.await {
+                Ok(got) if got.parts.status == StatusCode::OK => {
+                    info!(self.gateway.log, "stream taken up"; "id" => &self.call.head.id,
+                        "last_event" => last, "server" => &got.place.server.id);
+                    self.resumed += 1;
+                    self.source = Some(source(got));
+                    return true;
+                }
+                Ok(_) => answer = Answer::Failed,
+                Err(ended) => answer = ended,
+            }
+        }
+        false
+    }
+}
--- a/src/mastweir/lib.rs
+++ b/src/mastweir/lib.rs
@@ -6,7 +6,10 @@
 //! - [`entry`]: the entry instance, between callers and agents;
 //! - [`agent`]: the process in a server's slot, between entries and the engine;
 //! - [`net`]: the authenticated channel and the datagrams between them;
-//! - [`platform`]: the object API, where what must last is kept;
+//! - [`objects`]: the object API of our own interface, where what must last is kept;
+//! - [`gateway`]: forwarding of requests as they are, on the users' platform;
+//! - [`sidecar`]: beside a model server there: reports, and expert maps;
+//! - [`platform`]: what that platform calls things, and nothing that decides;
 //! - [`ops`]: what operators do, one operation a module;
 //! - [`util`]: clock, logs, metrics and settings.
 //!
@@ -15,9 +18,12 @@
 pub mod agent;
 mod context;
 pub mod entry;
+pub mod gateway;
 pub mod net;
+pub mod objects;
 pub mod ops;
 pub mod platform;
+pub mod sidecar;
 pub mod util;
 
 pub use context::{Context, ContextOptions};
--- /dev/null
+++ b/src/mastweir/net/http.rs
@@ -0,0 +1,204 @@
+//! Calls over HTTP/1.1 with the connection in hand.
+//!
+//! A forwarded request needs to know whether any of its bytes left, must close
+//! its connection when its caller leaves, and must never share one with another
+//! request. So each exchange holds its connection as an [`Exchange`], and gives
+//! it back to the [`Pool`] only after a whole answer. Everything runs on one
+//! thread.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use tokio::{
+    net::TcpStream,
+    task,
+    time::{self, error::Elapsed},
+};
+
+/// Idle connections that are kept to one address.
+const IDLE_MAX: usize = 8;
+/// An idle connection is used again within this time, unless its server says
+/// less: servers close idle ones after seconds, and may be silent about it.
+const IDLE_LASTS: Duration = Duration::from_secs(4);
+/// What is left unused of the time that a server keeps an idle connection, for
+/// the way of the last request.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Unacknowledged bytes end a connection after this time. Without it a
+/// connection to a machine that is gone hangs for minutes.
+const UNACKED_LASTS: Duration = Duration::from_secs(4);
+
+/// Why a request got no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// No connection was opened; nothing was sent.
+    #[error("no connection to {addr}: {source}; check that it listens and can be reached")]
+    Connect {
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The connection ended before any byte of the request left.
+    #[error("the connection ended before the request was sent; send it again")]
+    Unsent,
+    /// The request left, at least in part, and there is no whole answer.
+    #[error("no whole answer: {0}; whether it was carried out is unknown")]
+    Broken(#[from] hyper::Error),
+    /// The answer is larger than the caller takes.
+    #[error("the answer is larger than {limit} bytes, or broke off; raise the limit if it may be")]
+    Unread {
+        /// Largest answer taken.
+        limit: usize,
+    },
+    /// No answer in time.
+    #[error("no answer in time; whether it was carried out is unknown")]
+    Late(#[from] Elapsed),
+}
+
+impl CallError {
+    /// Whether nothing of the request can have reached the other side.
+    pub const fn is_unsent(&self) -> bool {
+        matches!(self, Self::Connect { .. } | Self::Unsent)
+    }
+}
+
+/// A connection that one request and its answer hold.
+#[derive(Debug)]
+pub struct Exchange {
+    sender: SendRequest<Full<Bytes>>,
+    addr: SocketAddr,
+}
+
+impl Exchange {
+    /// Sends the request; the connection closes if the future is dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::Unsent`] only if no byte of it left.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, CallError> {
+        self.sender.try_send_request(request).await.map_err(|mut error| {
+            let unsent = error.take_message().is_some();
+            if unsent { CallError::Unsent } else { error.into_error().into() }
+        })
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    exchange: Exchange,
+    until: Instant,
+}
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// A connection that is idle, if there is one.
+    pub fn reuse(&self, addr: SocketAddr) -> Option<Exchange> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&addr)?;
+        let now = Instant::now();
+        while let Some(last) = list.pop() {
+            let usable = last.until > now && last.exchange.sender.is_ready();
+            if usable && !last.exchange.sender.is_closed() {
+                return Some(last.exchange);
+            }
+        }
+        None
+    }
+
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    ///
+    /// It could not be opened in `wait`.
+    pub async fn open(&self, addr: SocketAddr, wait: Duration) -> Result<Exchange, CallError> {
+        let connect = async {
+            let stream = TcpStream::connect(addr).await?;
+            stream.set_nodelay(true)?;
+            SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_LASTS))?;
+            Ok(stream)
+        };
+        let late = || io::Error::from(io::ErrorKind::TimedOut);
+        let stream = time::timeout(wait, connect).await.unwrap_or_else(|_| Err(late()));
+        let stream = stream.map_err(|source| CallError::Connect { addr, source })?;
+        let (sender, connection) = http1::Builder::new()
+            .preserve_header_case(true)
+            .handshake(TokioIo::new(stream))
+            .await?;
+        // Its end shows at the request that holds it; an idle one's is of no
+        // interest.
+        task::spawn_local(async move { drop(connection.await) });
+        Ok(Exchange { sender, addr })
+    }
+
+    /// Keeps a connection whose answer was read to its end. `keep` is how long
+    /// its server keeps it, if it said so.
+    pub fn give_back(&self, exchange: Exchange, keep: Option<Duration>) {
+        let lasts = keep.map_or(IDLE_LASTS, |keep| keep.saturating_sub(IDLE_MARGIN));
+        let until = Instant::now() + lasts.min(IDLE_LASTS);
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.entry(exchange.addr).or_default();
+        let now = Instant::now();
+        list.retain(|idle| idle.until > now && !idle.exchange.sender.is_closed());
+        if list.len() < IDLE_MAX {
+            list.push(Idle { exchange, until });
+        }
+    }
+
+    /// Closes idle connections that are past their time, and forgets addresses
+    /// that have none.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        for list in idle.values_mut() {
+            list.retain(|idle| idle.until > now && !idle.exchange.sender.is_closed());
+        }
+        idle.retain(|_, list| !list.is_empty());
+    }
+
+    /// One call with a small answer: over an idle connection if there is one.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallError`].
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+        limit: usize,
+    ) -> Result<(u16, Bytes), CallError> {
+        let deadline = time::Instant::now() + wait;
+        let mut exchange = match self.reuse(addr) {
+            Some(exchange) => exchange,
+            None => self.open(addr, wait).await?,
+        };
+        let answer = time::timeout_at(deadline, exchange.send(request)).await??;
+        let status = answer.status().as_u16();
+        let body = Limited::new(answer.into_body(), limit).collect();
+        let body = time::timeout_at(deadline, body).await?;
+        let body = body.map_err(|_| CallError::Unread { limit })?.to_bytes();
+        self.give_back(exchange, None);
+        Ok((status, body))
+    }
+}
--- /dev/null
+++ b/src/mastweir/net/internal.rs
@@ -0,0 +1,98 @@
+//! Small calls between mastweir's own processes: HTTP/1.1 with `postcard`.
+
+use super::http::{CallError, Pool};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, header, server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{net::TcpListener, task};
+
+/// Largest body either way: a configuration of thousands of routes is some
+/// hundred KB.
+const BODY_BYTES_MAX: usize = 4 << 20;
+
+/// Why a call failed.
+#[derive(Debug, thiserror::Error)]
+pub enum InternalError {
+    /// No answer.
+    #[error(transparent)]
+    Call(#[from] CallError),
+    /// The other side has nothing to give, or does not know the call.
+    #[error("the other process answered {0}; it may be older, or still starting")]
+    Status(u16),
+    /// The two are of different versions.
+    #[error("malformed answer: {0}; run one version everywhere")]
+    Malformed(#[from] postcard::Error),
+}
+
+/// Calls a path of another process.
+///
+/// # Errors
+///
+/// See [`InternalError`].
+pub async fn call<A: Serialize, B: DeserializeOwned>(
+    pool: &Pool,
+    addr: SocketAddr,
+    path: &str,
+    asked: &A,
+    wait: Duration,
+) -> Result<B, InternalError> {
+    let body = postcard::to_stdvec(asked)?;
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(header::HOST, addr.to_string())
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|_| InternalError::Status(400))?;
+    let (status, body) = pool.call(addr, request, wait, BODY_BYTES_MAX).await?;
+    if status != 200 {
+        return Err(InternalError::Status(status));
+    }
+    Ok(postcard::from_bytes(&body)?)
+}
+
+/// Serves calls until the listener is dropped. `answer` gives the body for a path
+/// and a body, or none.
+pub async fn serve<F>(listener: TcpListener, answer: impl Fn(String, Bytes) -> F + 'static)
+where
+    F: Future<Output = Option<Vec<u8>>> + 'static,
+{
+    let answer = Rc::new(answer);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let answer = answer.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let answer = answer.clone();
+            async move { Ok::<_, Infallible>(respond(request, &*answer).await) }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        // A broken connection concerns its caller alone.
+        task::spawn_local(async move { drop(connection.await) });
+    }
+}
+
+async fn respond<F>(
+    request: Request<Incoming>,
+    answer: &impl Fn(String, Bytes) -> F,
+) -> Response<Full<Bytes>>
+where
+    F: Future<Output = Option<Vec<u8>>>,
+{
+    let path = request.uri().path().to_owned();
+    let body = Limited::new(request.into_body(), BODY_BYTES_MAX).collect().await;
+    let reply = match body {
+        Ok(body) => answer(path, body.to_bytes()).await,
+        Err(_) => None,
+    };
+    let mut response = Response::new(Full::default());
+    match reply {
+        Some(bytes) => *response.body_mut() = Full::new(Bytes::from(bytes)),
+        None => *response.status_mut() = StatusCode::NOT_FOUND,
+    }
+    response
+}
--- a/src/mastweir/net/mod.rs
+++ b/src/mastweir/net/mod.rs
@@ -7,6 +7,8 @@
 //! size before anything is allocated for them.
 
 mod channel;
+pub mod http;
+pub mod internal;
 mod pool;
 mod socket;
 
--- a/src/mastweir/ops/daemon.rs
+++ b/src/mastweir/ops/daemon.rs
@@ -5,7 +5,7 @@
     agent::{Agent, AgentOptions},
     entry::{EntryInstance, EntryOptions},
     net::Secret,
-    platform::GroupSpec,
+    objects::GroupSpec,
     util::{
         log::{self, Format},
         settings::{SettingsError, addr, base_url},
--- a/src/mastweir/ops/mod.rs
+++ b/src/mastweir/ops/mod.rs
@@ -3,6 +3,7 @@
 pub mod daemon;
 pub mod drain;
 pub mod explain;
+pub mod gateway;
 pub mod status;
 pub mod table;
 
--- a/src/mastweir/ops/table.rs
+++ b/src/mastweir/ops/table.rs
@@ -7,7 +7,7 @@
 
 use super::EntryClient;
 use crate::{
-    platform::{Collection, Object, Platform, PlatformError},
+    objects::{Collection, Object, Platform, PlatformError},
     util::settings::base_url,
 };
 use mastweir_core::table::{Customer, Row, RowKey, RowKind, customers_from_csv, customers_to_csv};
--- /dev/null
+++ b/src/mastweir/platform/engine.rs
@@ -0,0 +1,272 @@
+//! Calls to a model server: its state, what its requests chose, and orders.
+
+use crate::net::http::{CallError, Pool};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, header};
+use mastweir_core::switch::hold::{Layers, Order, OrderKind, RankState, Taken};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+/// An order or a read on the server's own machine takes a millisecond.
+const CALL_LASTS: Duration = Duration::from_millis(400);
+/// A report is small; counts and maps of 12 sets of 128 experts are some 20 KB.
+const ANSWER_BYTES_MAX: usize = 1 << 20;
+
+/// Why a call to a model server failed.
+#[derive(Debug, thiserror::Error)]
+pub enum EngineError {
+    /// It answered with another status.
+    #[error("the model server answered {status}; it will be asked again")]
+    Refused {
+        /// HTTP status.
+        status: u16,
+    },
+    /// No answer.
+    #[error(transparent)]
+    Call(#[from] CallError),
+    /// The answer is not in the format of the pages.
+    #[error("malformed answer of the model server: {0}; check its version")]
+    Malformed(#[from] serde_json::Error),
+}
+
+#[derive(Debug, Deserialize)]
+struct FileReport {
+    #[serde(default)]
+    busy: bool,
+    #[serde(default)]
+    seq: u64,
+    #[serde(default)]
+    queued: u32,
+    #[serde(default)]
+    running: u32,
+    #[serde(default)]
+    kv_used: u64,
+    #[serde(default)]
+    kv_total: u64,
+    group: Option<Group>,
+    #[serde(default)]
+    size: u32,
+    #[serde(default)]
+    step: u64,
+    #[serde(default)]
+    map: Value,
+    #[serde(default)]
+    prepared: Value,
+    #[serde(default)]
+    armed: Value,
+    #[serde(default)]
+    held: Value,
+}
+
+#[derive(Debug, Deserialize)]
+struct Group {
+    name: String,
+    epoch: u64,
+    rank: u32,
+    state: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Counts {
+    #[serde(default)]
+    step: u64,
+    #[serde(default)]
+    epoch: u64,
+    counts: Value,
+}
+
+#[derive(Debug, Deserialize)]
+struct Lists {
+    map: VersionedLists,
+}
+
+#[derive(Debug, Deserialize)]
+struct VersionedLists {
+    version: u64,
+    experts: Layers,
+}
+
+/// State of a server, with its rank's if it has one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineState {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Memory in use, in thousandths.
+    pub memory_milli: u32,
+    /// Name of its group.
+    pub group: Option<String>,
+    /// Its rank's state.
+    pub rank: Option<RankState>,
+}
+
+/// What requests chose, since the server's start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choices {
+    /// The group's epoch.
+    pub epoch: u64,
+    /// The last pass begun.
+    pub pass: u64,
+    /// Choices by set and expert, one set behind the other.
+    pub counts: Vec<u64>,
+}
+
+/// A model server.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    addr: SocketAddr,
+    pool: Rc<Pool>,
+}
+
+impl Engine {
+    /// The server at an address.
+    pub fn new(addr: SocketAddr, pool: Rc<Pool>) -> Self {
+        Self { addr, pool }
+    }
+
+    /// Its state now.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub async fn state(&self) -> Result<EngineState, EngineError> {
+        let body = self.get("/report").await?;
+        let report: FileReport = serde_json::from_slice(&body)?;
+        Ok(state(report))
+    }
+
+    /// What its requests chose.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub async fn choices(&self) -> Result<Choices, EngineError> {
+        let body = self.get("/picked").await?;
+        let read: Counts = serde_json::from_slice(&body)?;
+        let mut counts = Vec::new();
+        flatten(&read.counts, &mut counts);
+        Ok(Choices { epoch: read.epoch, pass: read.step, counts })
+    }
+
+    /// The map in force at its rank: version, and experts by set.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub async fn map(&self) -> Result<(u64, Layers), EngineError> {
+        let body = self.get("/picked?lists=1").await?;
+        let lists: Lists = serde_json::from_slice(&body)?;
+        Ok((lists.map.version, lists.map.experts))
+    }
+
+    /// Gives an order.
+    ///
+    /// # Errors
+    ///
+    /// No answer: the order may be carried out, now or seconds later.
+    pub async fn order(&self, order: &Order) -> Result<Taken, EngineError> {
+        let bytes = serde_json::to_vec(&body(order))?;
+        let status = self.call(Method::POST, "/order", bytes).await?.0;
+        Ok(match status {
+            200 | 202 => Taken::Yes,
+            409 => Taken::Conflict,
+            412 => Taken::Fenced,
+            _ => return Err(EngineError::Refused { status }),
+        })
+    }
+
+    async fn get(&self, path: &str) -> Result<Bytes, EngineError> {
+        let (status, body) = self.call(Method::GET, path, Vec::new()).await?;
+        if status == 200 { Ok(body) } else { Err(EngineError::Refused { status }) }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(u16, Bytes), EngineError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.addr.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| EngineError::Refused { status: 400 })?;
+        Ok(self.pool.call(self.addr, request, CALL_LASTS, ANSWER_BYTES_MAX).await?)
+    }
+}
+
+fn body(order: &Order) -> Value {
+    let mut body = json!({
+        "fencing_token": order.token,
+        // The number of orders that the rank has taken.
+        "expected_rev": order.taken,
+        "epoch": order.epoch,
+    });
+    let kind = match &order.kind {
+        OrderKind::Load { version, map } => {
+            json!({ "op": "prepare", "version": version, "map": map })
+        }
+        OrderKind::Schedule { version, pass } => {
+            json!({ "op": "arm", "version": version, "step": pass })
+        }
+        OrderKind::Cancel { version } => json!({ "op": "disarm", "version": version }),
+        OrderKind::Pause { pass } => json!({ "op": "hold", "step": pass }),
+        OrderKind::Resume { pass } => json!({ "op": "go", "step": pass }),
+    };
+    if let (Value::Object(body), Value::Object(kind)) = (&mut body, kind) {
+        body.extend(kind);
+    }
+    body
+}
+
+fn state(report: FileReport) -> EngineState {
+    let memory = (report.kv_used * 1_000).checked_div(report.kv_total).unwrap_or(0);
+    let size = report.size;
+    let rank = report.group.as_ref().map(|group| RankState {
+        epoch: group.epoch,
+        rank: group.rank,
+        size,
+        open: group.state == "open",
+        busy: report.busy,
+        pass: report.step,
+        taken: report.seq,
+        map: version(&report.map).unwrap_or(0),
+        loaded: version(&report.prepared),
+        scheduled: scheduled(&report.armed),
+        paused: number(&report.held, "step"),
+    });
+    EngineState {
+        running: report.running,
+        waiting: report.queued,
+        memory_milli: u32::try_from(memory).unwrap_or(u32::MAX),
+        group: report.group.map(|group| group.name),
+        rank,
+    }
+}
+
+/// A version stands alone, or in an object.
+fn version(value: &Value) -> Option<u64> {
+    number(value, "version")
+}
+
+fn number(value: &Value, field: &str) -> Option<u64> {
+    value.as_u64().or_else(|| value.get(field).and_then(Value::as_u64))
+}
+
+fn scheduled(value: &Value) -> Option<(u64, u64)> {
+    let version = value.get("version").and_then(Value::as_u64)?;
+    let pass = value.get("step").and_then(Value::as_u64)?;
+    Some((version, pass))
+}
+
+fn flatten(value: &Value, into: &mut Vec<u64>) {
+    match value {
+        Value::Array(items) => items.iter().for_each(|item| flatten(item, into)),
+        other => into.extend(other.as_u64()),
+    }
+}
--- a/src/mastweir/platform/mod.rs
+++ b/src/mastweir/platform/mod.rs
@@ -1,16 +1,18 @@
-//! The platform's object API and instance list.
+//! The users' platform: its names, formats and calls, and nothing that decides.
 //!
-//! Everything that must be agreed or must last goes through here, and nothing
-//! here is needed to serve a request that may be repeated or has a ticket.
-//! [`Platform`] speaks a REST list-watch-update protocol in the published
-//! Kubernetes style; another API is another `client` module with the same
-//! methods.
-
-mod client;
-mod object;
+//! Everything that the platform names stands in this folder. Its words are
+//! translated here, once, into types of the product whose fields say what they
+//! hold; where a name of theirs misleads, a comment says so.
+//!
+//! - [`settings`]: the file that tells a process where it runs;
+//! - [`headers`]: what requests and answers carry;
+//! - [`config`] and [`servers`]: objects of the store, read into our types;
+//! - [`store`]: calls to the store;
+//! - [`engine`]: calls to a model server.
 
-pub use client::{Platform, PlatformError, WatchEvent, Watcher};
-pub use object::{
-    Collection, GroupSpec, InstanceRole, InstanceSpec, InstanceState, KeySpec, List, Meta, Object,
-    Written,
-};
+pub mod config;
+pub mod engine;
+pub mod headers;
+pub mod servers;
+pub mod settings;
+pub mod store;
--- /dev/null
+++ b/src/mastweir/platform/servers.rs
@@ -0,0 +1,37 @@
+//! Servers, as they keep themselves in the store.
+
+use mastweir_core::gateway::{Server, ServerState};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// Kind of the objects in the store.
+pub const KIND: &str = "servers";
+
+#[derive(Debug, Deserialize)]
+struct Entry {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    #[serde(default)]
+    slots: u32,
+    state: String,
+}
+
+/// Reads a server from its object's name and body.
+///
+/// # Errors
+///
+/// It is not in the format of the pages.
+pub fn read(name: &str, spec: serde_json::Value) -> serde_json::Result<Server> {
+    let entry: Entry = serde_json::from_value(spec)?;
+    // Any word but the one for ready may mean that it is leaving.
+    let ready = entry.state == "ready";
+    Ok(Server {
+        id: name.to_owned(),
+        service: entry.service,
+        addr: entry.address,
+        hall: entry.zone,
+        slots: entry.slots,
+        state: if ready { ServerState::Ready } else { ServerState::Leaving },
+    })
+}
--- /dev/null
+++ b/src/mastweir/platform/settings.rs
@@ -0,0 +1,136 @@
+//! The settings file of a process, in the platform's format.
+//!
+//! Fields that are not known here are ignored: the platform adds some.
+
+use crate::gateway::settings::{Bounds, Settings, SettingsProblem};
+use serde::Deserialize;
+use std::{
+    env, fs,
+    net::{IpAddr, SocketAddr},
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+/// Variable that holds the file's path.
+pub const PATH_VARIABLE: &str = "MASTWEIR_SETTINGS";
+
+#[derive(Debug, Deserialize)]
+struct File {
+    node: String,
+    zone: String,
+    ip: IpAddr,
+    internal_ports: [u16; 2],
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    #[serde(default)]
+    listen: Listen,
+    app: Option<SocketAddr>,
+    bounds: FileBounds,
+    platform: Store,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Listen {
+    front: Option<SocketAddr>,
+    ready: Option<SocketAddr>,
+}
+
+#[derive(Debug, Deserialize)]
+struct FileBounds {
+    drain_ms: u64,
+    grace_s: f64,
+    retry_budget_ratio: f64,
+    budget_window_s: f64,
+    retry_budget_extra: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Store {
+    address: SocketAddr,
+}
+
+/// Path of the settings file.
+///
+/// # Errors
+///
+/// The variable is not set.
+pub fn path() -> Result<PathBuf, SettingsProblem> {
+    env::var_os(PATH_VARIABLE)
+        .map(PathBuf::from)
+        .ok_or(SettingsProblem::NoPath { variable: PATH_VARIABLE })
+}
+
+/// Reads and checks the settings file.
+///
+/// # Errors
+///
+/// The file can't be read, or a field is missing or can't be.
+pub fn read(path: &Path) -> Result<Settings, SettingsProblem> {
+    let text = fs::read_to_string(path)
+        .map_err(|source| SettingsProblem::Unread { path: path.to_owned(), source })?;
+    parse(&text)
+}
+
+/// Reads settings from their text.
+///
+/// # Errors
+///
+/// A field is missing or can't be.
+pub fn parse(text: &str) -> Result<Settings, SettingsProblem> {
+    let file: File = toml::from_str(text)
+        .map_err(|error| SettingsProblem::Malformed { detail: error.to_string() })?;
+    let [first, last] = file.internal_ports;
+    if first == 0 || first > last {
+        return Err(SettingsProblem::BadValue {
+            field: "internal_ports",
+            remedy: "give the first and the last free port, the first not above the last",
+        });
+    }
+    let ratio = file.bounds.retry_budget_ratio;
+    if !(0.0..=10.0).contains(&ratio) {
+        return Err(SettingsProblem::BadValue {
+            field: "bounds.retry_budget_ratio",
+            remedy: "give retries a request, 0 to 10",
+        });
+    }
+    Ok(Settings {
+        name: file.node,
+        hall: file.zone,
+        ip: file.ip,
+        internal_port: first,
+        // Addresses of a role that we do not listen for: only the machines
+        // that they name are of use.
+        seeds: file.seeds.iter().map(SocketAddr::ip).collect(),
+        callers: file.listen.front,
+        ready: file.listen.ready,
+        engine: file.app,
+        store: file.platform.address,
+        bounds: Bounds {
+            drain: Duration::from_millis(file.bounds.drain_ms),
+            grace: Duration::from_secs_f64(file.bounds.grace_s.clamp(0.0, 3_600.0)),
+            retry_ratio: ratio,
+            retry_window: Duration::from_secs_f64(file.bounds.budget_window_s.clamp(0.1, 3_600.0)),
+            retry_extra: file.bounds.retry_budget_extra.max(0.0),
+        },
+    })
+}
+
+/// Addresses at which a gateway has to listen: for callers, and for the balancer.
+///
+/// # Errors
+///
+/// The settings are those of another class of instances.
+pub fn listeners(settings: &Settings) -> Result<(SocketAddr, SocketAddr), SettingsProblem> {
+    let callers = settings.callers.ok_or(SettingsProblem::Missing { field: "listen.front" })?;
+    let ready = settings.ready.ok_or(SettingsProblem::Missing { field: "listen.ready" })?;
+    Ok((callers, ready))
+}
+
+/// Address of the model server on a sidecar's own instance.
+///
+/// # Errors
+///
+/// The settings are those of another class of instances.
+pub fn engine(settings: &Settings) -> Result<SocketAddr, SettingsProblem> {
+    settings.engine.ok_or(SettingsProblem::Missing { field: "app" })
+}
--- /dev/null
+++ b/src/mastweir/sidecar/mod.rs
@@ -0,0 +1,57 @@
+//! The sidecar: beside a model server, on its instance.
+//!
+//! It reads the server's state and what its requests chose, which is free and
+//! fresh only there, and tells gateways and the group's coordinator. It carries
+//! out orders for the coordinator. One sidecar of each group is the coordinator
+//! (`coordinate`); what it decides is in [`mastweir_core::switch::hold`] and
+//! [`mastweir_core::experts::layers`].
+
+mod coordinate;
+mod lead;
+mod rank;
+mod state;
+
+use crate::{gateway::settings::Settings, net::internal};
+use eyre::WrapErr;
+use slog::{Logger, info};
+use state::Sidecar;
+use std::{net::SocketAddr, rc::Rc};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task,
+};
+
+/// What a sidecar is made from.
+#[derive(Clone, Debug)]
+pub struct SidecarOptions {
+    /// Where it runs.
+    pub settings: Settings,
+    /// The model server on its instance.
+    pub engine: SocketAddr,
+    /// The log.
+    pub log: Logger,
+}
+
+/// Runs a sidecar until it is told to stop.
+///
+/// # Errors
+///
+/// Its address can't be used.
+pub async fn run(options: &SidecarOptions, stop: impl Future<Output = ()>) -> eyre::Result<()> {
+    let own = SocketAddr::new(options.settings.ip, options.settings.internal_port);
+    let listener = TcpListener::bind(own).await.wrap_err_with(|| format!("listening on {own}"))?;
+    let socket = UdpSocket::bind(own).await.wrap_err_with(|| format!("binding {own}"))?;
+    let sidecar = Rc::new(Sidecar::new(options, socket));
+    info!(sidecar.log, "sidecar started"; "internal" => %own, "engine" => %options.engine);
+    task::spawn_local(rank::receive(sidecar.clone()));
+    task::spawn_local(rank::watch(sidecar.clone()));
+    task::spawn_local(lead::elect(sidecar.clone()));
+    let answering = sidecar.clone();
+    task::spawn_local(internal::serve(listener, move |path, body| {
+        let sidecar = answering.clone();
+        async move { rank::answer(&sidecar, &path, &body).await }
+    }));
+    stop.await;
+    info!(sidecar.log, "sidecar stopped");
+    Ok(())
+}
--- /dev/null
+++ b/src/mastweir/sidecar/rank.rs
@@ -0,0 +1,208 @@
+//! The server beside: its state, what its requests chose, and orders to it.
+
+use super::state::{Heard, Sidecar};
+use crate::{
+    gateway::message::{DATAGRAM_MAX, Hello, Message, OrderCall, OrderReply, RankReport, Report},
+    platform::engine::{Choices, EngineState},
+};
+use mastweir_core::{gateway::Told, time::Uptime};
+use slog::{info, warn};
+use std::{net::IpAddr, rc::Rc, time::Duration};
+use tokio::time;
+
+/// The server is looked at this often.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// And this often while an order is under way at it.
+const LOOK_BUSY: Duration = Duration::from_millis(40);
+/// A gateway that was not heard for this long gets no reports.
+const GATEWAY_LASTS: Duration = Duration::from_secs(4);
+/// Counts in one datagram: they take one to three bytes each.
+const COUNTS_SENT: usize = 400;
+/// Passes over which their time is averaged.
+const PASS_WEIGHT: f64 = 0.4;
+
+/// Looks at the server, for ever, and tells the others.
+pub async fn watch(sidecar: Rc<Sidecar>) {
+    let mut before: Option<Choices> = None;
+    let mut passes = Passes::default();
+    let mut lost = false;
+    loop {
+        let pause = match sidecar.engine.state().await {
+            Ok(state) => {
+                if std::mem::take(&mut lost) {
+                    info!(sidecar.log, "model server regained");
+                }
+                let choices = sidecar.engine.choices().await.ok();
+                tell(&sidecar, &state, choices.as_ref(), before.as_ref(), &mut passes);
+                before = choices.or(before);
+                let busy = state.rank.as_ref().is_some_and(|rank| rank.busy);
+                *sidecar.state.borrow_mut() = Some(state);
+                if busy { LOOK_BUSY } else { LOOK_EVERY }
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut lost, true) {
+                    warn!(sidecar.log, "model server lost"; "error" => %error);
+                }
+                *sidecar.state.borrow_mut() = None;
+                before = None;
+                LOOK_EVERY
+            }
+        };
+        // An order shortens the wait; its effect is told at once.
+        let _ = time::timeout(pause, sidecar.changed.notified()).await;
+    }
+}
+
+/// How long passes take.
+#[derive(Debug, Default)]
+struct Passes {
+    last: Option<(u64, Uptime)>,
+    mean_ms: f64,
+}
+
+impl Passes {
+    fn seen(&mut self, pass: u64, now: Uptime) -> u32 {
+        if let Some((before, at)) = self.last.filter(|(before, _)| *before < pass) {
+            let took = now.since(at).as_secs_f64() * 1_000.0 / (pass - before) as f64;
+            self.mean_ms += PASS_WEIGHT * (took - self.mean_ms);
+        }
+        if self.last.is_none_or(|(before, _)| before != pass) {
+            self.last = Some((pass, now));
+        }
+        self.mean_ms as u32
+    }
+}
+
+fn tell(
+    sidecar: &Sidecar,
+    state: &EngineState,
+    choices: Option<&Choices>,
+    before: Option<&Choices>,
+    passes: &mut Passes,
+) {
+    let now = sidecar.clock.now();
+    let rank = state.rank.as_ref();
+    let pass = rank.map_or(0, |rank| rank.pass);
+    let told = Told {
+        running: state.running,
+        waiting: state.waiting,
+        memory_milli: state.memory_milli,
+        group: state.group.clone(),
+        group_open: rank.is_none_or(|rank| rank.open),
+        pass,
+        pass_ms: passes.seen(pass, now),
+    };
+    let report = Message::Report(Report { server: sidecar.server, told });
+    sidecar.gateways.borrow_mut().retain(|_, at| now.since(*at) < GATEWAY_LASTS);
+    sidecar.gateways.borrow().keys().for_each(|ip| sidecar.send(*ip, &report));
+    let (Some(group), Some(rank)) = (&state.group, rank) else { return };
+    let counts = match (choices, before) {
+        (Some(choices), Some(before)) => since(choices, before),
+        _ => Vec::new(),
+    };
+    let part = |(number, counts): (usize, &[u32])| RankReport {
+        group: group.clone(),
+        state: rank.clone(),
+        from: u32::try_from(number * COUNTS_SENT).unwrap_or(u32::MAX),
+        counts: counts.to_vec(),
+    };
+    let mut parts: Vec<RankReport> = counts.chunks(COUNTS_SENT).enumerate().map(part).collect();
+    if parts.is_empty() {
+        parts.push(part((0, &[])));
+    }
+    let to = sidecar.heard.borrow().as_ref().map(|heard| heard.from);
+    for report in parts {
+        if sidecar.token.get() > 0 {
+            // A coordinator that is behind misses counts, not states.
+            let _ = sidecar.reports.try_send((sidecar.ip, report));
+        } else if let Some(to) = to {
+            sidecar.send(to, &Message::Rank(report));
+        }
+    }
+}
+
+/// What was chosen since; a server that restarted counts from zero.
+fn since(choices: &Choices, before: &Choices) -> Vec<u32> {
+    let pairs = choices.counts.iter().zip(&before.counts);
+    let more = |(now, before): (&u64, &u64)| {
+        let since = if now >= before { now - before } else { *now };
+        u32::try_from(since).unwrap_or(u32::MAX)
+    };
+    if choices.counts.len() == before.counts.len() { pairs.map(more).collect() } else { Vec::new() }
+}
+
+/// Takes datagrams in, for ever.
+pub async fn receive(sidecar: Rc<Sidecar>) {
+    let mut buffer = vec![0; DATAGRAM_MAX * 2];
+    loop {
+        // An error says that an earlier datagram met a closed port.
+        let Ok((len, from)) = sidecar.socket.recv_from(&mut buffer).await else { continue };
+        match postcard::from_bytes(&buffer[..len]) {
+            Ok(Message::Hello(hello)) => hello_from(&sidecar, hello, from.ip()),
+            Ok(Message::Lead(lead)) => {
+                let at = sidecar.clock.now();
+                let newer = sidecar.heard.borrow().as_ref().is_none_or(|heard| {
+                    heard.lead.token <= lead.token || heard.lead.group != lead.group
+                });
+                if newer {
+                    *sidecar.heard.borrow_mut() = Some(Heard { from: from.ip(), lead, at });
+                }
+            }
+            Ok(Message::Rank(report)) => {
+                // A coordinator that is behind gets the next one.
+                let _ = sidecar.reports.try_send((from.ip(), report));
+            }
+            Ok(Message::Report(_)) | Err(_) => (),
+        }
+    }
+}
+
+fn hello_from(sidecar: &Sidecar, hello: Hello, from: IpAddr) {
+    let now = sidecar.clock.now();
+    if hello.leaving {
+        sidecar.gateways.borrow_mut().remove(&from);
+        return;
+    }
+    if sidecar.gateways.borrow_mut().insert(from, now).is_none() {
+        info!(sidecar.log, "gateway found"; "peer" => %from);
+    }
+    if !hello.ranks.is_empty() {
+        *sidecar.ranks.borrow_mut() = hello.ranks;
+    }
+    if hello.model.is_some() {
+        *sidecar.model.borrow_mut() = hello.model;
+    }
+}
+
+/// Answers another sidecar's call.
+pub async fn answer(sidecar: &Sidecar, path: &str, body: &[u8]) -> Option<Vec<u8>> {
+    match path {
+        "/order" => {
+            let order: OrderCall = postcard::from_bytes(body).ok()?;
+            postcard::to_stdvec(&carry_out(sidecar, &order).await).ok()
+        }
+        "/map" => match sidecar.engine.map().await {
+            Ok(map) => postcard::to_stdvec(&map).ok(),
+            Err(error) => {
+                warn!(sidecar.log, "map not read"; "error" => %error);
+                None
+            }
+        },
+        _ => None,
+    }
+}
+
+/// Gives an order to the server, and reads its state after it.
+pub async fn carry_out(sidecar: &Sidecar, order: &OrderCall) -> OrderReply {
+    let taken = match sidecar.engine.order(order).await {
+        Ok(taken) => Some(taken),
+        Err(error) => {
+            warn!(sidecar.log, "order without an answer"; "token" => order.token,
+                "taken" => order.taken, "error" => %error);
+            None
+        }
+    };
+    let state = sidecar.engine.state().await.ok().and_then(|state| state.rank);
+    sidecar.changed.notify_one();
+    OrderReply { taken, state }
+}
--- a/src/mastweir/util/log.rs
+++ b/src/mastweir/util/log.rs
@@ -1,4 +1,4 @@
-//! Logs: for people or as JSON, to standard error.
+//! Logs: for people or as JSON, to standard error or output.
 //!
 //! Rocket has a log of its own, through the `log` crate, at levels that it sets
 //! itself. It is compiled out: the `log` dependency is there for that alone.
@@ -14,6 +14,8 @@
     Text,
     /// One JSON object a line.
     Json,
+    /// The same, to standard output.
+    JsonOut,
     /// Not at all.
     Off,
 }
@@ -26,6 +28,7 @@
             root(slog_term::FullFormat::new(lines).build().fuse(), level)
         }
         Format::Json => root(Mutex::new(slog_json::Json::default(io::stderr())).fuse(), level),
+        Format::JsonOut => root(Mutex::new(slog_json::Json::default(io::stdout())).fuse(), level),
         Format::Off => Logger::root(slog::Discard, o!()),
     }
 }
--- a/src/mastweir/util/mod.rs
+++ b/src/mastweir/util/mod.rs
@@ -4,3 +4,4 @@
 pub mod log;
 pub mod metrics;
 pub mod settings;
+pub mod tally;
--- /dev/null
+++ b/src/mastweir/util/tally.rs
@@ -0,0 +1,68 @@
+//! Counters and latency histograms, as text that a scraper reads.
+
+use std::{cell::RefCell, collections::BTreeMap, fmt::Write, time::Duration};
+
+/// Upper bounds of a histogram's buckets, in seconds. They span from a plain
+/// call's time to the longest deadline of the users' sheets.
+const BUCKETS_S: [f64; 11] = [0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 5.0, 8.0, f64::INFINITY];
+
+#[derive(Clone, Debug, Default)]
+struct Histogram {
+    buckets: [u64; BUCKETS_S.len()],
+    sum_s: f64,
+}
+
+/// Named counters and histograms of one thread.
+#[derive(Debug, Default)]
+pub struct Tally {
+    counters: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
+    histograms: RefCell<BTreeMap<&'static str, Histogram>>,
+}
+
+impl Tally {
+    /// Counts one under a name and a label.
+    pub fn count(&self, name: &'static str, label: &'static str) {
+        *self.counters.borrow_mut().entry((name, label)).or_default() += 1;
+    }
+
+    /// Adds a duration to a histogram.
+    pub fn observe(&self, name: &'static str, took: Duration) {
+        let mut histograms = self.histograms.borrow_mut();
+        let histogram = histograms.entry(name).or_default();
+        let seconds = took.as_secs_f64();
+        histogram.sum_s += seconds;
+        if let Some(at) = BUCKETS_S.iter().position(|bound| seconds <= *bound) {
+            histogram.buckets[at] += 1;
+        }
+    }
+
+    /// All of it, in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        let mut last = "";
+        for ((name, label), value) in self.counters.borrow().iter() {
+            if *name != last {
+                line(&mut text, format_args!("# TYPE mastweir_{name} counter"));
+            }
+            last = name;
+            line(&mut text, format_args!("mastweir_{name}{{kind=\"{label}\"}} {value}"));
+        }
+        for (name, histogram) in self.histograms.borrow().iter() {
+            line(&mut text, format_args!("# TYPE mastweir_{name} histogram"));
+            let mut sum = 0;
+            for (bound, count) in BUCKETS_S.iter().zip(histogram.buckets) {
+                sum += count;
+                let bound = if bound.is_finite() { bound.to_string() } else { "+Inf".to_owned() };
+                line(&mut text, format_args!("mastweir_{name}_bucket{{le=\"{bound}\"}} {sum}"));
+            }
+            line(&mut text, format_args!("mastweir_{name}_sum {}", histogram.sum_s));
+            line(&mut text, format_args!("mastweir_{name}_count {sum}"));
+        }
+        text
+    }
+}
+
+fn line(text: &mut String, args: std::fmt::Arguments<'_>) {
+    // Writing to a string can't fail.
+    let _ = writeln!(text, "{args}");
+}
--- a/tests/testsuite/faults.rs
+++ b/tests/testsuite/faults.rs
@@ -1,7 +1,7 @@
 //! What must hold when things fail, with real connections in one process.
 
 use googletest::prelude::*;
-use mastweir::{entry::EntryInstance, platform::GroupSpec};
+use mastweir::{entry::EntryInstance, objects::GroupSpec};
 use mastweir_core::table::RowKind;
 use mastweir_test_support::{
     fleet::{Fleet, ServerOptions, customer, model, once, remove_row},
