--- a/crates/mastweir-core/src/experts/layers.rs
+++ b/crates/mastweir-core/src/experts/layers.rs
@@ -3,8 +3,9 @@
 //! A pass lasts, set by set, as long as its most loaded rank. So a plan lowers the
 //! sum over the sets of that rank's load. Loading an expert takes a rank time,
 //! during which demand moves on; so a plan loads little ([`LayerPlanner::plan`] weighs each
-//! number of loads a rank by what it saves in the time that is left of a horizon),
-//! and the next plan goes on from there.
+//! number of loads a rank by what it saves in the time that is left of a horizon,
+//! less what the loads cost), and the next plan goes on from there. A group with
+//! places to spare gains little from quicker passes: its pressure weighs the gain.
 
 use crate::switch::hold::GroupMap;
 
@@ -19,8 +20,10 @@
     pub load_s: f64,
     /// Seconds for which a plan is taken to help.
     pub horizon_s: f64,
-    /// Part of the passes' work that a plan has to save.
-    pub least_gain: f64,
+    /// What loading one expert costs, in seconds of a pass at its mean load.
+    pub load_cost: f64,
+    /// Part by which passes are slower while a rank loads.
+    pub load_slows: f64,
 }
 
 /// A map, and what it is expected to do.
@@ -30,6 +33,8 @@
     pub map: GroupMap,
     /// Most loads at one rank.
     pub loads: usize,
+    /// Loads at all ranks.
+    pub moved: usize,
     /// Sum over the sets of the most loaded rank's load over the mean, before.
     pub skew_now: f64,
     /// And after, per set on average.
@@ -173,16 +178,18 @@
 
 impl LayerPlanner {
     /// The best plan from a map on, if one is worth it. `demand` is by set and
-    /// expert.
-    pub fn plan(&self, map: &GroupMap, demand: &[Vec<f64>]) -> Option<LayerPlan> {
+    /// expert; `pressure` is what a quicker pass is worth, 0 to 1.
+    pub fn plan(&self, map: &GroupMap, demand: &[Vec<f64>], pressure: f64) -> Option<LayerPlan> {
         let now = mean_skew(map, demand);
         let tried = LOADS.iter().map(|loads| self.with_loads(map, demand, *loads));
         let worth = |plan: &LayerPlan| {
             let late = plan.loads as f64 * self.load_s;
-            (now - plan.skew_then) * (self.horizon_s - late).max(0.0)
+            let saved = (now - plan.skew_then) * (self.horizon_s - late).max(0.0);
+            let slowed = self.load_slows * now * late;
+            pressure * (saved - slowed) - self.load_cost * plan.moved as f64
         };
         let best = tried.max_by(|a, b| worth(a).total_cmp(&worth(b)))?;
-        (now - best.skew_then > self.least_gain * now).then_some(best)
+        (worth(&best) > 0.0).then_some(best)
     }
 
     /// The plan that loads at most `budget` experts at a rank, over all sets.
@@ -211,9 +218,11 @@
         }
         let skew_then = sets.iter().map(Set::skew).sum::<f64>() / sets.len().max(1) as f64;
         let loads = spent.iter().copied().max().unwrap_or(0);
+        let moved = spent.iter().sum();
         LayerPlan {
             map: sets.into_iter().map(|set| set.ranks).collect(),
             loads,
+            moved,
             skew_now,
             skew_then,
         }
--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -76,6 +76,8 @@
     NoServer,
     /// All are full.
     Full,
+    /// The groups of all of them stand still.
+    Standing,
 }
 
 /// A server that was chosen.
@@ -226,7 +228,8 @@
             best = all.min_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or(best);
         }
         if best.0 > room {
-            return Err(Refusal::Full);
+            let standing = best.0 >= STANDING;
+            return Err(if standing { Refusal::Standing } else { Refusal::Full });
         }
         let server = &self.directory.servers[&best.1];
         Ok(self.candidate(server, best.0, now))
--- a/crates/mastweir-core/src/switch/hold.rs
+++ b/crates/mastweir-core/src/switch/hold.rs
@@ -17,6 +17,12 @@
 //!   any more, those that have it cancel it;
 //! - where none has, the coordinator's own map is loaded and scheduled. With that
 //!   every rank has seen its token, so a predecessor's late orders are refused.
+//!
+//! A coordinator pauses the group at another rank than its own, and schedules at
+//! its own rank last, once all others have it. So a successor that can't reach its
+//! predecessor's rank knows: if any other rank has nothing scheduled, that one
+//! hasn't either. It takes back what is scheduled, loads a map of its own at the
+//! others, so that they refuse the predecessor, and resumes.
 
 use serde::{Deserialize, Serialize};
 
@@ -131,85 +137,156 @@
     Wait,
 }
 
+/// A group, as its coordinator sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// States of all ranks, in order; none where a rank can't be reached.
+    pub ranks: &'a [Option<RankState>],
+    /// The coordinator's own rank.
+    pub own: usize,
+    /// The rank of the coordinator before, if there was another.
+    pub predecessor: Option<usize>,
+}
+
 /// Passes between the last one begun and the one before which the group is
 /// paused: orders to all ranks take less than two passes, so it rarely stands.
 const PASSES_AHEAD: u64 = 2;
 
-/// Decides the next orders from the states of all ranks, which stand in order.
-/// `own` is the rank at which this coordinator pauses the group.
-pub fn decide(ranks: &[RankState], wanted: Option<&Wanted>, own: usize) -> Act {
-    let Some(first) = ranks.first() else { return Act::Wait };
-    let same_life = ranks.iter().all(|rank| rank.epoch == first.epoch && rank.open);
-    if !same_life || ranks.len() != first.size as usize {
+impl View<'_> {
+    fn known(&self) -> impl Iterator<Item = (usize, &RankState)> {
+        self.ranks.iter().enumerate().filter_map(|(at, rank)| Some((at, rank.as_ref()?)))
+    }
+
+    fn all(&self, holds: impl Fn(&RankState) -> bool) -> bool {
+        self.known().all(|(_, rank)| holds(rank))
+    }
+
+    /// Whether all that is known is of one life of a group that makes passes.
+    fn is_one_life(&self) -> bool {
+        let Some((_, first)) = self.known().next() else { return false };
+        let same = |rank: &RankState| rank.epoch == first.epoch && rank.open;
+        self.ranks.len() == first.size as usize && self.all(same)
+    }
+
+    /// Whether every rank is known.
+    fn is_whole(&self) -> bool {
+        self.ranks.iter().all(Option::is_some)
+    }
+
+    /// Whether only the predecessor's rank is not known.
+    fn lacks_predecessor(&self) -> bool {
+        let missing: Vec<usize> =
+            (0..self.ranks.len()).filter(|at| self.ranks[*at].is_none()).collect();
+        missing.len() == 1 && missing.first().copied() == self.predecessor
+    }
+
+    fn each(&self, order: impl Fn(usize, &RankState) -> Option<OrderKind>) -> Act {
+        let orders: Vec<(usize, OrderKind)> =
+            self.known().filter_map(|(at, rank)| Some((at, order(at, rank)?))).collect();
+        if orders.is_empty() { Act::Wait } else { Act::Orders(orders) }
+    }
+}
+
+/// Decides the next orders.
+pub fn decide(view: View<'_>, wanted: Option<&Wanted>) -> Act {
+    if !view.is_one_life() {
         return Act::Wait;
     }
-    let paused = ranks.iter().filter_map(|rank| rank.paused).max();
-    let scheduled = ranks.iter().find_map(|rank| rank.scheduled);
+    let paused = view.known().filter_map(|(_, rank)| rank.paused).max();
+    let scheduled = view.known().find_map(|(_, rank)| rank.scheduled);
+    if !view.is_whole() {
+        return match paused {
+            Some(_) if view.lacks_predecessor() => take_back(view, wanted),
+            _ => Act::Wait,
+        };
+    }
     match (paused, scheduled) {
-        (Some(_), Some(scheduled)) => finish(ranks, scheduled),
-        (Some(pass), None) => schedule(ranks, wanted, pass),
-        (None, Some(scheduled)) => watch(ranks, scheduled, own),
-        (None, None) => begin(ranks, wanted, own),
+        (Some(_), Some(scheduled)) => finish(view, scheduled),
+        (Some(pass), None) => schedule(view, wanted, pass),
+        (None, Some(scheduled)) => watch(view, scheduled),
+        (None, None) => begin(view, wanted),
     }
 }
 
 /// Paused, and a map is scheduled at some ranks at least.
-fn finish(ranks: &[RankState], scheduled: (u64, u64)) -> Act {
+fn finish(view: View<'_>, scheduled: (u64, u64)) -> Act {
     let (version, pass) = scheduled;
     let has = |rank: &RankState| rank.scheduled == Some(scheduled);
-    if ranks.iter().all(has) {
-        return each(ranks, |rank| rank.paused.map(|pass| OrderKind::Resume { pass }));
+    if view.all(has) {
+        return view.each(|_, rank| rank.paused.map(|pass| OrderKind::Resume { pass }));
     }
-    let can = |rank: &RankState| has(rank) || rank.loaded == Some(version);
-    if ranks.iter().all(can) {
-        let order = OrderKind::Schedule { version, pass };
-        return each(ranks, |rank| (!has(rank)).then(|| order.clone()));
+    if view.all(|rank| has(rank) || rank.loaded == Some(version)) {
+        return schedule_missing(view, version, pass);
     }
-    each(ranks, |rank| rank.scheduled.map(|(version, _)| OrderKind::Cancel { version }))
+    view.each(|_, rank| rank.scheduled.map(|(version, _)| OrderKind::Cancel { version }))
+}
+
+/// Schedules where it is not yet; at the coordinator's own rank last.
+fn schedule_missing(view: View<'_>, version: u64, pass: u64) -> Act {
+    let lacks = |rank: &RankState| rank.scheduled != Some((version, pass));
+    let others = view.known().any(|(at, rank)| at != view.own && lacks(rank));
+    let order = OrderKind::Schedule { version, pass };
+    view.each(|at, rank| ((at == view.own) != others && lacks(rank)).then(|| order.clone()))
 }
 
 /// Paused, and nothing is scheduled.
-fn schedule(ranks: &[RankState], wanted: Option<&Wanted>, pass: u64) -> Act {
+fn schedule(view: View<'_>, wanted: Option<&Wanted>, pass: u64) -> Act {
     let Some(wanted) = wanted else { return Act::Want };
-    let version = wanted.version;
-    if !ranks.iter().all(|rank| rank.loaded == Some(version)) {
-        return load(ranks, wanted);
+    if !view.all(|rank| rank.loaded == Some(wanted.version)) {
+        return load(view, wanted);
     }
-    each(ranks, |_| Some(OrderKind::Schedule { version, pass }))
+    schedule_missing(view, wanted.version, pass)
+}
+
+/// Paused, and the predecessor's rank can't be reached.
+fn take_back(view: View<'_>, wanted: Option<&Wanted>) -> Act {
+    if view.all(|rank| rank.scheduled.is_some()) {
+        // That rank may have it scheduled, or not: only it can tell.
+        return Act::Wait;
+    }
+    if !view.all(|rank| rank.scheduled.is_none()) {
+        return view
+            .each(|_, rank| rank.scheduled.map(|(version, _)| OrderKind::Cancel { version }));
+    }
+    let Some(wanted) = wanted else { return Act::Want };
+    if !view.all(|rank| rank.loaded == Some(wanted.version)) {
+        return load(view, wanted);
+    }
+    view.each(|_, rank| rank.paused.map(|pass| OrderKind::Resume { pass }))
 }
 
 /// Scheduled without a pause: every rank has it, or its pass has begun since
 /// some of the states were read. If neither, the group is paused to mend it.
-fn watch(ranks: &[RankState], scheduled: (u64, u64), own: usize) -> Act {
-    let agreed = ranks.iter().all(|rank| rank.scheduled == Some(scheduled));
-    let begun = ranks.iter().any(|rank| rank.pass >= scheduled.1 || rank.map == scheduled.0);
-    if agreed || begun {
+fn watch(view: View<'_>, scheduled: (u64, u64)) -> Act {
+    let agreed = view.all(|rank| rank.scheduled == Some(scheduled));
+    let begun = |rank: &RankState| rank.pass >= scheduled.1 || rank.map == scheduled.0;
+    if agreed || view.known().any(|(_, rank)| begun(rank)) {
         return Act::Wait;
     }
-    Act::Orders(vec![(own, OrderKind::Pause { pass: scheduled.1 })])
+    pause(view, scheduled.1)
 }
 
 /// Nothing is under way.
-fn begin(ranks: &[RankState], wanted: Option<&Wanted>, own: usize) -> Act {
+fn begin(view: View<'_>, wanted: Option<&Wanted>) -> Act {
     let Some(wanted) = wanted else { return Act::Wait };
-    if ranks.iter().any(|rank| rank.map >= wanted.version) {
+    if !view.all(|rank| rank.map < wanted.version) {
         return Act::Wait;
     }
-    if !ranks.iter().all(|rank| rank.loaded == Some(wanted.version)) {
-        return load(ranks, wanted);
+    if !view.all(|rank| rank.loaded == Some(wanted.version)) {
+        return load(view, wanted);
     }
-    let last = ranks.iter().map(|rank| rank.pass).max().unwrap_or(0);
-    Act::Orders(vec![(own, OrderKind::Pause { pass: last + PASSES_AHEAD })])
+    let last = view.known().map(|(_, rank)| rank.pass).max().unwrap_or(0);
+    pause(view, last + PASSES_AHEAD)
 }
 
-fn load(ranks: &[RankState], wanted: &Wanted) -> Act {
-    let order = OrderKind::Load { version: wanted.version, map: wanted.map.clone() };
-    let missing = |rank: &RankState| rank.loaded != Some(wanted.version) && !rank.busy;
-    each(ranks, |rank| missing(rank).then(|| order.clone()))
+/// At another rank than the coordinator's own, which may be lost with it.
+fn pause(view: View<'_>, pass: u64) -> Act {
+    let at = (view.own + 1) % view.ranks.len();
+    Act::Orders(vec![(at, OrderKind::Pause { pass })])
 }
 
-fn each(ranks: &[RankState], order: impl Fn(&RankState) -> Option<OrderKind>) -> Act {
-    let ordered = ranks.iter().enumerate().filter_map(|(at, rank)| Some((at, order(rank)?)));
-    let orders: Vec<(usize, OrderKind)> = ordered.collect();
-    if orders.is_empty() { Act::Wait } else { Act::Orders(orders) }
+fn load(view: View<'_>, wanted: &Wanted) -> Act {
+    let order = OrderKind::Load { version: wanted.version, map: wanted.map.clone() };
+    let missing = |rank: &RankState| rank.loaded != Some(wanted.version) && !rank.busy;
+    view.each(|_, rank| missing(rank).then(|| order.clone()))
 }
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -41,7 +41,10 @@
 /// Pause between two looks for room.
 const LOOK_AGAIN: Duration = Duration::from_millis(8);
 /// When a refused caller is told to come back: a place frees within a few passes.
-const COME_BACK: Duration = Duration::from_millis(300);
+const BACK_FULL: Duration = Duration::from_millis(400);
+/// The same while no server can serve: a group opens again, and a server comes
+/// back, in seconds. Callers wait a third of their time at most.
+const BACK_DOWN: Duration = Duration::from_millis(2_500);
 /// Sends of a request that may not have run, beyond the servers it may run at.
 const SENDS_SPARE: u32 = 2;
 /// Waits for a caller whose request has no deadline of its own.
@@ -140,30 +143,41 @@
     }
 }
 
-/// Counts a held request.
-struct Held(Rc<Gateway>);
+/// Counts a request that is held, at the gateway and on its connection, from its
+/// head to the end of its answer.
+#[derive(Debug)]
+pub struct Held {
+    gateway: Rc<Gateway>,
+    connection: Rc<Cell<usize>>,
+}
 
 impl Held {
-    fn new(gateway: &Rc<Gateway>) -> Self {
+    fn new(gateway: &Rc<Gateway>, connection: &Rc<Cell<usize>>) -> Self {
         gateway.held.set(gateway.held.get() + 1);
-        Self(gateway.clone())
+        connection.set(connection.get() + 1);
+        Self { gateway: gateway.clone(), connection: connection.clone() }
     }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.0.held.set(self.0.held.get() - 1);
+        self.gateway.held.set(self.gateway.held.get() - 1);
+        self.connection.set(self.connection.get() - 1);
     }
 }
 
-/// Serves one request of a caller.
-pub async fn serve(gateway: Rc<Gateway>, request: Request<Incoming>) -> Reply {
-    let held = Held::new(&gateway);
+/// Serves one request of a caller. `connection` counts those that are held on its
+/// connection.
+pub async fn serve(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    connection: Rc<Cell<usize>>,
+) -> Reply {
+    let held = Held::new(&gateway, &connection);
     let mut reply = match admit(&gateway, request).await {
-        Ok(call) => carry(&gateway, call).await,
+        Ok(call) => carry(&gateway, call, held).await,
         Err(reply) => reply,
     };
-    drop(held);
     if gateway.stopping.get() {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -238,7 +252,7 @@
 }
 
 /// Carries a request to its final answer.
-async fn carry(gateway: &Rc<Gateway>, call: Call) -> Reply {
+async fn carry(gateway: &Rc<Gateway>, call: Call, held: Held) -> Reply {
     gateway.count_request(&call.service);
     let call = Rc::new(call);
     let mut progress = Progress::default();
@@ -252,7 +266,7 @@
             Err(answer) => answer,
             Ok(got) if is_stream(&call, &got) => {
                 log_end(gateway, &call, &progress, "streaming", got.parts.status);
-                return stream::reply(gateway.clone(), call, got, progress);
+                return stream::reply(gateway.clone(), call, got, progress, held);
             }
             Ok(got) => match whole(gateway, &call, got, &progress).await {
                 Ok(reply) => return reply,
@@ -265,7 +279,7 @@
                 "tried" => progress.tried.join(","), "left_ms" => call.left().as_millis() as u64);
             continue;
         }
-        return end(gateway, &call, &progress, ending(step, answer));
+        return end(gateway, &call, &progress, ending(step, answer), BACK_FULL);
     }
 }
 
@@ -476,18 +490,23 @@
 
 /// The final answer where no server is left to try.
 fn no_server(gateway: &Gateway, call: &Call, progress: &Progress, refusal: Refusal) -> Reply {
-    let reason = if refusal == Refusal::Full { "full" } else { "no_server" };
+    let reason = match refusal {
+        Refusal::Full => "full",
+        Refusal::Standing => "standing",
+        Refusal::NoServer => "no_server",
+    };
     gateway.tally.count("refusals_total", reason);
     let run = progress.runs > 0;
     let next = if run { Next::EndUnknown } else { Next::EndNotRun };
-    end(gateway, call, progress, next)
+    let back = if refusal == Refusal::Full { BACK_FULL } else { BACK_DOWN };
+    end(gateway, call, progress, next, back)
 }
 
 /// The final answer of the gateway's own.
-fn end(gateway: &Gateway, call: &Call, progress: &Progress, next: Next) -> Reply {
+fn end(gateway: &Gateway, call: &Call, progress: &Progress, next: Next, back: Duration) -> Reply {
     let late = call.left().is_zero();
     let (status, retry_after) = match next {
-        Next::EndNotRun => (StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK)),
+        Next::EndNotRun => (StatusCode::SERVICE_UNAVAILABLE, Some(back)),
         _ if late => (StatusCode::GATEWAY_TIMEOUT, None),
         _ => (StatusCode::BAD_GATEWAY, None),
     };
@@ -499,7 +518,7 @@
     gateway.tally.count("refusals_total", reason);
     info!(gateway.log, "request refused"; "id" => id, "status" => status.as_u16(),
         "reason" => reason, "config" => gateway.version());
-    let retry = (status == StatusCode::SERVICE_UNAVAILABLE).then_some(COME_BACK);
+    let retry = (status == StatusCode::SERVICE_UNAVAILABLE).then_some(BACK_FULL);
     own(id, status, retry)
 }
 
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -14,7 +14,7 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{info, warn};
-use std::{convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
     sync::watch as flag,
@@ -28,6 +28,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// How often a stopping gateway looks whether it is done.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// How often a connection is looked at that is to close once it is idle.
+const IDLE_LOOK: Duration = Duration::from_millis(150);
 /// Idle connections to servers are looked through this often.
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
 /// Smallest buffer that the HTTP library takes.
@@ -69,7 +71,7 @@
         let reply = peers::answer(&answering, &path, &body);
         async move { reply }
     }));
-    let accepting = task::spawn_local(accept(gateway.clone(), callers, closed));
+    task::spawn_local(accept(gateway.clone(), callers, closed));
     stop.await;
     let grace = gateway.settings.borrow().bounds.grace;
     let end = time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
@@ -82,7 +84,6 @@
     while gateway.connections.get() > 0 && time::Instant::now() < end {
         time::sleep(LOOK_AGAIN).await;
     }
-    accepting.abort();
     info!(gateway.log, "gateway stopped"; "connections_cut" => gateway.connections.get());
     Ok(())
 }
@@ -102,8 +103,14 @@
 }
 
 async fn accept(gateway: Rc<Gateway>, listener: TcpListener, closed: flag::Receiver<bool>) {
+    let mut closing = closed.clone();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // Those who come now are refused, and go elsewhere.
+            _ = closing.wait_for(|closed| *closed) => return,
+        };
+        match accepted {
             Ok((stream, _)) if gateway.connections.get() < CONNECTIONS_MAX => {
                 task::spawn_local(connection(gateway.clone(), stream, closed.clone()));
             }
@@ -134,9 +141,11 @@
     }
     let limits = gateway.active().map(|active| active.config.limits).unwrap_or_default();
     let serving = gateway.clone();
+    let held = Rc::new(Cell::new(0));
+    let counted = held.clone();
     let service = service_fn(move |request| {
-        let gateway = serving.clone();
-        async move { Ok::<_, Infallible>(forward::serve(gateway, request).await) }
+        let (gateway, held) = (serving.clone(), counted.clone());
+        async move { Ok::<_, Infallible>(forward::serve(gateway, request, held).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -150,7 +159,10 @@
         ended = &mut connection => ended,
         _ = closed.wait_for(|closed| *closed) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = &mut connection => ended,
+                () = idle(&held) => Ok(()),
+            }
         }
     };
     if ended.is_err() {
@@ -158,6 +170,16 @@
     }
 }
 
+/// Ends when no request is held on a connection, twice in a row: the library
+/// keeps one open that never carried any.
+async fn idle(held: &Cell<usize>) {
+    let mut looks = 0;
+    while looks < 2 {
+        time::sleep(IDLE_LOOK).await;
+        looks = if held.get() == 0 { looks + 1 } else { 0 };
+    }
+}
+
 async fn serve_ready(gateway: Rc<Gateway>, listener: TcpListener) {
     serve_small(listener, move || {
         let status =
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -5,6 +5,7 @@
 use mastweir_core::{
     gateway::{Model, Told},
     switch::hold::{Order, RankState, Taken},
+    time::Uptime,
 };
 use serde::{Deserialize, Serialize};
 use std::net::{IpAddr, SocketAddr};
@@ -40,8 +41,9 @@
     pub leaving: bool,
     /// Some gateways that it knows.
     pub gateways: Vec<IpAddr>,
-    /// To a sidecar: where the sidecars of its group are.
-    pub ranks: Vec<IpAddr>,
+    /// To a sidecar: the model servers of its group; each has a sidecar on its
+    /// own instance.
+    pub ranks: Vec<SocketAddr>,
     /// To a sidecar: its server's engine.
     pub model: Option<Model>,
 }
@@ -60,8 +62,14 @@
 pub struct RankReport {
     /// Its group.
     pub group: String,
+    /// Where its server listens.
+    pub server: SocketAddr,
     /// Its state.
     pub state: RankState,
+    /// Requests that run and wait there.
+    pub load: u32,
+    /// When it was read, on the sidecar's clock: datagrams overtake each other.
+    pub read_at: Uptime,
     /// First of the counts, where they do not fit into one datagram.
     pub from: u32,
     /// Choices by set and expert, one set behind the other.
@@ -84,6 +92,8 @@
     pub taken: Option<Taken>,
     /// Its state after it.
     pub state: Option<RankState>,
+    /// When that was read, on the sidecar's clock.
+    pub read_at: Uptime,
 }
 
 /// A call to a sidecar over TCP.
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -210,7 +210,7 @@
         let Some(model) = service.and_then(|service| service.model.clone()) else { continue };
         let group = ranks.get(&server.addr);
         let same = ranks.iter().filter(|(_, other)| Some(*other) == group);
-        let same = same.map(|(addr, _)| addr.ip()).take(RANKS_NAMED).collect();
+        let same = same.map(|(addr, _)| *addr).take(RANKS_NAMED).collect();
         let hello = Hello { ranks: same, model: Some(model), ..hello.clone() };
         sent.push((at(server.addr.ip()), hello));
     }
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -1,7 +1,7 @@
 //! A stream of events, passed on and, if it breaks, taken up by another server.
 
 use super::{
-    forward::{Call, Got, Place, Progress, Reply, attempt, may_retry},
+    forward::{Call, Got, Held, Place, Progress, Reply, attempt, may_retry},
     state::Gateway,
 };
 use crate::{net::http::Exchange, platform::headers};
@@ -44,6 +44,8 @@
     events: Events,
     source: Option<Source>,
     resumed: u32,
+    /// Until the last event has gone.
+    _held: Held,
 }
 
 enum Piece {
@@ -53,12 +55,18 @@
 }
 
 /// The answer to a caller, of a stream that has begun.
-pub fn reply(gateway: Rc<Gateway>, call: Rc<Call>, got: Got, progress: Progress) -> Reply {
+pub fn reply(
+    gateway: Rc<Gateway>,
+    call: Rc<Call>,
+    got: Got,
+    progress: Progress,
+    held: Held,
+) -> Reply {
     let mut head = headers::for_caller(&got.parts.headers);
     head.remove(hyper::header::CONTENT_LENGTH);
     let events = Events::after(call.head.last_event.clone());
     let source = Some(source(got));
-    let relay = Relay { gateway, call, progress, events, source, resumed: 0 };
+    let relay = Relay { gateway, call, progress, events, source, resumed: 0, _held: held };
     let pieces = stream::unfold(Some(relay), async |relay| {
         let mut relay = relay?;
         match relay.next().await {
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -8,6 +8,7 @@
 use crate::{
     gateway::message::{OrderReply, RankReport},
     net::internal,
+    platform::engine::Engine,
 };
 use futures_util::future::join_all;
 use mastweir_core::{
@@ -16,15 +17,24 @@
         recent::RecentDemand,
     },
     gateway::Model,
-    switch::hold::{Act, GroupMap, Layers, Order, OrderKind, RankState, Taken, Wanted, decide},
+    switch::hold::{
+        Act, GroupMap, Layers, Order, OrderKind, RankState, Taken, View, Wanted, decide,
+    },
     time::Uptime,
 };
+use serde::Serialize;
 use slog::{info, warn};
-use std::{collections::BTreeMap, net::IpAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, HashSet},
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 use tokio::{sync::mpsc, time};
 
 /// A rank's state that is older than this decides nothing.
 const STATE_LASTS: Duration = Duration::from_millis(700);
+/// Servers whose sidecars are silent are asked this often.
+const ASK_EVERY: Duration = Duration::from_millis(150);
 /// Pause between two looks while nothing is under way, and while something is.
 const LOOK_IDLE: Duration = Duration::from_millis(100);
 const LOOK_BUSY: Duration = Duration::from_millis(15);
@@ -33,19 +43,36 @@
 /// A change that has not begun to pause the group after this time is dropped:
 /// demand has moved on.
 const CHANGE_LASTS: Duration = Duration::from_secs(4);
+/// A load that was taken is not ordered again for this time: some ten experts.
+const LOAD_LASTS: Duration = Duration::from_millis(2_500);
 /// Seconds for which a map helps, as demand shifts every few seconds.
 const HORIZON_S: f64 = 2.5;
-/// Part of the passes' work that a plan has to save.
-const LEAST_GAIN: f64 = 0.05;
+/// What loading one expert costs, in seconds of a pass at its mean load: 40 loads
+/// are priced like a third of the requests that a tenth of a group's passes carry
+/// over the horizon (docs/design/platform.md).
+const LOAD_COST: f64 = 0.002;
+/// Passes take 15 in 100 longer while a rank loads, says the users' page.
+const LOAD_SLOWS: f64 = 0.15;
+/// Part of a group's places in use at which quicker passes begin to count, and at
+/// which they count in full.
+const PRESSURE_FROM: f64 = 0.3;
+const PRESSURE_FULL: f64 = 0.7;
+/// What they count at least: a burst may come.
+const PRESSURE_LEAST: f64 = 0.1;
 /// Versions under one token; tokens are the higher bits, so that no two
 /// coordinators give the same version to two maps.
 const VERSIONS_BITS: u32 = 20;
 
 #[derive(Debug)]
 struct Seen {
-    ip: IpAddr,
+    server: SocketAddr,
     at: Uptime,
     state: RankState,
+    /// Requests that run and wait there.
+    load: u32,
+    /// When its sidecar read it, on its own clock; none if that is silent and the
+    /// server was asked itself.
+    read_at: Option<Uptime>,
 }
 
 struct Coordinator<'a> {
@@ -58,6 +85,13 @@
     wanted: Option<(Wanted, Uptime)>,
     versions: u64,
     fenced: bool,
+    asked: Uptime,
+    /// Whether a part of the map is a guess.
+    guessed: bool,
+    /// Where the coordinator before is, if there was another.
+    before: Option<IpAddr>,
+    /// Version, epoch and time of the last load that a rank has begun.
+    loading: BTreeMap<u32, (u64, u64, Uptime)>,
 }
 
 /// Coordinates until another takes over.
@@ -65,7 +99,8 @@
     sidecar: &Sidecar,
     group: &str,
     token: u64,
-    reports: &mut mpsc::Receiver<(IpAddr, RankReport)>,
+    before: Option<IpAddr>,
+    reports: &mut mpsc::Receiver<RankReport>,
 ) {
     let mut own = Coordinator {
         sidecar,
@@ -77,6 +112,10 @@
         wanted: None,
         versions: 0,
         fenced: false,
+        asked: Uptime::default(),
+        guessed: false,
+        before: before.filter(|ip| *ip != sidecar.ip),
+        loading: BTreeMap::new(),
     };
     let mut announced = time::Instant::now() - LEAD_EVERY;
     loop {
@@ -84,8 +123,8 @@
             announced = time::Instant::now();
             lead::announce(sidecar, group, token);
         }
-        while let Ok((ip, report)) = reports.try_recv() {
-            own.take_in(ip, report);
+        while let Ok(report) = reports.try_recv() {
+            own.take_in(&report);
         }
         if own.is_over() {
             return;
@@ -93,8 +132,8 @@
         let busy = own.step().await;
         let pause = if busy { LOOK_BUSY } else { LOOK_IDLE };
         // A report ends the pause.
-        if let Ok(Some((ip, report))) = time::timeout(pause, reports.recv()).await {
-            own.take_in(ip, report);
+        if let Ok(Some(report)) = time::timeout(pause, reports.recv()).await {
+            own.take_in(&report);
         }
     }
 }
@@ -111,61 +150,121 @@
         other || self.fenced || !member
     }
 
-    fn take_in(&mut self, ip: IpAddr, report: RankReport) {
+    fn take_in(&mut self, report: &RankReport) {
         if report.group != self.group {
             return;
         }
         let now = self.sidecar.clock.now();
-        self.note(ip, report.state, now);
+        let seen = Seen {
+            server: report.server,
+            at: now,
+            read_at: Some(report.read_at),
+            state: report.state.clone(),
+            load: report.load,
+        };
+        self.note(seen);
         let Some(model) = self.sidecar.model.borrow().clone() else { return };
         let demand =
             self.demand.get_or_insert_with(|| RecentDemand::new(model.sets, model.experts));
         demand.add(report.from as usize, &report.counts, now);
     }
 
-    fn note(&mut self, ip: IpAddr, state: RankState, now: Uptime) {
-        let before = self.ranks.get(&state.rank);
-        let newer = before.is_none_or(|before| {
-            state.epoch > before.state.epoch
-                || (state.epoch == before.state.epoch && state.taken >= before.state.taken)
+    /// Takes a rank's state in, unless a newer one is known.
+    fn note(&mut self, seen: Seen) {
+        let newer = self.ranks.get(&seen.state.rank).is_none_or(|before| {
+            let lapsed = seen.at.since(before.at) >= STATE_LASTS;
+            let later = match (seen.read_at, before.read_at) {
+                (Some(now), Some(before)) => now >= before,
+                _ => seen.state.pass >= before.state.pass,
+            };
+            lapsed || seen.state.epoch > before.state.epoch || later
         });
-        // A server that restarted counts its orders from zero, in a new epoch.
         if newer {
-            self.ranks.insert(state.rank, Seen { ip, at: now, state });
+            self.ranks.insert(seen.state.rank, seen);
         }
     }
 
-    /// The states of all ranks, in order, if all are fresh and of one life.
-    fn states(&self) -> Option<Vec<RankState>> {
+    /// The states of all ranks, in order; none where it is not fresh.
+    fn states(&self) -> Vec<Option<RankState>> {
         let now = self.sidecar.clock.now();
-        let size = self.ranks.values().next()?.state.size as usize;
-        let fresh = |seen: &&Seen| now.since(seen.at) < STATE_LASTS;
-        let states: Vec<RankState> =
-            self.ranks.values().filter(fresh).map(|seen| seen.state.clone()).collect();
-        let epoch = states.first()?.epoch;
-        let whole = states.len() == size && states.iter().all(|state| state.epoch == epoch);
-        whole.then_some(states)
+        let Some(size) = self.ranks.values().next().map(|seen| seen.state.size) else {
+            return Vec::new();
+        };
+        let fresh = |rank: u32| {
+            let seen = self.ranks.get(&rank).filter(|seen| now.since(seen.at) < STATE_LASTS)?;
+            let mut state = seen.state.clone();
+            state.busy |= self.is_loading(&state, now);
+            Some(state)
+        };
+        (0..size).map(fresh).collect()
+    }
+
+    /// Whether a rank has taken the order to load what is wanted, and may still be
+    /// at it: its state does not say so.
+    fn is_loading(&self, state: &RankState, now: Uptime) -> bool {
+        let Some((wanted, _)) = &self.wanted else { return false };
+        self.loading.get(&state.rank).is_some_and(|(version, epoch, since)| {
+            (*version, *epoch) == (wanted.version, state.epoch) && now.since(*since) < LOAD_LASTS
+        })
+    }
+
+    /// Asks the servers themselves whose sidecars are silent. What they say is some
+    /// hundred milliseconds old, and each call is paid for.
+    async fn ask_silent(&mut self) {
+        let now = self.sidecar.clock.now();
+        let heard = |server: &SocketAddr| {
+            let seen = self.ranks.values().find(|seen| seen.server == *server);
+            seen.is_some_and(|seen| now.since(seen.at) < STATE_LASTS)
+        };
+        let roster = self.sidecar.ranks.borrow().clone();
+        let silent: Vec<SocketAddr> = roster.into_iter().filter(|server| !heard(server)).collect();
+        if silent.is_empty() || now.since(self.asked) < ASK_EVERY {
+            return;
+        }
+        self.asked = now;
+        let engines: Vec<Engine> = silent.iter().map(|server| self.engine(*server)).collect();
+        let states = join_all(engines.iter().map(Engine::state)).await;
+        for (server, state) in silent.into_iter().zip(states) {
+            let state = state.ok().filter(|state| state.group.as_deref() == Some(self.group));
+            // What was read is as old as the question, if this process stood still.
+            if let Some(state) = state.and_then(|state| state.rank) {
+                let load = self.load_at(state.rank);
+                self.note(Seen { server, at: now, read_at: None, state, load });
+            }
+        }
+    }
+
+    fn load_at(&self, rank: u32) -> u32 {
+        self.ranks.get(&rank).map_or(0, |seen| seen.load)
+    }
+
+    fn engine(&self, server: SocketAddr) -> Engine {
+        Engine::new(server, self.sidecar.internal.clone())
     }
 
     /// One step. True if something is under way.
     async fn step(&mut self) -> bool {
-        let Some(states) = self.states() else { return false };
-        let version = states[0].map;
-        let one_map = states.iter().all(|state| state.map == version);
-        self.drop_wanted(&states);
+        self.ask_silent().await;
+        let states = self.states();
+        let known: Vec<&RankState> = states.iter().flatten().collect();
+        let Some(version) = known.first().map(|state| state.map) else { return false };
+        let whole = known.len() == states.len();
+        let one_map = known.iter().all(|state| state.map == version);
+        self.drop_wanted(&known);
         if !one_map {
             // Some states are from before a switch, some from after it.
             return true;
         }
-        if self.map.as_ref().is_none_or(|(known, _)| *known != version) {
-            self.read_map(version, &states).await;
-            return true;
+        let unread = self.map.as_ref().is_none_or(|(known, _)| *known != version);
+        if unread || (whole && self.guessed) {
+            self.read_map(version, states.len()).await;
         }
-        if self.wanted.is_none() {
-            self.plan(&states);
+        if self.wanted.is_none() && whole {
+            self.plan(&known);
         }
-        let own = self.own_rank();
-        let act = decide(&states, self.wanted.as_ref().map(|(wanted, _)| wanted), own);
+        let view =
+            View { ranks: &states, own: self.own_rank(), predecessor: self.predecessor(&states) };
+        let act = decide(view, self.wanted.as_ref().map(|(wanted, _)| wanted));
         match act {
             Act::Wait => self.wanted.is_some(),
             Act::Want => {
@@ -181,12 +280,23 @@
     }
 
     fn own_rank(&self) -> usize {
-        let ip = self.sidecar.ip;
-        self.ranks.values().position(|seen| seen.ip == ip).unwrap_or(0)
+        let server = self.sidecar.server;
+        let own = self.ranks.iter().find(|(_, seen)| seen.server == server);
+        own.map_or(0, |(rank, _)| *rank as usize)
+    }
+
+    /// The rank of the coordinator before, if it is the one that can't be reached.
+    fn predecessor(&self, states: &[Option<RankState>]) -> Option<usize> {
+        let before = self.before?;
+        let now = self.sidecar.clock.now();
+        let mut seen = self.ranks.values();
+        let reached = |seen: &Seen| seen.server.ip() == before && now.since(seen.at) < STATE_LASTS;
+        let missing = states.iter().position(Option::is_none);
+        if seen.any(reached) { None } else { missing }
     }
 
     /// Forgets a change that is in force, or that is too late.
-    fn drop_wanted(&mut self, states: &[RankState]) {
+    fn drop_wanted(&mut self, states: &[&RankState]) {
         let Some((wanted, since)) = &self.wanted else { return };
         let now = self.sidecar.clock.now();
         if states.iter().all(|state| state.map == wanted.version) {
@@ -206,35 +316,40 @@
         }
     }
 
-    async fn read_map(&mut self, version: u64, states: &[RankState]) {
-        let reads = self.ranks.values().map(|seen| self.read_rank(seen.ip));
-        let read: Vec<Option<(u64, Layers)>> = join_all(reads).await;
-        let layers: Vec<Layers> = read
-            .into_iter()
-            .flatten()
-            .filter(|(read, _)| *read == version)
-            .map(|(_, layers)| layers)
-            .collect();
-        if layers.len() != states.len() {
+    /// Reads the map in force from the ranks. A rank that can't be reached holds at
+    /// least what no other does; the map is read again when it is back.
+    async fn read_map(&mut self, version: u64, ranks: usize) {
+        let reads = self.ranks.iter().map(async |(rank, seen)| (*rank, self.read_rank(seen).await));
+        let read: Vec<(u32, Option<(u64, Layers)>)> = join_all(reads).await;
+        let mut by_rank: Vec<Option<Layers>> = vec![None; ranks];
+        for (rank, layers) in read {
+            let layers = layers.filter(|(read, _)| *read == version).map(|(_, layers)| layers);
+            if let Some(place) = by_rank.get_mut(rank as usize) {
+                *place = layers;
+            }
+        }
+        let missing = by_rank.iter().filter(|layers| layers.is_none()).count();
+        let experts = self.sidecar.model.borrow().as_ref().map_or(0, |model| model.experts);
+        if missing > 1 || experts == 0 {
             warn!(self.sidecar.log, "map not read"; "group" => self.group, "version" => version,
-                "ranks" => layers.len());
+                "missing" => missing);
             return;
         }
-        let sets = layers.first().map_or(0, Vec::len);
-        let by_set = |set: usize| layers.iter().map(|rank| rank[set].clone()).collect();
-        self.map = Some((version, (0..sets).map(by_set).collect()));
-        info!(self.sidecar.log, "map read"; "group" => self.group, "version" => version, "sets" => sets);
+        self.map = Some((version, assemble(&by_rank, experts)));
+        self.guessed = missing > 0;
+        info!(self.sidecar.log, "map read"; "group" => self.group, "version" => version,
+            "missing" => missing);
     }
 
-    async fn read_rank(&self, ip: IpAddr) -> Option<(u64, Layers)> {
-        if ip == self.sidecar.ip {
-            return self.sidecar.engine.map().await.ok();
+    async fn read_rank(&self, seen: &Seen) -> Option<(u64, Layers)> {
+        if seen.read_at.is_none() || seen.server == self.sidecar.server {
+            return self.engine(seen.server).map().await.ok();
         }
-        let addr = self.sidecar.addr(ip);
+        let addr = self.sidecar.addr(seen.server.ip());
         internal::call(&self.sidecar.internal, addr, "/map", &(), ORDER_LASTS).await.ok()
     }
 
-    fn plan(&mut self, states: &[RankState]) {
+    fn plan(&mut self, states: &[&RankState]) {
         let idle = states.iter().all(|state| state.scheduled.is_none() && state.paused.is_none());
         let (Some(demand), Some((_, map))) = (&self.demand, &self.map) else { return };
         let Some(model) = self.sidecar.model.borrow().clone() else { return };
@@ -242,13 +357,23 @@
             return;
         }
         let demand = demand.by_set();
-        let Some(plan) = planner(&model).plan(map, &demand) else { return };
+        let pressure = self.pressure(&model);
+        let Some(plan) = planner(&model).plan(map, &demand, pressure) else { return };
         info!(self.sidecar.log, "map planned"; "group" => self.group, "loads" => plan.loads,
-            "skew_now" => format!("{:.3}", mean_skew(map, &demand)),
+            "moved" => plan.moved, "pressure" => format!("{pressure:.2}"), "skew_now" => format!("{:.3}", mean_skew(map, &demand)),
             "skew_then" => format!("{:.3}", plan.skew_then));
         self.want(plan.map);
     }
 
+    /// What quicker passes are worth to the group, 0 to 1.
+    fn pressure(&self, model: &Model) -> f64 {
+        let load: u32 = self.ranks.values().map(|seen| seen.load).sum();
+        let places = (model.slots as usize * self.ranks.len()).max(1);
+        let used = f64::from(load) / places as f64;
+        let part = (used - PRESSURE_FROM) / (PRESSURE_FULL - PRESSURE_FROM);
+        part.clamp(PRESSURE_LEAST, 1.0)
+    }
+
     fn want(&mut self, map: GroupMap) {
         self.versions += 1;
         let version = (self.token << VERSIONS_BITS) + self.versions;
@@ -256,35 +381,64 @@
     }
 
     /// Gives orders to ranks, all at once, and takes their states in.
-    async fn give(&mut self, states: &[RankState], orders: Vec<(usize, OrderKind)>) {
-        let given = orders.into_iter().map(|(at, kind)| {
-            let state = &states[at];
+    async fn give(&mut self, states: &[Option<RankState>], orders: Vec<(usize, OrderKind)>) {
+        let given = orders.into_iter().filter_map(|(at, kind)| {
+            let state = states[at].as_ref()?;
             let order = Order { token: self.token, taken: state.taken, epoch: state.epoch, kind };
-            self.give_one(state.rank, order)
+            Some(self.give_one(state.rank, order))
         });
-        let replies = join_all(given).await;
+        // What ranks reply is as old as the order, if this process stood still.
         let now = self.sidecar.clock.now();
-        for (rank, reply) in replies {
+        let replies = join_all(given).await;
+        for (rank, loads, reply) in replies {
+            if let (Some(loads), Some(Taken::Yes)) = (loads, reply.taken) {
+                self.loading.insert(rank, (loads.0, loads.1, now));
+            }
             self.fenced |= reply.taken == Some(Taken::Fenced);
             let Some(seen) = self.ranks.get(&rank) else { continue };
-            let ip = seen.ip;
+            let server = seen.server;
+            let read_at = seen.read_at.map(|_| reply.read_at);
             if let Some(state) = reply.state {
-                self.note(ip, state, now);
+                let load = seen.load;
+                self.note(Seen { server, at: now, read_at, state, load });
             }
         }
     }
 
-    async fn give_one(&self, rank: u32, order: Order) -> (u32, OrderReply) {
-        let ip = self.ranks[&rank].ip;
-        let reply = if ip == self.sidecar.ip {
-            rank::carry_out(self.sidecar, &order).await
+    /// Gives an order from here, and asks the rank's sidecar for its state after it.
+    /// A pause must not depend on the sidecar: if it stood still right after giving
+    /// it, nobody could end the pause.
+    async fn give_directly(&self, seen: &Seen, order: &Order) -> OrderReply {
+        let taken = match self.engine(seen.server).order(order).await {
+            Ok(taken) => Some(taken),
+            Err(error) => {
+                warn!(self.sidecar.log, "order without an answer"; "token" => order.token,
+                    "error" => %error);
+                None
+            }
+        };
+        let reply = self.call_sidecar(seen, "/state", &()).await;
+        OrderReply { taken, ..reply }
+    }
+
+    async fn call_sidecar<A: Serialize>(&self, seen: &Seen, path: &str, asked: &A) -> OrderReply {
+        let addr = self.sidecar.addr(seen.server.ip());
+        let call = internal::call(&self.sidecar.internal, addr, path, asked, ORDER_LASTS);
+        call.await.unwrap_or_else(|error| {
+            warn!(self.sidecar.log, "sidecar gave no answer"; "rank" => seen.state.rank, "error" => %error);
+            OrderReply { taken: None, state: None, read_at: Uptime::default() }
+        })
+    }
+
+    /// Gives an order. Names the version and epoch if it was one to load.
+    async fn give_one(&self, rank: u32, order: Order) -> (u32, Option<(u64, u64)>, OrderReply) {
+        let seen = &self.ranks[&rank];
+        let reply = if seen.read_at.is_none() || seen.server == self.sidecar.server {
+            rank::carry_out(self.sidecar, &self.engine(seen.server), &order).await
+        } else if matches!(order.kind, OrderKind::Pause { .. } | OrderKind::Resume { .. }) {
+            self.give_directly(seen, &order).await
         } else {
-            let addr = self.sidecar.addr(ip);
-            let call = internal::call(&self.sidecar.internal, addr, "/order", &order, ORDER_LASTS);
-            call.await.unwrap_or_else(|error| {
-                warn!(self.sidecar.log, "sidecar gave no answer"; "rank" => rank, "error" => %error);
-                OrderReply { taken: None, state: None }
-            })
+            self.call_sidecar(seen, "/order", &order).await
         };
         let brief = match &order.kind {
             OrderKind::Load { version, .. } => format!("load {version}"),
@@ -292,16 +446,40 @@
         };
         info!(self.sidecar.log, "order"; "group" => self.group, "rank" => rank, "order" => brief,
             "taken" => order.taken, "outcome" => ?reply.taken);
-        (rank, reply)
+        let loads = match &order.kind {
+            OrderKind::Load { version, .. } => Some((*version, order.epoch)),
+            _ => None,
+        };
+        (rank, loads, reply)
     }
 }
 
+/// A group's map from its ranks' parts. One that is missing gets what no other has.
+fn assemble(by_rank: &[Option<Layers>], experts: usize) -> GroupMap {
+    let sets = by_rank.iter().flatten().map(Vec::len).max().unwrap_or(0);
+    let of = |rank: &Option<Layers>, set: usize| {
+        rank.as_ref().and_then(|layers| layers.get(set)).cloned().unwrap_or_default()
+    };
+    let by_set = |set: usize| {
+        let mut ranks: Vec<Vec<u16>> = by_rank.iter().map(|rank| of(rank, set)).collect();
+        let held: HashSet<u16> = ranks.iter().flatten().copied().collect();
+        let all = 0..u16::try_from(experts).unwrap_or(u16::MAX);
+        let lacking: Vec<u16> = all.filter(|expert| !held.contains(expert)).collect();
+        if let Some(missing) = by_rank.iter().position(Option::is_none) {
+            ranks[missing] = lacking;
+        }
+        ranks
+    };
+    (0..sets).map(by_set).collect()
+}
+
 fn planner(model: &Model) -> LayerPlanner {
     LayerPlanner {
         places: model.places,
         fresh: model.fresh,
         load_s: model.load_s,
         horizon_s: HORIZON_S,
-        least_gain: LEAST_GAIN,
+        load_cost: LOAD_COST,
+        load_slows: LOAD_SLOWS,
     }
 }
--- a/src/mastweir/sidecar/lead.rs
+++ b/src/mastweir/sidecar/lead.rs
@@ -11,21 +11,21 @@
     platform::store::StoreError,
 };
 use slog::{info, warn};
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time;
 
 /// A coordinator that was not heard for this long is missing: four of its
-/// messages.
-const LEAD_LASTS: Duration = Duration::from_millis(1_000);
+/// messages. A group may stand still for as long.
+const LEAD_LASTS: Duration = Duration::from_millis(600);
 /// Each rank waits this much longer than the one before, so that they do not all
 /// ask the store.
-const RANK_WAITS: Duration = Duration::from_millis(150);
+const RANK_WAITS: Duration = Duration::from_millis(80);
 /// How often it is looked for.
-const LOOK_EVERY: Duration = Duration::from_millis(100);
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// Pause after the store gave no lease.
 const STORE_PAUSE: Duration = Duration::from_millis(700);
 /// How often a coordinator says that it is there.
-pub const LEAD_EVERY: Duration = Duration::from_millis(250);
+pub const LEAD_EVERY: Duration = Duration::from_millis(150);
 
 /// Looks for a coordinator, and becomes it if there is none, for ever.
 pub async fn elect(sidecar: Rc<Sidecar>) {
@@ -55,7 +55,8 @@
                 info!(sidecar.log, "coordinator now"; "group" => &group, "token" => token);
                 sidecar.token.set(token);
                 while reports.try_recv().is_ok() {}
-                coordinate::run(&sidecar, &group, token, &mut reports).await;
+                let before = sidecar.heard.borrow().as_ref().map(|heard| heard.from);
+                coordinate::run(&sidecar, &group, token, before, &mut reports).await;
                 sidecar.token.set(0);
                 info!(sidecar.log, "coordinator no more"; "group" => &group, "token" => token);
             }
@@ -102,5 +103,6 @@
 pub fn announce(sidecar: &Sidecar, group: &str, token: u64) {
     let lead = Message::Lead(Lead { group: group.to_owned(), token });
     let others = sidecar.ranks.borrow();
-    others.iter().filter(|ip| **ip != sidecar.ip).for_each(|ip| sidecar.send(*ip, &lead));
+    let others = others.iter().map(SocketAddr::ip).filter(|ip| *ip != sidecar.ip);
+    others.for_each(|ip| sidecar.send(ip, &lead));
 }
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -3,9 +3,13 @@
 use super::state::{Heard, Sidecar};
 use crate::{
     gateway::message::{DATAGRAM_MAX, Hello, Message, OrderCall, OrderReply, RankReport, Report},
-    platform::engine::{Choices, EngineState},
+    platform::engine::{Choices, Engine, EngineState},
+};
+use mastweir_core::{
+    gateway::Told,
+    switch::hold::{OrderKind, Taken},
+    time::Uptime,
 };
-use mastweir_core::{gateway::Told, time::Uptime};
 use slog::{info, warn};
 use std::{net::IpAddr, rc::Rc, time::Duration};
 use tokio::time;
@@ -14,10 +18,16 @@
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// And this often while an order is under way at it.
 const LOOK_BUSY: Duration = Duration::from_millis(40);
+/// A load that takes longer than this is looked at like any other state.
+const LOAD_LASTS: Duration = Duration::from_secs(3);
 /// A gateway that was not heard for this long gets no reports.
 const GATEWAY_LASTS: Duration = Duration::from_secs(4);
 /// Counts in one datagram: they take one to three bytes each.
 const COUNTS_SENT: usize = 400;
+/// Passes of usual length without a new one after which a group stands still,
+/// and the least time for it: two looks at the server.
+const STALL_PASSES: u32 = 4;
+const STALL_LEAST: Duration = Duration::from_millis(450);
 /// Passes over which their time is averaged.
 const PASS_WEIGHT: f64 = 0.4;
 
@@ -26,18 +36,27 @@
     let mut before: Option<Choices> = None;
     let mut passes = Passes::default();
     let mut lost = false;
+    let mut told_at: Option<Uptime> = None;
     loop {
         let pause = match sidecar.engine.state().await {
             Ok(state) => {
                 if std::mem::take(&mut lost) {
                     info!(sidecar.log, "model server regained");
                 }
-                let choices = sidecar.engine.choices().await.ok();
-                tell(&sidecar, &state, choices.as_ref(), before.as_ref(), &mut passes);
-                before = choices.or(before);
-                let busy = state.rank.as_ref().is_some_and(|rank| rank.busy);
+                let now = sidecar.clock.now();
+                passes.seen(state.rank.as_ref().map_or(0, |rank| rank.pass), now);
+                if told_at.is_none_or(|at| now.since(at) >= LOOK_EVERY) {
+                    told_at = Some(now);
+                    let choices = sidecar.engine.choices().await.ok();
+                    tell_gateways(&sidecar, &state, &passes);
+                    tell_coordinator(&sidecar, &state, choices.as_ref(), before.as_ref());
+                    before = choices.or(before);
+                } else {
+                    tell_coordinator(&sidecar, &state, None, None);
+                }
+                let changing = is_changing(&sidecar, &state);
                 *sidecar.state.borrow_mut() = Some(state);
-                if busy { LOOK_BUSY } else { LOOK_EVERY }
+                if changing { LOOK_BUSY } else { LOOK_EVERY }
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
@@ -53,6 +72,17 @@
     }
 }
 
+/// Whether the rank loads a map, or has one scheduled: then the coordinator waits
+/// to hear of the next state.
+fn is_changing(sidecar: &Sidecar, state: &EngineState) -> bool {
+    let Some(rank) = &state.rank else { return false };
+    let loading = sidecar.loading.get().filter(|(version, since)| {
+        let late = sidecar.clock.now().since(*since) > LOAD_LASTS;
+        rank.loaded != Some(*version) && rank.map < *version && !late
+    });
+    loading.is_some() || rank.busy || rank.scheduled.is_some()
+}
+
 /// How long passes take.
 #[derive(Debug, Default)]
 struct Passes {
@@ -61,7 +91,7 @@
 }
 
 impl Passes {
-    fn seen(&mut self, pass: u64, now: Uptime) -> u32 {
+    fn seen(&mut self, pass: u64, now: Uptime) {
         if let Some((before, at)) = self.last.filter(|(before, _)| *before < pass) {
             let took = now.since(at).as_secs_f64() * 1_000.0 / (pass - before) as f64;
             self.mean_ms += PASS_WEIGHT * (took - self.mean_ms);
@@ -69,40 +99,52 @@
         if self.last.is_none_or(|(before, _)| before != pass) {
             self.last = Some((pass, now));
         }
-        self.mean_ms as u32
+    }
+
+    /// Whether requests run but no pass has begun for far longer than usual.
+    fn stalled(&self, running: u32, now: Uptime) -> bool {
+        let Some((_, since)) = self.last.filter(|_| running > 0) else { return false };
+        let usual = Duration::from_secs_f64(self.mean_ms / 1_000.0) * STALL_PASSES;
+        now.since(since) > usual.max(STALL_LEAST)
     }
 }
 
-fn tell(
-    sidecar: &Sidecar,
-    state: &EngineState,
-    choices: Option<&Choices>,
-    before: Option<&Choices>,
-    passes: &mut Passes,
-) {
+fn tell_gateways(sidecar: &Sidecar, state: &EngineState, passes: &Passes) {
     let now = sidecar.clock.now();
     let rank = state.rank.as_ref();
-    let pass = rank.map_or(0, |rank| rank.pass);
+    let stalled = passes.stalled(state.running, now);
     let told = Told {
         running: state.running,
         waiting: state.waiting,
         memory_milli: state.memory_milli,
         group: state.group.clone(),
-        group_open: rank.is_none_or(|rank| rank.open),
-        pass,
-        pass_ms: passes.seen(pass, now),
+        group_open: rank.is_none_or(|rank| rank.open && !stalled),
+        pass: rank.map_or(0, |rank| rank.pass),
+        pass_ms: passes.mean_ms as u32,
     };
     let report = Message::Report(Report { server: sidecar.server, told });
     sidecar.gateways.borrow_mut().retain(|_, at| now.since(*at) < GATEWAY_LASTS);
     sidecar.gateways.borrow().keys().for_each(|ip| sidecar.send(*ip, &report));
-    let (Some(group), Some(rank)) = (&state.group, rank) else { return };
+}
+
+fn tell_coordinator(
+    sidecar: &Sidecar,
+    state: &EngineState,
+    choices: Option<&Choices>,
+    before: Option<&Choices>,
+) {
+    let now = sidecar.clock.now();
+    let (Some(group), Some(rank)) = (&state.group, &state.rank) else { return };
     let counts = match (choices, before) {
         (Some(choices), Some(before)) => since(choices, before),
         _ => Vec::new(),
     };
     let part = |(number, counts): (usize, &[u32])| RankReport {
         group: group.clone(),
+        server: sidecar.server,
         state: rank.clone(),
+        load: state.running + state.waiting,
+        read_at: now,
         from: u32::try_from(number * COUNTS_SENT).unwrap_or(u32::MAX),
         counts: counts.to_vec(),
     };
@@ -114,7 +156,7 @@
     for report in parts {
         if sidecar.token.get() > 0 {
             // A coordinator that is behind misses counts, not states.
-            let _ = sidecar.reports.try_send((sidecar.ip, report));
+            let _ = sidecar.reports.try_send(report);
         } else if let Some(to) = to {
             sidecar.send(to, &Message::Rank(report));
         }
@@ -150,7 +192,7 @@
             }
             Ok(Message::Rank(report)) => {
                 // A coordinator that is behind gets the next one.
-                let _ = sidecar.reports.try_send((from.ip(), report));
+                let _ = sidecar.reports.try_send(report);
             }
             Ok(Message::Report(_)) | Err(_) => (),
         }
@@ -179,8 +221,9 @@
     match path {
         "/order" => {
             let order: OrderCall = postcard::from_bytes(body).ok()?;
-            postcard::to_stdvec(&carry_out(sidecar, &order).await).ok()
+            postcard::to_stdvec(&carry_out(sidecar, &sidecar.engine, &order).await).ok()
         }
+        "/state" => postcard::to_stdvec(&after(sidecar, &sidecar.engine, None).await).ok(),
         "/map" => match sidecar.engine.map().await {
             Ok(map) => postcard::to_stdvec(&map).ok(),
             Err(error) => {
@@ -192,9 +235,12 @@
     }
 }
 
-/// Gives an order to the server, and reads its state after it.
-pub async fn carry_out(sidecar: &Sidecar, order: &OrderCall) -> OrderReply {
-    let taken = match sidecar.engine.order(order).await {
+/// Gives an order to a server, and reads its state after it.
+pub async fn carry_out(sidecar: &Sidecar, engine: &Engine, order: &OrderCall) -> OrderReply {
+    if let OrderKind::Load { version, .. } = &order.kind {
+        sidecar.loading.set(Some((*version, sidecar.clock.now())));
+    }
+    let taken = match engine.order(order).await {
         Ok(taken) => Some(taken),
         Err(error) => {
             warn!(sidecar.log, "order without an answer"; "token" => order.token,
@@ -202,7 +248,12 @@
             None
         }
     };
-    let state = sidecar.engine.state().await.ok().and_then(|state| state.rank);
     sidecar.changed.notify_one();
-    OrderReply { taken, state }
+    after(sidecar, engine, taken).await
+}
+
+/// What a rank made of an order, with its state now.
+async fn after(sidecar: &Sidecar, engine: &Engine, taken: Option<Taken>) -> OrderReply {
+    let state = engine.state().await.ok().and_then(|state| state.rank);
+    OrderReply { taken, state, read_at: sidecar.clock.now() }
 }
--- a/src/mastweir/sidecar/state.rs
+++ b/src/mastweir/sidecar/state.rs
@@ -62,8 +62,8 @@
     pub socket: UdpSocket,
     /// Gateways, and when each was heard.
     pub gateways: RefCell<HashMap<IpAddr, Uptime>>,
-    /// Sidecars of the group.
-    pub ranks: RefCell<Vec<IpAddr>>,
+    /// Model servers of the group.
+    pub ranks: RefCell<Vec<SocketAddr>>,
     /// The engine's model.
     pub model: RefCell<Option<Model>>,
     /// The server's state as last read.
@@ -73,9 +73,11 @@
     /// Token under which this sidecar is the coordinator; zero if it is not.
     pub token: Cell<u64>,
     /// Reports for this sidecar as the coordinator.
-    pub reports: mpsc::Sender<(IpAddr, RankReport)>,
+    pub reports: mpsc::Sender<RankReport>,
     /// The other end of it.
-    pub received: RefCell<Option<mpsc::Receiver<(IpAddr, RankReport)>>>,
+    pub received: RefCell<Option<mpsc::Receiver<RankReport>>>,
+    /// Version of the map that the server was last told to load, and when.
+    pub loading: Cell<Option<(u64, Uptime)>>,
     /// Wakes the watch of the server: its state has changed.
     pub changed: Notify,
 }
@@ -104,6 +106,7 @@
             token: Cell::new(0),
             reports,
             received: RefCell::new(Some(received)),
+            loading: Cell::new(None),
             changed: Notify::new(),
         }
     }
