Pause groups far enough ahead for orders that get no answer

Change: orders are given up after 80 ms, and after one without an answer the pause is set as many passes ahead as five tries take.

--- a/crates/mastweir-core/src/switch/hold.rs
+++ b/crates/mastweir-core/src/switch/hold.rs
@@ -146,12 +146,11 @@
     pub own: usize,
     /// The rank of the coordinator before, if there was another.
     pub predecessor: Option<usize>,
+    /// Passes between the last one begun and the one before which the group is
+    /// paused: as many as the orders to all ranks take, so that it does not stand.
+    pub ahead: u64,
 }
 
-/// Passes between the last one begun and the one before which the group is
-/// paused: orders to all ranks take less than two passes, so it rarely stands.
-const PASSES_AHEAD: u64 = 2;
-
 impl View<'_> {
     fn known(&self) -> impl Iterator<Item = (usize, &RankState)> {
         self.ranks.iter().enumerate().filter_map(|(at, rank)| Some((at, rank.as_ref()?)))
@@ -276,7 +275,7 @@
         return load(view, wanted);
     }
     let last = view.known().map(|(_, rank)| rank.pass).max().unwrap_or(0);
-    pause(view, last + PASSES_AHEAD)
+    pause(view, last + view.ahead)
 }
 
 /// At another rank than the coordinator's own, which may be lost with it.
--- a/src/mastweir/platform/engine.rs
+++ b/src/mastweir/platform/engine.rs
@@ -9,8 +9,11 @@
 use serde_json::{Value, json};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-/// An order or a read on the server's own machine takes a millisecond.
+/// A read on the server's own machine takes a millisecond.
 const CALL_LASTS: Duration = Duration::from_millis(400);
+/// So does an order, and some milliseconds from another hall. One that gets no
+/// answer is given again, and meanwhile its group may stand.
+const ORDER_LASTS: Duration = Duration::from_millis(80);
 /// A report is small; counts and maps of 12 sets of 128 experts are some 20 KB.
 const ANSWER_BYTES_MAX: usize = 1 << 20;
 
@@ -169,7 +172,7 @@
     /// No answer: the order may be carried out, now or seconds later.
     pub async fn order(&self, order: &Order) -> Result<Taken, EngineError> {
         let bytes = serde_json::to_vec(&body(order))?;
-        let status = self.call(Method::POST, "/order", bytes).await?.0;
+        let status = self.call(Method::POST, "/order", bytes, ORDER_LASTS).await?.0;
         Ok(match status {
             200 | 202 => Taken::Yes,
             409 => Taken::Conflict,
@@ -179,7 +182,7 @@
     }
 
     async fn get(&self, path: &str) -> Result<Bytes, EngineError> {
-        let (status, body) = self.call(Method::GET, path, Vec::new()).await?;
+        let (status, body) = self.call(Method::GET, path, Vec::new(), CALL_LASTS).await?;
         if status == 200 { Ok(body) } else { Err(EngineError::Refused { status }) }
     }
 
@@ -188,6 +191,7 @@
         method: Method,
         path: &str,
         body: Vec<u8>,
+        wait: Duration,
     ) -> Result<(u16, Bytes), EngineError> {
         let request = Request::builder()
             .method(method)
@@ -196,7 +200,7 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|_| EngineError::Refused { status: 400 })?;
-        Ok(self.pool.call(self.addr, request, CALL_LASTS, ANSWER_BYTES_MAX).await?)
+        Ok(self.pool.call(self.addr, request, wait, ANSWER_BYTES_MAX).await?)
     }
 }
 
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -43,6 +43,18 @@
 /// A change that has not begun to pause the group after this time is dropped:
 /// demand has moved on.
 const CHANGE_LASTS: Duration = Duration::from_secs(4);
+/// Time that orders to all ranks take: through sidecars in other halls and back,
+/// twice. A group that stands for a tenth of a second has made all its streams
+/// late.
+const ORDERS_USUAL: Duration = Duration::from_millis(40);
+/// The same where some have to be given up to five times.
+const ORDERS_UNSURE: Duration = Duration::from_millis(420);
+/// Orders are unsure for this long after one got no answer.
+const UNANSWERED_LASTS: Duration = Duration::from_secs(15);
+/// The pass under way when a pause is asked for, and the next.
+const PASSES_LEAST: u64 = 2;
+/// Passes that seem quicker than this come from a group that was idle.
+const PASS_MS_LEAST: f64 = 20.0;
 /// A load that was taken is not ordered again for this time: some ten experts.
 const LOAD_LASTS: Duration = Duration::from_millis(2_500);
 /// Seconds for which a map helps, as demand shifts every few seconds.
@@ -85,6 +97,8 @@
     versions: u64,
     fenced: bool,
     asked: Uptime,
+    /// When an order last got no answer.
+    unanswered: Option<Uptime>,
     /// Whether a part of the map is a guess.
     guessed: bool,
     /// Where the coordinator before is, if there was another.
@@ -112,6 +126,7 @@
         versions: 0,
         fenced: false,
         asked: Uptime::default(),
+        unanswered: None,
         guessed: false,
         before: before.filter(|ip| *ip != sidecar.ip),
         loading: BTreeMap::new(),
@@ -261,8 +276,12 @@
         if self.wanted.is_none() && whole {
             self.plan(&known);
         }
-        let view =
-            View { ranks: &states, own: self.own_rank(), predecessor: self.predecessor(&states) };
+        let view = View {
+            ranks: &states,
+            own: self.own_rank(),
+            predecessor: self.predecessor(&states),
+            ahead: self.ahead(),
+        };
         let act = decide(view, self.wanted.as_ref().map(|(wanted, _)| wanted));
         match act {
             Act::Wait => self.wanted.is_some(),
@@ -364,6 +383,16 @@
         self.want(plan.map);
     }
 
+    /// Passes that orders to all ranks take. Once one got no answer, others may not
+    /// either, and have to be given again meanwhile.
+    fn ahead(&self) -> u64 {
+        let now = self.sidecar.clock.now();
+        let unsure = self.unanswered.is_some_and(|at| now.since(at) < UNANSWERED_LASTS);
+        let time = if unsure { ORDERS_UNSURE } else { ORDERS_USUAL };
+        let pass_ms = self.sidecar.pass_ms.get().max(PASS_MS_LEAST);
+        PASSES_LEAST + (time.as_secs_f64() * 1_000.0 / pass_ms).ceil() as u64
+    }
+
     /// What quicker passes are worth to the group, 0 to 1.
     fn pressure(&self, model: &Model) -> f64 {
         let load: u32 = self.ranks.values().map(|seen| seen.load).sum();
@@ -393,6 +422,9 @@
             if let (Some(loads), Some(Taken::Yes)) = (loads, reply.taken) {
                 self.loading.insert(rank, (loads.0, loads.1, now));
             }
+            if reply.taken.is_none() {
+                self.unanswered = Some(now);
+            }
             self.fenced |= reply.taken == Some(Taken::Fenced);
             let Some(seen) = self.ranks.get(&rank) else { continue };
             let server = seen.server;
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -45,6 +45,7 @@
                 }
                 let now = sidecar.clock.now();
                 passes.seen(state.rank.as_ref().map_or(0, |rank| rank.pass), now);
+                sidecar.pass_ms.set(passes.mean_ms);
                 if told_at.is_none_or(|at| now.since(at) >= LOOK_EVERY) {
                     told_at = Some(now);
                     let choices = sidecar.engine.choices().await.ok();
--- a/src/mastweir/sidecar/state.rs
+++ b/src/mastweir/sidecar/state.rs
@@ -78,6 +78,8 @@
     pub received: RefCell<Option<mpsc::Receiver<RankReport>>>,
     /// Version of the map that the server was last told to load, and when.
     pub loading: Cell<Option<(u64, Uptime)>>,
+    /// Milliseconds that the last passes took, on average.
+    pub pass_ms: Cell<f64>,
     /// Wakes the watch of the server: its state has changed.
     pub changed: Notify,
 }
@@ -107,6 +109,7 @@
             reports,
             received: RefCell::new(Some(received)),
             loading: Cell::new(None),
+            pass_ms: Cell::new(0.0),
             changed: Notify::new(),
         }
     }
--- a/tests/testsuite/fuzz_hold.rs
+++ b/tests/testsuite/fuzz_hold.rs
@@ -247,7 +247,7 @@
             return;
         }
         let predecessor = leader.before.filter(|rank| leader.seen[*rank].is_none());
-        let view = View { ranks: &leader.seen, own: leader.own, predecessor };
+        let view = View { ranks: &leader.seen, own: leader.own, predecessor, ahead: 2 };
         match decide(view, leader.wanted.as_ref()) {
             Act::Wait => {
                 let version = leader.wanted.as_ref().map(|wanted| wanted.version);
