Leave servers that fell silent, and let in only what finds a place

Change: a server whose sidecar fell silent gets nothing and is left by what may run elsewhere; a group's pass time counts in the choice; a model's server gets no more than its places; streams that are taken up go before new requests.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -95,6 +95,14 @@
 
 /// A report older than this is not used; four of them are missing by then.
 const REPORT_LASTS: Duration = Duration::from_millis(1_000);
+/// A server whose sidecar reported, and has been silent for this long, is taken for
+/// one that can't be reached; three reports are missing by then.
+const SILENT_FROM: Duration = Duration::from_millis(700);
+/// Until then its silence counts; later its sidecar may just not be there.
+const SILENT_UNTIL: Duration = Duration::from_secs(10);
+/// Milliseconds of a pass beyond which a group counts as slow: the users' streams
+/// are late where a pause, which is a pass, is longer than 120 ms.
+const PASS_SLOW_MS: f64 = 110.0;
 /// A missing server is kept this long as a last resort: entries that lapsed
 /// while the platform's list was away are back within two seconds.
 const MISSING_LASTS: Duration = Duration::from_millis(1_500);
@@ -115,10 +123,19 @@
     sent_since: u32,
     ended_since: u32,
     told: Option<(Uptime, Told)>,
+    /// Whether that came from a sidecar, which goes on reporting.
+    reported: bool,
     failures: u32,
     left_out: Option<Uptime>,
 }
 
+impl Seen {
+    fn is_silent(&self, now: Uptime) -> bool {
+        let Some((at, _)) = self.told.as_ref().filter(|_| self.reported) else { return false };
+        (SILENT_FROM..SILENT_UNTIL).contains(&now.since(*at))
+    }
+}
+
 /// Servers with what is known of each.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -176,6 +193,7 @@
         }
         let seen = self.seen.entry(id.to_owned()).or_default();
         seen.told = Some((now, told));
+        seen.reported = true;
         seen.sent_since = 0;
         seen.ended_since = 0;
     }
@@ -183,12 +201,15 @@
     /// Takes in the load that a server wrote into an answer.
     pub fn answered_load(&mut self, id: &str, running: u32, waiting: u32, now: Uptime) {
         let Some(seen) = self.seen.get_mut(id) else { return };
-        let fresh = seen.told.as_ref().is_some_and(|(at, _)| now.since(*at) < REPORT_LASTS);
+        // A sidecar says more, and sooner.
+        let fresh = seen.reported
+            && seen.told.as_ref().is_some_and(|(at, _)| now.since(*at) < REPORT_LASTS);
         if fresh {
             return;
         }
         let told = Told { running, waiting, group_open: true, ..Told::default() };
         seen.told = Some((now, told));
+        seen.reported = false;
         seen.sent_since = 0;
         seen.ended_since = 0;
     }
@@ -265,15 +286,17 @@
         self.seen.values().map(|seen| seen.in_flight).sum()
     }
 
-    /// Whether a server's group stands still, by a report that is fresh.
-    pub fn is_standing(&self, id: &str, now: Uptime) -> bool {
-        let told = self.seen.get(id).and_then(|seen| seen.told.as_ref());
-        told.is_some_and(|(at, told)| now.since(*at) < REPORT_LASTS && !told.group_open)
+    /// Whether a server can't be reached, as far as can be told: its sidecar has
+    /// fallen silent. A group that stands still is no reason to leave it: it goes
+    /// on soon, and the others can't carry its requests on top of theirs.
+    pub fn is_stuck(&self, id: &str, now: Uptime) -> bool {
+        self.seen.get(id).is_some_and(|seen| seen.is_silent(now))
     }
 
     fn is_left_out(&self, id: &str, now: Uptime) -> bool {
-        let since = self.seen.get(id).and_then(|seen| seen.left_out);
-        since.is_some_and(|since| now.since(since) < LEFT_OUT)
+        let Some(seen) = self.seen.get(id) else { return false };
+        let out = seen.left_out.is_some_and(|since| now.since(since) < LEFT_OUT);
+        out || seen.is_silent(now)
     }
 
     fn score(&self, id: &str, now: Uptime) -> f64 {
@@ -289,7 +312,8 @@
         let ended = seen.map_or(0, |seen| seen.ended_since);
         let load = (told.running + told.waiting + since).saturating_sub(ended).max(own);
         let standing = if told.group_open { 0.0 } else { STANDING };
-        (f64::from(load) + away) / places + standing
+        let slow = (f64::from(told.pass_ms) / PASS_SLOW_MS - 1.0).max(0.0);
+        (f64::from(load) + away) / places + slow + standing
     }
 
     fn candidate(&self, server: &Server, score: f64, now: Uptime) -> Candidate {
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -31,8 +31,9 @@
 const CONNECT_LASTS: Duration = Duration::from_millis(250);
 /// Largest answer that is held back until it is whole. The users' are some KB.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
-/// Load of a model's server, over its slots, up to which it gets requests.
-const MODEL_ROOM: f64 = 1.25;
+/// Load of a model's server, over its slots, up to which it gets requests. 0.97, 1.06
+/// and 1.25 were tried on five of the users' days; beyond it all wait for each other.
+const MODEL_ROOM: f64 = 1.06;
 /// The same for other services, whose queues are short.
 const PLAIN_ROOM: f64 = 3.0;
 /// Part of the objective after which a request that found no room is refused: so
@@ -45,6 +46,9 @@
 /// The same while no server can serve: a group opens again, and a server comes
 /// back, in seconds. Callers wait a third of their time at most.
 const BACK_DOWN: Duration = Duration::from_millis(2_500);
+/// A server without an answer or an event for this long is looked at. Callers give
+/// a stream up after two seconds, and a dead rank's group is cut after 1.5.
+const STUCK_LOOK: Duration = Duration::from_millis(600);
 /// Sends of a request that may not have run, beyond the servers it may run at.
 const SENDS_SPARE: u32 = 2;
 /// Waits for a caller whose request has no deadline of its own.
@@ -363,12 +367,24 @@
         server: &place.server.id,
         customer: call.customer.as_deref(),
         last_event,
+        // One that was taken up has a caller who waits for its next event.
+        urgent: last_event.is_some(),
     };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = headers::for_server(&call.headers, added);
-    let sent = time::timeout_at(call.deadline, exchange.send(request)).await;
+    let sent = tokio::select! {
+        sent = time::timeout_at(call.deadline, exchange.send(request)) => sent,
+        () = stuck(gateway, call, &place) => {
+            progress.runs += 1;
+            place.fail();
+            gateway.tally.count("attempts_failed_total", "stuck");
+            info!(gateway.log, "server makes no progress"; "id" => &call.head.id,
+                "server" => &place.server.id);
+            return Err(Answer::Broken);
+        }
+    };
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(error)) if error.is_unsent() => {
@@ -405,6 +421,21 @@
     Ok(Got { parts, head, body, exchange, place })
 }
 
+/// Ends when a server has made no progress for a while, and the request may go to
+/// another one. It never ends for a request that may not be repeated.
+pub async fn stuck(gateway: &Gateway, call: &Call, place: &Place) {
+    if !call.route().repeatable() {
+        return std::future::pending().await;
+    }
+    loop {
+        time::sleep(STUCK_LOOK).await;
+        let now = gateway.clock.now();
+        if gateway.fleet.borrow().is_stuck(&place.server.id, now) {
+            return;
+        }
+    }
+}
+
 fn note_load(gateway: &Gateway, place: &Place, head: &AnswerHead) {
     if let Some((running, waiting)) = head.load {
         let now = gateway.clock.now();
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -1,7 +1,7 @@
 //! A stream of events, passed on and, if it breaks, taken up by another server.
 
 use super::{
-    forward::{Call, Got, Held, Place, Progress, Reply, attempt, may_retry},
+    forward::{Call, Got, Held, Place, Progress, Reply, attempt, may_retry, stuck},
     state::Gateway,
 };
 use crate::{net::http::Exchange, platform::headers};
@@ -91,7 +91,15 @@
     async fn next(&mut self) -> Piece {
         loop {
             let Some(source) = &mut self.source else { return Piece::Cut };
-            let frame = time::timeout_at(self.call.deadline, source.body.frame()).await;
+            let frame = tokio::select! {
+                frame = time::timeout_at(self.call.deadline, source.body.frame()) => frame,
+                () = stuck(&self.gateway, &self.call, &source.place) => {
+                    if !self.take_up_elsewhere("stuck").await {
+                        return self.cut("not taken up");
+                    }
+                    continue;
+                }
+            };
             match frame {
                 Err(_) => return self.cut("late"),
                 Ok(Some(Ok(frame))) => {
@@ -106,10 +114,7 @@
                 }
                 Ok(None) if self.events.is_whole() => return self.finish(),
                 Ok(None) | Ok(Some(Err(_))) => {
-                    if let Some(source) = self.source.take() {
-                        source.place.fail();
-                    }
-                    if !self.resume().await {
+                    if !self.take_up_elsewhere("broken").await {
                         return self.cut("not taken up");
                     }
                 }
@@ -137,6 +142,17 @@
         Piece::Cut
     }
 
+    /// Leaves the server, whose stream ended early or stands still.
+    async fn take_up_elsewhere(&mut self, reason: &'static str) -> bool {
+        if let Some(source) = self.source.take() {
+            source.place.fail();
+            info!(self.gateway.log, "stream left its server"; "id" => &self.call.head.id,
+                "server" => &source.place.server.id, "reason" => reason,
+                "last_event" => self.events.last_id());
+        }
+        self.resume().await
+    }
+
     /// Has another server go on behind the last whole event.
     async fn resume(&mut self) -> bool {
         self.events.drop_part();
--- a/src/mastweir/platform/headers.rs
+++ b/src/mastweir/platform/headers.rs
@@ -9,6 +9,8 @@
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 /// Names the server's life, not an instance of ours.
 const EXPECT_SERVER: HeaderName = HeaderName::from_static("expect-instance");
+/// 0 goes first; without it a request counts as 5.
+const PRIORITY: HeaderName = HeaderName::from_static("request-priority");
 const CUSTOMER: HeaderName = HeaderName::from_static("tenant");
 const NOT_RUN: HeaderName = HeaderName::from_static("not-executed");
 const LOAD: HeaderName = HeaderName::from_static("server-load");
@@ -21,7 +23,7 @@
 
 /// Headers that concern one connection only, and those that a gateway sets or
 /// uses itself.
-const NOT_FORWARDED: [HeaderName; 12] = [
+const NOT_FORWARDED: [HeaderName; 13] = [
     header::CONNECTION,
     KEEP_ALIVE,
     header::TRANSFER_ENCODING,
@@ -34,6 +36,7 @@
     header::AUTHORIZATION,
     CUSTOMER,
     EXPECT_SERVER,
+    PRIORITY,
 ];
 const NOT_RETURNED: [HeaderName; 9] = [
     header::CONNECTION,
@@ -92,6 +95,8 @@
     pub customer: Option<&'a str>,
     /// Last event that the caller has of a stream.
     pub last_event: Option<&'a str>,
+    /// Whether it goes before other requests at the server.
+    pub urgent: bool,
 }
 
 /// Headers for a server: the caller's, and what the gateway adds.
@@ -102,6 +107,7 @@
     set(&mut headers, EXPECT_SERVER, Some(added.server));
     set(&mut headers, CUSTOMER, added.customer);
     set(&mut headers, LAST_EVENT, added.last_event);
+    set(&mut headers, PRIORITY, added.urgent.then_some("1"));
     headers
 }
 
