Test gateways against scripted servers and the users' way to the store

The store's stand-in got a second door that speaks the users' protocol; its objects and faults stay one.

--- /dev/null
+++ b/crates/mastweir-test-support/src/doors.rs
@@ -0,0 +1,185 @@
+//! The users' way of speaking to the store, over the same objects as the platform's.
+//!
+//! Each [`Door`] is an address of its own at which the one store is reached; it can
+//! be shut for those who use it, while the others are served.
+
+use crate::{Served, platform::Platform, serve};
+use rocket::{
+    Shutdown, State,
+    http::{ContentType, Status},
+    serde::json::Json,
+};
+use serde_json::{Value, json};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::time;
+
+/// Items on a page of a list: few, so that lists have several.
+const PAGE: usize = 3;
+
+/// A way to the store.
+#[derive(Debug)]
+pub struct Door {
+    platform: Arc<Platform>,
+    /// Whether those who come here are turned away.
+    pub shut: AtomicBool,
+}
+
+impl Door {
+    /// Opens a door to the platform's store on loopback.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub async fn open(platform: &Arc<Platform>) -> eyre::Result<(Arc<Self>, Served)> {
+        let door = Arc::new(Self { platform: platform.clone(), shut: AtomicBool::new(false) });
+        let managed = door.clone();
+        let routes = rocket::routes![list, get, create, update];
+        let served = serve(0, move |rocket| rocket.mount("/objects", routes).manage(managed));
+        Ok((door, served.await?))
+    }
+
+    async fn enter(&self, kind: usize) -> Result<(), Status> {
+        if self.shut.load(Ordering::SeqCst) {
+            return Err(Status::ServiceUnavailable);
+        }
+        self.platform.enter(kind).await
+    }
+}
+
+type Reply = (Status, (ContentType, String));
+
+fn reply(status: Status, value: &Value) -> Reply {
+    (status, (ContentType::JSON, value.to_string()))
+}
+
+fn no(status: Status) -> Reply {
+    reply(status, &json!({ "error": status.code }))
+}
+
+/// An object in the users' words.
+fn told(object: &Value) -> Value {
+    let metadata = &object["metadata"];
+    let revision = metadata["resourceVersion"].as_str().and_then(|text| text.parse().ok());
+    let revision: u64 = revision.unwrap_or_default();
+    json!({
+        "metadata": { "name": metadata["name"], "revision": revision },
+        "spec": object["spec"],
+        "status": null,
+    })
+}
+
+#[rocket::get("/<kind>?<watch>&<wait_ms>&<after_rev>")]
+async fn list(
+    door: &State<Arc<Door>>,
+    kind: &str,
+    watch: Option<u64>,
+    wait_ms: Option<u64>,
+    after_rev: Option<&str>,
+    shutdown: Shutdown,
+) -> Reply {
+    if let Err(status) = door.enter(if watch.is_some() { 2 } else { 0 }).await {
+        return no(status);
+    }
+    match watch {
+        Some(since) => {
+            let wait = Duration::from_millis(wait_ms.unwrap_or_default());
+            changes(door, kind, since, wait, shutdown).await
+        }
+        None => page(door, kind, after_rev),
+    }
+}
+
+fn page(door: &Door, kind: &str, after: Option<&str>) -> Reply {
+    let list = door.platform.list(kind);
+    let items = list["items"].as_array().cloned().unwrap_or_default();
+    let behind =
+        |item: &&Value| after.is_none_or(|after| item["metadata"]["name"].as_str() > Some(after));
+    let rest: Vec<Value> = items.iter().filter(behind).map(told).collect();
+    let revision: u64 = list["metadata"]["resourceVersion"]
+        .as_str()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or_default();
+    let more = rest.len() > PAGE;
+    let items: Vec<Value> = rest.into_iter().take(PAGE).collect();
+    reply(Status::Ok, &json!({ "items": items, "has_more": more, "timestamp": revision }))
+}
+
+async fn changes(
+    door: &Door,
+    kind: &str,
+    since: u64,
+    wait: Duration,
+    mut shutdown: Shutdown,
+) -> Reply {
+    let end = time::Instant::now() + wait;
+    let mut changed = door.platform.changes();
+    loop {
+        let Some((events, revision)) = door.platform.since(kind, since) else {
+            return no(Status::Gone);
+        };
+        let late = time::Instant::now() >= end;
+        if !events.is_empty() || late {
+            let told = |event: &Value| {
+                let gone = event["type"] == "DELETED";
+                json!({ "deleted": gone, "object": told(&event["object"]) })
+            };
+            let events: Vec<Value> = events.iter().map(told).collect();
+            return reply(Status::Ok, &json!({ "events": events, "timestamp": revision }));
+        }
+        tokio::select! {
+            _ = changed.changed() => (),
+            () = time::sleep_until(end) => (),
+            () = &mut shutdown => return no(Status::ServiceUnavailable),
+        }
+        if door.shut.load(Ordering::SeqCst) {
+            return no(Status::ServiceUnavailable);
+        }
+    }
+}
+
+#[rocket::get("/<kind>/<name>")]
+async fn get(door: &State<Arc<Door>>, kind: &str, name: &str) -> Reply {
+    if let Err(status) = door.enter(0).await {
+        return no(status);
+    }
+    let object = door.platform.object(kind, name);
+    object.map_or(no(Status::NotFound), |object| reply(Status::Ok, &told(&object)))
+}
+
+#[rocket::post("/<kind>", data = "<object>")]
+async fn create(door: &State<Arc<Door>>, kind: &str, object: Json<Value>) -> Reply {
+    if let Err(status) = door.enter(1).await {
+        return no(status);
+    }
+    let name = object["metadata"]["name"].as_str().unwrap_or_default().to_owned();
+    if door.platform.object(kind, &name).is_some() {
+        return no(Status::Conflict);
+    }
+    write(door, kind, &name, &object).await
+}
+
+#[rocket::put("/<kind>/<name>", data = "<object>")]
+async fn update(door: &State<Arc<Door>>, kind: &str, name: &str, object: Json<Value>) -> Reply {
+    if let Err(status) = door.enter(1).await {
+        return no(status);
+    }
+    let Some(is) = door.platform.object(kind, name) else { return no(Status::NotFound) };
+    let given = &object["metadata"]["revision"];
+    if !given.is_null() && *given != told(&is)["metadata"]["revision"] {
+        return no(Status::Conflict);
+    }
+    write(door, kind, name, &object).await
+}
+
+async fn write(door: &Door, kind: &str, name: &str, object: &Value) -> Reply {
+    door.platform.put(kind, name, json!({ "spec": object["spec"] }));
+    door.platform.leave_write().await;
+    let written = door.platform.object(kind, name).unwrap_or_default();
+    reply(Status::Ok, &told(&written))
+}
--- a/crates/mastweir-test-support/src/lib.rs
+++ b/crates/mastweir-test-support/src/lib.rs
@@ -4,15 +4,19 @@
 //! [`platform`] keeps objects in memory; an [`engine`] generates a token a step
 //! and writes down what it ran; [`ranks`] is a group in lock-step; [`proxy`]
 //! delays, loses and cuts. [`fleet`] brings all of it up in one process, and
-//! [`daemons`] and [`procs`] start the real daemons as processes.
+//! [`doors`] speaks to the same objects as the users' platform does, and a
+//! [`scripted`] server answers byte for byte as a test says. [`daemons`] and [`procs`] start the real daemons as processes.
 
 pub mod daemons;
+pub mod doors;
 pub mod engine;
 pub mod fleet;
 pub mod platform;
 pub mod procs;
 pub mod proxy;
 pub mod ranks;
+pub mod scripted;
+pub mod site;
 
 use rocket::{Build, Config, Rocket, config::LogLevel, fairing::AdHoc};
 use std::{
--- a/crates/mastweir-test-support/src/platform.rs
+++ b/crates/mastweir-test-support/src/platform.rs
@@ -57,6 +57,8 @@
     objects: Objects,
     stale: Option<Objects>,
     history: VecDeque<Change>,
+    /// Version up to which changes were forgotten.
+    forgotten: u64,
 }
 
 /// The platform.
@@ -153,7 +155,24 @@
         self.changed.send_modify(|changed| *changed = version);
     }
 
-    async fn enter(&self, kind: usize) -> Result<(), Status> {
+    /// Tells of changes.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// An object.
+    pub(crate) fn object(&self, collection: &str, name: &str) -> Option<Value> {
+        lock(&self.store).objects.by_collection.get(collection)?.get(name).cloned()
+    }
+
+    /// Forgets what has changed so far: watches from before have to list again.
+    pub fn forget_history(&self) {
+        let mut store = lock(&self.store);
+        store.history.clear();
+        store.forgotten = store.objects.version;
+    }
+
+    pub(crate) async fn enter(&self, kind: usize) -> Result<(), Status> {
         self.calls[kind].fetch_add(1, Ordering::Relaxed);
         let slow = self.faults.slow_ms.load(Ordering::Relaxed);
         if slow > 0 {
@@ -166,7 +185,7 @@
         self.faults.down.load(Ordering::SeqCst)
     }
 
-    async fn leave_write(&self) {
+    pub(crate) async fn leave_write(&self) {
         if self.faults.lose_replies.load(Ordering::SeqCst) {
             time::sleep(NEVER).await;
         }
@@ -178,7 +197,7 @@
         Some(object["metadata"]["resourceVersion"].as_str()?.to_owned())
     }
 
-    fn list(&self, collection: &str) -> Value {
+    pub(crate) fn list(&self, collection: &str) -> Value {
         let store = lock(&self.store);
         let objects = store.stale.as_ref().unwrap_or(&store.objects);
         let items: Vec<&Value> =
@@ -188,8 +207,11 @@
     }
 
     /// Changes of a collection after a version; `None` if that is too old.
-    fn since(&self, collection: &str, version: u64) -> Option<(Vec<Value>, u64)> {
+    pub(crate) fn since(&self, collection: &str, version: u64) -> Option<(Vec<Value>, u64)> {
         let store = lock(&self.store);
+        if version < store.forgotten {
+            return None;
+        }
         if store.history.front().is_some_and(|first| first.version > version + 1) {
             return None;
         }
--- /dev/null
+++ b/crates/mastweir-test-support/src/scripted.rs
@@ -0,0 +1,149 @@
+//! A server that answers as a test says, byte for byte.
+
+use crate::lock;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+const BUFFER: usize = 16 << 10;
+
+/// What a server does for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Writes bytes.
+    Send(Vec<u8>),
+    /// Waits.
+    Wait(Duration),
+    /// Closes the connection as usual.
+    Close,
+    /// Resets it.
+    Reset,
+    /// Says nothing until the other side closes.
+    Hang,
+}
+
+/// A request that a server got.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Got {
+    /// Its head.
+    pub head: String,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl Got {
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().skip(1).find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+}
+
+type Script = Arc<dyn Fn(&Got) -> Vec<Act> + Send + Sync>;
+
+/// A server that follows a script.
+#[derive(Debug)]
+pub struct Scripted {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    got: Arc<Mutex<Vec<Got>>>,
+    left: Arc<Mutex<usize>>,
+}
+
+impl Scripted {
+    /// Starts a server that does what `script` says of each request.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub async fn start(
+        script: impl Fn(&Got) -> Vec<Act> + Send + Sync + 'static,
+    ) -> eyre::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let server =
+            Self { addr: listener.local_addr()?, got: Arc::default(), left: Arc::default() };
+        let (got, left) = (server.got.clone(), server.left.clone());
+        let script: Script = Arc::new(script);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, script.clone(), got.clone(), left.clone()));
+            }
+        });
+        Ok(server)
+    }
+
+    /// Requests that it got so far.
+    pub fn got(&self) -> Vec<Got> {
+        lock(&self.got).clone()
+    }
+
+    /// Connections that the other side closed while it hung.
+    pub fn left(&self) -> usize {
+        *lock(&self.left)
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    script: Script,
+    got: Arc<Mutex<Vec<Got>>>,
+    left: Arc<Mutex<usize>>,
+) {
+    let mut read = Vec::new();
+    while let Some(request) = next_request(&mut stream, &mut read).await {
+        let acts = script(&request);
+        lock(&got).push(request);
+        for act in acts {
+            let done = match act {
+                Act::Send(bytes) => stream.write_all(&bytes).await.is_err(),
+                Act::Wait(time) => {
+                    time::sleep(time).await;
+                    false
+                }
+                Act::Close => true,
+                Act::Reset => {
+                    // Closing with nothing left to send resets.
+                    let _ = stream.set_zero_linger();
+                    true
+                }
+                Act::Hang => {
+                    // Whatever ends the read, the other side has gone.
+                    let _ = stream.read(&mut [0]).await;
+                    *lock(&left) += 1;
+                    true
+                }
+            };
+            if done {
+                return;
+            }
+        }
+    }
+}
+
+async fn next_request(stream: &mut TcpStream, read: &mut Vec<u8>) -> Option<Got> {
+    loop {
+        if let Some(end) = read.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&read[..end]).into_owned();
+            let mut got = Got { head, body: Vec::new() };
+            let length = got.header("content-length").and_then(|text| text.parse().ok());
+            let whole = end + 4 + length.unwrap_or(0);
+            if read.len() >= whole {
+                got.body = read[end + 4..whole].to_vec();
+                read.drain(..whole);
+                return Some(got);
+            }
+        }
+        let mut buffer = vec![0; BUFFER];
+        let len = stream.read(&mut buffer).await.ok().filter(|len| *len > 0)?;
+        read.extend_from_slice(&buffer[..len]);
+    }
+}
--- /dev/null
+++ b/crates/mastweir-test-support/src/site.rs
@@ -0,0 +1,296 @@
+//! A small installation of the users' kind: their store, scripted servers, and real
+//! gateways, each on a thread and a loopback address of its own.
+
+use crate::{Served, doors::Door, platform::Platform, scripted::Scripted};
+use eyre::ensure;
+use mastweir::gateway::{
+    self, GatewayOptions,
+    settings::{Bounds, Settings},
+};
+use serde_json::{Value, json};
+use slog::{Logger, o};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::{oneshot, watch},
+    task::LocalSet,
+    time,
+};
+
+/// Longest wait for something that has to happen.
+const WAIT_MAX: Duration = Duration::from_secs(30);
+/// Pause between two looks at it.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// A customer's key in the usual configuration.
+pub const KEY: &str = "key-of-north";
+/// A host in it.
+pub const HOST: &str = "site.example";
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Running {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where its readiness is asked for.
+    pub ready: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<eyre::Result<()>>>,
+}
+
+impl Running {
+    /// Asks it to stop.
+    pub fn ask_to_stop(&mut self) {
+        // One that has ended needs no asking.
+        let _ = self.stop.take().map(|stop| stop.send(()));
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// It failed.
+    pub async fn ended(&mut self) -> eyre::Result<()> {
+        let Some(thread) = self.thread.take() else { return Ok(()) };
+        let joined = tokio::task::spawn_blocking(move || thread.join()).await?;
+        joined.map_err(|_| eyre::eyre!("the gateway's thread panicked"))?
+    }
+
+    /// Whether it calls itself ready.
+    pub async fn is_ready(&self) -> bool {
+        let asked =
+            exchange(self.ready, b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        asked.await.is_ok_and(|answer| answer.status == 200)
+    }
+
+    /// Waits until it calls itself ready.
+    ///
+    /// # Errors
+    ///
+    /// It does not.
+    pub async fn wait_ready(&self) -> eyre::Result<()> {
+        wait_for(async || self.is_ready().await).await
+    }
+}
+
+/// An installation.
+#[derive(Debug)]
+pub struct Site {
+    /// The store's objects.
+    pub platform: Arc<Platform>,
+    ips: Vec<IpAddr>,
+    port: u16,
+}
+
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+impl Site {
+    /// An empty installation with room for some gateways.
+    ///
+    /// # Errors
+    ///
+    /// No address is free.
+    pub fn new(gateways: u8) -> eyre::Result<Self> {
+        let block = NEXT.fetch_add(1, Ordering::Relaxed);
+        let own = u8::try_from(std::process::id() % 200)? + 1;
+        let ip = |number| IpAddr::V4(Ipv4Addr::new(127, own, block, number));
+        let ips: Vec<IpAddr> = (1..=gateways).map(ip).collect();
+        // The addresses are this test's own, so a port free on the first is free on all.
+        let port = free_port(ips[0])?;
+        Ok(Self { platform: Platform::new(), ips, port })
+    }
+
+    /// Writes a configuration into the store.
+    pub fn configure(&self, version: u64, routes: &[Value]) {
+        self.configure_with_keys(version, routes, &[KEY]);
+    }
+
+    /// The same, with other keys of the one customer.
+    pub fn configure_with_keys(&self, version: u64, routes: &[Value], keys: &[&str]) {
+        let spec = json!({
+            "version": version,
+            "routes": routes,
+            "services": [{ "name": "desk", "health_path": "/healthz", "max_connections": 50 }],
+            "limits": { "max_header_bytes": 16_384, "max_body_bytes": 100_000,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
+            "tenants": [{ "name": "north", "api_keys": keys }],
+        });
+        self.platform.put("config", "main", json!({ "spec": spec }));
+    }
+
+    /// Lists a server of the one service.
+    pub fn list(&self, id: &str, server: &Scripted, state: &str) {
+        let spec = json!({ "service": "desk", "address": server.addr.to_string(),
+            "zone": "hall-a", "version": "v1", "slots": 8, "state": state,
+            "warmup_left_ms": 0, "seq": 1 });
+        self.platform.put("servers", id, json!({ "spec": spec }));
+    }
+
+    /// Opens a door to the store.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub async fn door(&self) -> eyre::Result<(Arc<Door>, Served)> {
+        Door::open(&self.platform).await
+    }
+
+    /// Starts a gateway that uses the store at `store`.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub fn gateway(&self, number: usize, store: SocketAddr) -> eyre::Result<Running> {
+        let ip = self.ips[number];
+        let callers = SocketAddr::new(ip, free_port(ip)?);
+        let ready = SocketAddr::new(ip, free_port(ip)?);
+        let settings = Settings {
+            name: format!("gateway-{number}"),
+            hall: "hall-a".to_owned(),
+            ip,
+            internal_port: self.port,
+            seeds: self.ips.clone(),
+            callers: Some(callers),
+            ready: Some(ready),
+            engine: None,
+            store,
+            bounds: Bounds {
+                drain: Duration::from_secs(2),
+                grace: Duration::from_secs(8),
+                retry_ratio: 0.2,
+                retry_window: Duration::from_secs(10),
+                retry_extra: 90.0,
+            },
+        };
+        let (sender, receiver) = watch::channel(settings);
+        let options = GatewayOptions {
+            settings: receiver,
+            callers,
+            ready,
+            metrics_port: None,
+            seed: Some(7),
+            log: Logger::root(slog::Discard, o!()),
+        };
+        let (stop, stopped) = oneshot::channel::<()>();
+        let thread = thread::spawn(move || {
+            let _sender = sender;
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            let stop = async {
+                // A test that ends without asking ends the gateway, too.
+                let _ = stopped.await;
+            };
+            LocalSet::new().block_on(&runtime, gateway::run(&options, stop))
+        });
+        Ok(Running { callers, ready, stop: Some(stop), thread: Some(thread) })
+    }
+}
+
+fn free_port(ip: IpAddr) -> eyre::Result<u16> {
+    Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
+}
+
+/// A route to the one service.
+pub fn route(prefix: &str, kind: &str) -> Value {
+    json!({ "name": prefix, "host": HOST, "path_prefix": prefix, "kind": kind,
+        "timeout_ms": 5_000, "target_latency_ms": 400, "priority": 1, "service": "desk",
+        "max_attempts": 2, "public": false, "stream_resume": true, "gap_aim_ms": 120 })
+}
+
+/// An answer, as its bytes say.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status; 0 if there is no answer.
+    pub status: u16,
+    /// Its head.
+    pub head: String,
+    /// Its body, without chunks' frames.
+    pub body: String,
+    /// Whether the body is whole.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().skip(1).find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+}
+
+/// A request's bytes, for [`exchange`].
+pub fn request(method: &str, path: &str, id: &str, more: &str, body: &str) -> Vec<u8> {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\n\
+         Authorization: Bearer {KEY}\r\nConnection: close\r\n{more}\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// Sends bytes on a connection of their own, and reads the answer to its end.
+///
+/// # Errors
+///
+/// There is no connection, or it does not end.
+pub async fn exchange(addr: SocketAddr, bytes: &[u8]) -> eyre::Result<Answer> {
+    let mut stream = TcpStream::connect(addr).await?;
+    stream.write_all(bytes).await?;
+    let mut read = Vec::new();
+    // A reset ends an answer as well; what came before it counts.
+    let _ = time::timeout(WAIT_MAX, stream.read_to_end(&mut read)).await?;
+    Ok(parse(&read))
+}
+
+fn parse(read: &[u8]) -> Answer {
+    let text = String::from_utf8_lossy(read).into_owned();
+    let Some((head, rest)) = text.split_once("\r\n\r\n") else {
+        return Answer { status: 0, head: text, body: String::new(), whole: false };
+    };
+    let status = head.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
+    let mut answer = Answer { status, head: head.to_owned(), body: rest.to_owned(), whole: true };
+    if answer.header("transfer-encoding").is_some() {
+        (answer.body, answer.whole) = chunks(rest);
+    } else if let Some(length) = answer.header("content-length") {
+        answer.whole = length.parse() == Ok(rest.len());
+    }
+    answer
+}
+
+fn chunks(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, more)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size, 16) else { break };
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = more.get(..size) else { break };
+        body.push_str(chunk);
+        rest = more.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
+
+/// Waits until something holds.
+///
+/// # Errors
+///
+/// It does not for half a minute.
+pub async fn wait_for(holds: impl AsyncFn() -> bool) -> eyre::Result<()> {
+    let end = time::Instant::now() + WAIT_MAX;
+    while !holds().await {
+        ensure!(time::Instant::now() < end, "it did not come to hold in {WAIT_MAX:?}");
+        time::sleep(LOOK_AGAIN).await;
+    }
+    Ok(())
+}
--- a/tests/testsuite/fuzz_hold.rs
+++ b/tests/testsuite/fuzz_hold.rs
@@ -22,6 +22,10 @@
 enum Step {
     /// A coordinator reads a rank's state.
     Read(usize, usize),
+    /// The newest coordinator reads all states, decides, and sends its orders.
+    Look,
+    /// All orders in flight are carried out and answered.
+    AnswerAll,
     /// A coordinator decides, and sends its orders.
     Decide(usize),
     /// An order in flight is carried out and answered.
@@ -49,6 +53,8 @@
     let any = 0..64_usize;
     let pair = (any.clone(), any.clone());
     prop_oneof![
+        12 => Just(Step::Look),
+        4 => Just(Step::AnswerAll),
         20 => pair.prop_map(|(c, r)| Step::Read(c, r)),
         20 => any.clone().prop_map(Step::Decide),
         24 => any.clone().prop_map(Step::Answer),
@@ -328,6 +334,15 @@
         let leaders = self.leaders.len();
         match step {
             Step::Read(leader, rank) => self.read(leader % leaders, rank % RANKS),
+            Step::Look => {
+                (0..RANKS).for_each(|rank| self.read(leaders - 1, rank));
+                self.decide(leaders - 1);
+            }
+            Step::AnswerAll => {
+                while !self.flights.is_empty() {
+                    self.deliver(0, true, false);
+                }
+            }
             Step::Decide(leader) => self.decide(leader % leaders),
             Step::Answer(at) => self.deliver(at, true, false),
             Step::LoseAnswer(at) => self.deliver(at, false, false),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,5 +8,6 @@
 mod fuzz_routing;
 mod fuzz_switch;
 mod fuzz_table;
+mod gateway;
 mod path;
 mod processes;
