Take no idle group for a stalled one

An idle group makes no passes, so at the first request after a pause the last pass looked old and the group stalled. Change: time counts only while something runs; the pace of a group moved into the core with a test that fails on the code before. A refusal says why in its log line.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -9,11 +9,13 @@
 mod config;
 mod events;
 mod fleet;
+mod passes;
 mod proof;
 mod window;
 
 pub use config::{Config, Kind, Limits, Model, Route, RouteIndex, Service, Target};
 pub use events::Events;
 pub use fleet::{Candidate, Directory, Fleet, Refusal, Server, ServerState, Told};
+pub use passes::Passes;
 pub use proof::{Answer, Next, Proof, Step, ending, next};
 pub use window::RetryWindow;
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -527,6 +527,9 @@
         Refusal::NoServer => "no_server",
     };
     gateway.tally.count("refusals_total", reason);
+    info!(gateway.log, "no server found"; "id" => &call.head.id, "service" => &call.service,
+        "reason" => reason, "tried" => progress.tried.join(","),
+        "directory" => gateway.fleet.borrow().directory().revision);
     let run = progress.runs > 0;
     let next = if run { Next::EndUnknown } else { Next::EndNotRun };
     let back = if refusal == Refusal::Full { BACK_FULL } else { BACK_DOWN };
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -6,7 +6,7 @@
     platform::engine::{Choices, Engine, EngineState},
 };
 use mastweir_core::{
-    gateway::Told,
+    gateway::{Passes, Told},
     switch::hold::{OrderKind, Taken},
     time::Uptime,
 };
@@ -24,12 +24,6 @@
 const GATEWAY_LASTS: Duration = Duration::from_secs(4);
 /// Counts in one datagram: they take one to three bytes each.
 const COUNTS_SENT: usize = 400;
-/// Passes of usual length without a new one after which a group stands still,
-/// and the least time for it: two looks at the server.
-const STALL_PASSES: u32 = 4;
-const STALL_LEAST: Duration = Duration::from_millis(450);
-/// Passes over which their time is averaged.
-const PASS_WEIGHT: f64 = 0.4;
 
 /// Looks at the server, for ever, and tells the others.
 pub async fn watch(sidecar: Rc<Sidecar>) {
@@ -44,8 +38,9 @@
                     info!(sidecar.log, "model server regained");
                 }
                 let now = sidecar.clock.now();
-                passes.seen(state.rank.as_ref().map_or(0, |rank| rank.pass), now);
-                sidecar.pass_ms.set(passes.mean_ms);
+                let pass = state.rank.as_ref().map_or(0, |rank| rank.pass);
+                passes.seen(pass, state.running, now);
+                sidecar.pass_ms.set(passes.mean_ms());
                 if told_at.is_none_or(|at| now.since(at) >= LOOK_EVERY) {
                     told_at = Some(now);
                     let choices = sidecar.engine.choices().await.ok();
@@ -84,32 +79,6 @@
     loading.is_some() || rank.busy || rank.scheduled.is_some()
 }
 
-/// How long passes take.
-#[derive(Debug, Default)]
-struct Passes {
-    last: Option<(u64, Uptime)>,
-    mean_ms: f64,
-}
-
-impl Passes {
-    fn seen(&mut self, pass: u64, now: Uptime) {
-        if let Some((before, at)) = self.last.filter(|(before, _)| *before < pass) {
-            let took = now.since(at).as_secs_f64() * 1_000.0 / (pass - before) as f64;
-            self.mean_ms += PASS_WEIGHT * (took - self.mean_ms);
-        }
-        if self.last.is_none_or(|(before, _)| before != pass) {
-            self.last = Some((pass, now));
-        }
-    }
-
-    /// Whether requests run but no pass has begun for far longer than usual.
-    fn stalled(&self, running: u32, now: Uptime) -> bool {
-        let Some((_, since)) = self.last.filter(|_| running > 0) else { return false };
-        let usual = Duration::from_secs_f64(self.mean_ms / 1_000.0) * STALL_PASSES;
-        now.since(since) > usual.max(STALL_LEAST)
-    }
-}
-
 fn tell_gateways(sidecar: &Sidecar, state: &EngineState, passes: &Passes) {
     let now = sidecar.clock.now();
     let rank = state.rank.as_ref();
@@ -121,7 +90,7 @@
         group: state.group.clone(),
         group_open: rank.is_none_or(|rank| rank.open && !stalled),
         pass: rank.map_or(0, |rank| rank.pass),
-        pass_ms: passes.mean_ms as u32,
+        pass_ms: passes.mean_ms() as u32,
     };
     let report = Message::Report(Report { server: sidecar.server, told });
     sidecar.gateways.borrow_mut().retain(|_, at| now.since(*at) < GATEWAY_LASTS);
--- a/tests/testsuite/gateway.rs
+++ b/tests/testsuite/gateway.rs
@@ -53,8 +53,11 @@
     Act::Send(b"0\r\n\r\n".to_vec())
 }
 
+/// What a server does for a request.
+type Script = Box<dyn Fn(&Got) -> Vec<Act> + Send + Sync>;
+
 /// A site with one gateway, ready, before servers with these scripts.
-async fn site_of(scripts: Vec<Box<dyn Fn(&Got) -> Vec<Act> + Send + Sync>>) -> Result<World> {
+async fn site_of(scripts: Vec<Script>) -> Result<World> {
     let site = Site::new(1)?;
     let mut servers = Vec::new();
     for (number, script) in scripts.into_iter().enumerate() {
--- a/tests/testsuite/gateway_core.rs
+++ b/tests/testsuite/gateway_core.rs
@@ -7,8 +7,8 @@
         recent::RecentDemand,
     },
     gateway::{
-        Answer, Config, Directory, Events, Fleet, Kind, Limits, Next, Proof, Refusal, RetryWindow,
-        Route, RouteIndex, Server, ServerState, Step, Target, Told, next,
+        Answer, Config, Directory, Events, Fleet, Kind, Limits, Next, Passes, Proof, Refusal,
+        RetryWindow, Route, RouteIndex, Server, ServerState, Step, Target, Told, next,
     },
     time::Uptime,
 };
@@ -293,3 +293,21 @@
     // The expert that is popular now stands out over the one that was.
     expect_that!(estimate[24], gt(estimate[0]));
 }
+
+/// An idle group makes no passes; the first request after a pause is no stall.
+#[googletest::test]
+fn a_group_stalls_only_while_something_runs() {
+    let mut passes = Passes::default();
+    let ms = Uptime::from_millis;
+    passes.seen(7, 0, ms(1_000));
+    passes.seen(7, 0, ms(9_000));
+    passes.seen(7, 1, ms(9_200));
+    expect_that!(passes.stalled(1, ms(9_200)), eq(false));
+    passes.seen(8, 3, ms(9_250));
+    passes.seen(12, 3, ms(9_450));
+    expect_that!(passes.mean_ms(), gt(10.0));
+    expect_that!(passes.stalled(3, ms(9_800)), eq(false));
+    passes.seen(12, 3, ms(9_950));
+    expect_that!(passes.stalled(3, ms(9_950)), eq(true));
+    expect_that!(passes.stalled(0, ms(9_950)), eq(false));
+}
