--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -174,8 +174,9 @@
 /// Every flag of the daemon stands in the operators' settings page.
 #[tokio::test]
 async fn settings_page_names_every_flag() {
-    let page = include_str!("../../docs/operators/settings.md");
-    for role in ["entry", "agent"] {
+    let own = include_str!("../../docs/operators/settings.md");
+    let users = include_str!("../../docs/operators/platform.md");
+    for (role, page) in [("entry", own), ("agent", own), ("gateway", users), ("sidecar", users)] {
         let help = run(DAEMON, &[role, "--help"]).await;
         let flags = help.lines().filter_map(|line| line.trim().strip_prefix("--"));
         for flag in flags.filter_map(|flag| flag.split([' ', ',']).next()) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,4 +12,5 @@
 mod gateway_core;
 mod hold;
 mod path;
+mod platform_file;
 mod processes;
