--- /dev/null
+++ b/src/mastweir/gateway/attempt.rs
@@ -0,0 +1,190 @@
+//! One attempt: a request sent to one server, up to the head of its answer.
+
+use super::{
+    call::{Call, Progress},
+    state::Gateway,
+};
+use crate::{
+    net::http::{CallError, Exchange},
+    platform::headers::{self, Added, AnswerHead},
+};
+use http_body_util::Full;
+use hyper::{Request, StatusCode, body::Incoming, http::response::Parts};
+use mastweir_core::gateway::{Answer, Candidate, Proof};
+use slog::info;
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::time;
+
+/// Opening a connection takes a round trip; a machine that is gone says nothing.
+const CONNECT_LASTS: Duration = Duration::from_millis(250);
+/// A server without an answer or an event for this long is looked at. Callers give
+/// a stream up after two seconds, and a dead rank's group is cut after 1.5.
+const STUCK_LOOK: Duration = Duration::from_millis(600);
+
+/// An answer whose head was read.
+#[derive(Debug)]
+pub struct Got {
+    /// Status and headers.
+    pub parts: Parts,
+    /// What its head says.
+    pub head: AnswerHead,
+    /// Its body.
+    pub body: Incoming,
+    /// The connection.
+    pub exchange: Exchange,
+    /// Its place at the server.
+    pub place: Place,
+}
+
+/// A request's place at a server: counted from the choice to the end.
+#[derive(Debug)]
+pub struct Place {
+    gateway: Rc<Gateway>,
+    /// The server.
+    pub server: Candidate,
+    failed: Cell<bool>,
+}
+
+impl Place {
+    fn take(gateway: &Rc<Gateway>, server: Candidate) -> Self {
+        gateway.fleet.borrow_mut().sent(&server.id);
+        Self { gateway: gateway.clone(), server, failed: Cell::new(false) }
+    }
+
+    /// Notes that the server gave no whole answer, or a failure.
+    pub fn fail(&self) {
+        self.failed.set(true);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = self.gateway.clock.now();
+        self.gateway.fleet.borrow_mut().ended(&self.server.id, self.failed.get(), now);
+    }
+}
+
+/// Sends a request to a server, and reads the head of the answer.
+pub async fn attempt(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    server: Candidate,
+    last_event: Option<&str>,
+    progress: &mut Progress,
+) -> Result<Got, Answer> {
+    progress.tried.push(server.id.clone());
+    let place = Place::take(gateway, server);
+    let addr = place.server.addr;
+    let idle = if call.route().repeatable() { gateway.servers.reuse(addr) } else { None };
+    let opened = match idle {
+        Some(exchange) => Ok(exchange),
+        None => gateway.servers.open(addr, CONNECT_LASTS.min(call.left())).await,
+    };
+    let mut exchange = opened.map_err(|error| {
+        unreachable(gateway, call, &place, &error);
+        Answer::NotRun(Proof::NeverSent)
+    })?;
+    let added = Added {
+        left: call.left(),
+        server: &place.server.id,
+        customer: call.customer.as_deref(),
+        last_event,
+        // One that was taken up has a caller who waits for its next event.
+        urgent: last_event.is_some(),
+    };
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = headers::for_server(&call.headers, added);
+    let sent = tokio::select! {
+        sent = time::timeout_at(call.deadline, exchange.send(request)) => sent,
+        () = stuck(gateway, call, &place) => {
+            progress.runs += 1;
+            place.fail();
+            gateway.tally.count("attempts_failed_total", "stuck");
+            info!(gateway.log, "server makes no progress"; "id" => &call.head.id,
+                "server" => &place.server.id);
+            return Err(Answer::Broken);
+        }
+    };
+    let response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) if error.is_unsent() => {
+            unreachable(gateway, call, &place, &error);
+            return Err(Answer::NotRun(Proof::NeverSent));
+        }
+        Ok(Err(error)) => {
+            progress.runs += 1;
+            broken(gateway, call, &place, &error);
+            return Err(Answer::Broken);
+        }
+        Err(_) => {
+            progress.runs += 1;
+            return Err(Answer::Broken);
+        }
+    };
+    let (parts, body) = response.into_parts();
+    let head = headers::read_answer(&parts.headers);
+    note_load(gateway, &place, &head);
+    if !head.id.is_empty() && head.id != call.head.id {
+        progress.runs += 1;
+        place.fail();
+        info!(gateway.log, "answer belongs to another request"; "id" => &call.head.id,
+            "answer_id" => &head.id, "server" => &place.server.id);
+        return Err(Answer::Broken);
+    }
+    let wrong_server = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    if wrong_server || head.not_run {
+        let proof = if wrong_server { Proof::WrongServer } else { Proof::Refused };
+        refused(gateway, call, &place, proof);
+        return Err(Answer::NotRun(proof));
+    }
+    progress.runs += 1;
+    Ok(Got { parts, head, body, exchange, place })
+}
+
+/// Ends when a server has made no progress for a while, and the request may go to
+/// another one. It never ends for a request that may not be repeated.
+pub async fn stuck(gateway: &Gateway, call: &Call, place: &Place) {
+    if !call.route().repeatable() {
+        return std::future::pending().await;
+    }
+    loop {
+        time::sleep(STUCK_LOOK).await;
+        let now = gateway.clock.now();
+        if gateway.fleet.borrow().is_stuck(&place.server.id, now) {
+            return;
+        }
+    }
+}
+
+fn note_load(gateway: &Gateway, place: &Place, head: &AnswerHead) {
+    if let Some((running, waiting)) = head.load {
+        let now = gateway.clock.now();
+        gateway.fleet.borrow_mut().answered_load(&place.server.id, running, waiting, now);
+    }
+}
+
+fn unreachable(gateway: &Gateway, call: &Call, place: &Place, error: &CallError) {
+    gateway.fleet.borrow_mut().unreachable(&place.server.id, gateway.clock.now());
+    gateway.tally.count("attempts_failed_total", "unreachable");
+    info!(gateway.log, "server not reached"; "id" => &call.head.id, "server" => &place.server.id,
+        "error" => %error);
+}
+
+fn broken(gateway: &Gateway, call: &Call, place: &Place, error: &CallError) {
+    place.fail();
+    gateway.tally.count("attempts_failed_total", "broken");
+    info!(gateway.log, "attempt broken"; "id" => &call.head.id, "server" => &place.server.id,
+        "error" => %error);
+}
+
+fn refused(gateway: &Gateway, call: &Call, place: &Place, proof: Proof) {
+    if proof == Proof::WrongServer {
+        gateway.fleet.borrow_mut().unreachable(&place.server.id, gateway.clock.now());
+    }
+    gateway.tally.count("attempts_failed_total", "refused");
+    info!(gateway.log, "server refused"; "id" => &call.head.id, "server" => &place.server.id,
+        "proof" => ?proof, "load_milli" => place.server.load_milli,
+        "report_age_ms" => place.server.report_age.map(|age| age.as_millis() as u64));
+}
--- /dev/null
+++ b/src/mastweir/gateway/call.rs
@@ -0,0 +1,57 @@
+//! A request that was read, and what became of it so far.
+
+use super::state::Active;
+use crate::platform::headers::CallHead;
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use mastweir_core::gateway::Route;
+use std::{rc::Rc, time::Duration};
+use tokio::time::Instant;
+
+/// A request that was read whole.
+#[derive(Debug)]
+pub struct Call {
+    /// What its head says.
+    pub head: CallHead,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its body.
+    pub body: Bytes,
+    /// The configuration under which it was admitted.
+    pub active: Rc<Active>,
+    /// Number of its route there.
+    pub number: usize,
+    /// The service that serves it.
+    pub service: String,
+    /// The customer whose key it carried.
+    pub customer: Option<String>,
+    /// When it was read.
+    pub arrived: Instant,
+    /// When its answer is due.
+    pub deadline: Instant,
+}
+
+impl Call {
+    /// Its route.
+    pub fn route(&self) -> &Route {
+        &self.active.config.routes[self.number]
+    }
+
+    /// Time that is left.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// What became of a request so far.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Servers that it was sent to.
+    pub tried: Vec<String>,
+    /// Sends after which it may have run.
+    pub runs: u32,
+}
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -1,7 +1,9 @@
 //! A stream of events, passed on and, if it breaks, taken up by another server.
 
 use super::{
-    forward::{Call, Got, Held, Place, Progress, Reply, attempt, may_retry, stuck},
+    attempt::{Got, Place, attempt, stuck},
+    call::{Call, Progress},
+    forward::{Held, Reply, may_retry},
     state::Gateway,
 };
 use crate::{net::http::Exchange, platform::headers};
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -2,7 +2,7 @@
 
 use super::{
     lead::{self, LEAD_EVERY},
-    rank,
+    plan, rank,
     state::Sidecar,
 };
 use crate::{
@@ -12,11 +12,7 @@
 };
 use futures_util::future::join_all;
 use mastweir_core::{
-    experts::{
-        layers::{LayerPlanner, mean_skew},
-        recent::RecentDemand,
-    },
-    gateway::Model,
+    experts::{layers::mean_skew, recent::RecentDemand},
     switch::hold::{
         Act, GroupMap, Layers, Order, OrderKind, RankState, Taken, View, Wanted, decide,
     },
@@ -25,7 +21,7 @@
 use serde::Serialize;
 use slog::{info, warn};
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
@@ -57,19 +53,6 @@
 const PASS_MS_LEAST: f64 = 20.0;
 /// A load that was taken is not ordered again for this time: some ten experts.
 const LOAD_LASTS: Duration = Duration::from_millis(2_500);
-/// Seconds for which a map helps, as demand shifts every few seconds.
-const HORIZON_S: f64 = 2.5;
-/// What loading one expert costs, in seconds of a pass at its mean load. Between 0.005
-/// and 0.01, measured on three days of the users' (docs/benchmarks/platform.md).
-const LOAD_COST: f64 = 0.007;
-/// Passes take 15 in 100 longer while a rank loads, says the users' page.
-const LOAD_SLOWS: f64 = 0.15;
-/// Part of a group's places in use at which quicker passes begin to count, and at
-/// which they count in full.
-const PRESSURE_FROM: f64 = 0.3;
-const PRESSURE_FULL: f64 = 0.7;
-/// What they count at least: a burst may come.
-const PRESSURE_LEAST: f64 = 0.1;
 /// Versions under one token; tokens are the higher bits, so that no two
 /// coordinators give the same version to two maps.
 const VERSIONS_BITS: u32 = 20;
@@ -353,7 +336,7 @@
                 "missing" => missing);
             return;
         }
-        self.map = Some((version, assemble(&by_rank, experts)));
+        self.map = Some((version, plan::assemble(&by_rank, experts)));
         self.guessed = missing > 0;
         info!(self.sidecar.log, "map read"; "group" => self.group, "version" => version,
             "missing" => missing);
@@ -375,8 +358,9 @@
             return;
         }
         let demand = demand.by_set();
-        let pressure = self.pressure(&model);
-        let Some(plan) = planner(&model).plan(map, &demand, pressure) else { return };
+        let load = self.ranks.values().map(|seen| seen.load).sum();
+        let pressure = plan::pressure(&model, load, self.ranks.len());
+        let Some(plan) = plan::planner(&model).plan(map, &demand, pressure) else { return };
         info!(self.sidecar.log, "map planned"; "group" => self.group, "loads" => plan.loads,
             "moved" => plan.moved, "pressure" => format!("{pressure:.2}"), "skew_now" => format!("{:.3}", mean_skew(map, &demand)),
             "skew_then" => format!("{:.3}", plan.skew_then));
@@ -393,15 +377,6 @@
         PASSES_LEAST + (time.as_secs_f64() * 1_000.0 / pass_ms).ceil() as u64
     }
 
-    /// What quicker passes are worth to the group, 0 to 1.
-    fn pressure(&self, model: &Model) -> f64 {
-        let load: u32 = self.ranks.values().map(|seen| seen.load).sum();
-        let places = (model.slots as usize * self.ranks.len()).max(1);
-        let used = f64::from(load) / places as f64;
-        let part = (used - PRESSURE_FROM) / (PRESSURE_FULL - PRESSURE_FROM);
-        part.clamp(PRESSURE_LEAST, 1.0)
-    }
-
     fn want(&mut self, map: GroupMap) {
         self.versions += 1;
         let version = (self.token << VERSIONS_BITS) + self.versions;
@@ -484,33 +459,3 @@
         (rank, loads, reply)
     }
 }
-
-/// A group's map from its ranks' parts. One that is missing gets what no other has.
-fn assemble(by_rank: &[Option<Layers>], experts: usize) -> GroupMap {
-    let sets = by_rank.iter().flatten().map(Vec::len).max().unwrap_or(0);
-    let of = |rank: &Option<Layers>, set: usize| {
-        rank.as_ref().and_then(|layers| layers.get(set)).cloned().unwrap_or_default()
-    };
-    let by_set = |set: usize| {
-        let mut ranks: Vec<Vec<u16>> = by_rank.iter().map(|rank| of(rank, set)).collect();
-        let held: HashSet<u16> = ranks.iter().flatten().copied().collect();
-        let all = 0..u16::try_from(experts).unwrap_or(u16::MAX);
-        let lacking: Vec<u16> = all.filter(|expert| !held.contains(expert)).collect();
-        if let Some(missing) = by_rank.iter().position(Option::is_none) {
-            ranks[missing] = lacking;
-        }
-        ranks
-    };
-    (0..sets).map(by_set).collect()
-}
-
-fn planner(model: &Model) -> LayerPlanner {
-    LayerPlanner {
-        places: model.places,
-        fresh: model.fresh,
-        load_s: model.load_s,
-        horizon_s: HORIZON_S,
-        load_cost: LOAD_COST,
-        load_slows: LOAD_SLOWS,
-    }
-}
--- a/src/mastweir/sidecar/mod.rs
+++ b/src/mastweir/sidecar/mod.rs
@@ -8,6 +8,7 @@
 
 mod coordinate;
 mod lead;
+mod plan;
 mod rank;
 mod state;
 
--- /dev/null
+++ b/src/mastweir/sidecar/plan.rs
@@ -0,0 +1,61 @@
+//! What goes into a plan: the group's map, its pressure, and the planner's weights.
+
+use mastweir_core::{
+    experts::layers::LayerPlanner,
+    gateway::Model,
+    switch::hold::{GroupMap, Layers},
+};
+use std::collections::HashSet;
+
+/// Seconds for which a map helps, as demand shifts every few seconds.
+const HORIZON_S: f64 = 2.5;
+/// What loading one expert costs, in seconds of a pass at its mean load. Between 0.005
+/// and 0.01, measured on three days of the users' (docs/benchmarks/platform.md).
+const LOAD_COST: f64 = 0.007;
+/// Passes take 15 in 100 longer while a rank loads, says the users' page.
+const LOAD_SLOWS: f64 = 0.15;
+/// Part of a group's places in use at which quicker passes begin to count, and at
+/// which they count in full.
+const PRESSURE_FROM: f64 = 0.3;
+const PRESSURE_FULL: f64 = 0.7;
+/// What they count at least: a burst may come.
+const PRESSURE_LEAST: f64 = 0.1;
+
+/// What quicker passes are worth to a group, 0 to 1, by the requests that run and
+/// wait at its ranks.
+pub fn pressure(model: &Model, load: u32, ranks: usize) -> f64 {
+    let places = (model.slots as usize * ranks).max(1);
+    let used = f64::from(load) / places as f64;
+    let part = (used - PRESSURE_FROM) / (PRESSURE_FULL - PRESSURE_FROM);
+    part.clamp(PRESSURE_LEAST, 1.0)
+}
+
+/// A group's map from its ranks' parts. One that is missing gets what no other has.
+pub fn assemble(by_rank: &[Option<Layers>], experts: usize) -> GroupMap {
+    let sets = by_rank.iter().flatten().map(Vec::len).max().unwrap_or(0);
+    let of = |rank: &Option<Layers>, set: usize| {
+        rank.as_ref().and_then(|layers| layers.get(set)).cloned().unwrap_or_default()
+    };
+    let by_set = |set: usize| {
+        let mut ranks: Vec<Vec<u16>> = by_rank.iter().map(|rank| of(rank, set)).collect();
+        let held: HashSet<u16> = ranks.iter().flatten().copied().collect();
+        let all = 0..u16::try_from(experts).unwrap_or(u16::MAX);
+        let lacking: Vec<u16> = all.filter(|expert| !held.contains(expert)).collect();
+        if let Some(missing) = by_rank.iter().position(Option::is_none) {
+            ranks[missing] = lacking;
+        }
+        ranks
+    };
+    (0..sets).map(by_set).collect()
+}
+
+pub fn planner(model: &Model) -> LayerPlanner {
+    LayerPlanner {
+        places: model.places,
+        fresh: model.fresh,
+        load_s: model.load_s,
+        horizon_s: HORIZON_S,
+        load_cost: LOAD_COST,
+        load_slows: LOAD_SLOWS,
+    }
+}
--- a/tests/testsuite/gateway.rs
+++ b/tests/testsuite/gateway.rs
@@ -303,6 +303,21 @@
     Ok(())
 }
 
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_a_signature_is_nobodys() -> Result<()> {
+    let script = |got: &Got| {
+        let id = got.header("request-id").unwrap_or_default();
+        let head =
+            format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n");
+        vec![Act::Send(head.into_bytes()), chunk("id: 1\ndata: a\n\n"), last_chunk()]
+    };
+    let world = site_of(vec![Box::new(script)]).await?;
+    let reply = world.call("POST", "/stream/a", "", "x").await?;
+    expect_that!((reply.status, reply.body.as_str()), eq((502, "")));
+    Ok(())
+}
+
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_who_leaves_ends_the_work_at_the_server() -> Result<()> {
