Forget dead gateways: name only those that were heard

Cause, found by reading: a gateway that was named by another counted as live, and was named on, so two gateways named a dead one to each other for ever; its part of the retries stayed unused and hellos went on. Change: peers that were only named are greeted, not counted nor named. They moved into the core, with a test that failed on the rule as it was.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod events;
 mod fleet;
 mod passes;
+mod peers;
 mod proof;
 mod window;
 
@@ -17,5 +18,6 @@
 pub use events::Events;
 pub use fleet::{Candidate, Directory, Fleet, Refusal, Server, ServerState, Told};
 pub use passes::Passes;
+pub use peers::Peers;
 pub use proof::{Answer, Next, Proof, Step, ending, next};
 pub use window::RetryWindow;
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -26,8 +26,6 @@
 /// And this much less often for each gateway, so that the traffic of one gateway
 /// does not grow with their number.
 const HELLO_PER_GATEWAY: Duration = Duration::from_millis(15);
-/// A gateway that was not heard for this long is gone.
-const GATEWAY_LASTS: Duration = Duration::from_secs(4);
 /// How long another's newer state has to last before it is fetched: the store
 /// usually brings it by itself.
 const BEHIND_LASTS: Duration = Duration::from_millis(120);
@@ -81,15 +79,12 @@
     {
         let mut gateways = gateway.gateways.borrow_mut();
         if hello.leaving {
-            gateways.remove(&from);
-        } else if gateways.insert(from, now).is_none() {
+            gateways.left(from);
+        } else if gateways.heard(from, now) {
             info!(gateway.log, "gateway found"; "peer" => %from, "config" => hello.config);
         }
-        for other in &hello.gateways {
-            if *other != own && !gateways.contains_key(other) {
-                // Heard of, not heard: it counts only for a while.
-                gateways.insert(*other, now);
-            }
+        for other in hello.gateways.iter().filter(|other| **other != own) {
+            gateways.named(*other, now);
         }
     }
     let newer = hello.config > gateway.version()
@@ -159,7 +154,7 @@
 ) {
     loop {
         forget_gone(&gateway, &ranks);
-        let gateways = gateway.gateways.borrow().len();
+        let gateways = gateway.gateways.borrow().live().count();
         let sent = hellos(&gateway, &ranks.borrow());
         for (addr, hello) in sent {
             let Ok(bytes) = postcard::to_stdvec(&Message::Hello(hello)) else { continue };
@@ -173,13 +168,9 @@
 
 fn forget_gone(gateway: &Gateway, ranks: &RefCell<HashMap<SocketAddr, String>>) {
     let now = gateway.clock.now();
-    gateway.gateways.borrow_mut().retain(|ip, heard| {
-        let lives = now.since(*heard) < GATEWAY_LASTS;
-        if !lives {
-            info!(gateway.log, "gateway lost"; "peer" => %ip);
-        }
-        lives
-    });
+    for ip in gateway.gateways.borrow_mut().expire(now) {
+        info!(gateway.log, "gateway lost"; "peer" => %ip);
+    }
     let fleet = gateway.fleet.borrow();
     let known: HashSet<SocketAddr> =
         fleet.directory().servers.values().map(|server| server.addr).collect();
@@ -189,18 +180,18 @@
 /// Hellos to all gateways and seeds, and to the sidecars of all models' servers.
 fn hellos(gateway: &Gateway, ranks: &HashMap<SocketAddr, String>) -> Vec<(SocketAddr, Hello)> {
     let settings = gateway.settings.borrow();
-    let known: Vec<IpAddr> = gateway.gateways.borrow().keys().copied().collect();
+    let gateways = gateway.gateways.borrow();
     let fleet = gateway.fleet.borrow();
     let hello = Hello {
         config: gateway.version(),
         directory: fleet.directory().revision,
         leaving: gateway.stopping.get(),
-        gateways: known.iter().copied().take(GATEWAYS_NAMED).collect(),
+        gateways: gateways.live().take(GATEWAYS_NAMED).collect(),
         ranks: Vec::new(),
         model: None,
     };
     let to_gateways: HashSet<IpAddr> =
-        known.into_iter().chain(settings.seeds.clone()).filter(|ip| *ip != settings.ip).collect();
+        gateways.greeted().chain(settings.seeds.clone()).filter(|ip| *ip != settings.ip).collect();
     let at = |ip| SocketAddr::new(ip, settings.internal_port);
     let mut sent: Vec<(SocketAddr, Hello)> =
         to_gateways.into_iter().map(|ip| (at(ip), hello.clone())).collect();
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -6,10 +6,7 @@
     platform::store::Store,
     util::{clock::Clock, tally::Tally},
 };
-use mastweir_core::{
-    gateway::{Config, Directory, Fleet, RetryWindow, Route, RouteIndex},
-    time::Uptime,
-};
+use mastweir_core::gateway::{Config, Directory, Fleet, Peers, RetryWindow, Route, RouteIndex};
 use rand::{SeedableRng, rngs::SmallRng};
 use slog::{Logger, info};
 use std::{
@@ -78,8 +75,8 @@
     pub fleet: RefCell<Fleet>,
     /// Randomness of choices.
     pub rng: RefCell<SmallRng>,
-    /// Live gateways besides this one, and when each was heard.
-    pub gateways: RefCell<HashMap<IpAddr, Uptime>>,
+    /// The other gateways.
+    pub gateways: RefCell<Peers>,
     /// Requests that are held.
     pub held: Cell<usize>,
     /// Connections of callers.
@@ -160,7 +157,7 @@
     /// Takes a retry out of the service's budget.
     pub fn take_retry(&self, service: &str) -> bool {
         let now = self.clock.now();
-        let gateways = (self.gateways.borrow().len() + 1).max(GATEWAYS_LEAST);
+        let gateways = (self.gateways.borrow().live().count() + 1).max(GATEWAYS_LEAST);
         let extra = self.settings.borrow().bounds.retry_extra / gateways as f64;
         self.window(service, |window| window.take(now, extra))
     }
--- a/tests/testsuite/gateway_core.rs
+++ b/tests/testsuite/gateway_core.rs
@@ -7,8 +7,8 @@
         recent::RecentDemand,
     },
     gateway::{
-        Answer, Config, Directory, Events, Fleet, Kind, Limits, Next, Passes, Proof, Refusal,
-        RetryWindow, Route, RouteIndex, Server, ServerState, Step, Target, Told, next,
+        Answer, Config, Directory, Events, Fleet, Kind, Limits, Next, Passes, Peers, Proof,
+        Refusal, RetryWindow, Route, RouteIndex, Server, ServerState, Step, Target, Told, next,
     },
     time::Uptime,
 };
@@ -311,3 +311,26 @@
     expect_that!(passes.stalled(3, ms(9_950)), eq(true));
     expect_that!(passes.stalled(0, ms(9_950)), eq(false));
 }
+
+/// Two gateways that name a third to each other forget it once it is silent.
+#[googletest::test]
+fn a_dead_gateway_is_not_named_in_a_circle() {
+    let ip = |last: u8| std::net::IpAddr::from([10, 0, 0, last]);
+    let (mut one, mut two) = (Peers::default(), Peers::default());
+    for second in 0..30 {
+        let now = Uptime::from_secs(second);
+        expect_that!(one.heard(ip(2), now), eq(second == 0));
+        two.heard(ip(1), now);
+        if second < 3 {
+            one.heard(ip(3), now);
+            two.heard(ip(3), now);
+        }
+        let (from_one, from_two): (Vec<_>, Vec<_>) = (one.live().collect(), two.live().collect());
+        from_two.into_iter().filter(|peer| *peer != ip(1)).for_each(|peer| one.named(peer, now));
+        from_one.into_iter().filter(|peer| *peer != ip(2)).for_each(|peer| two.named(peer, now));
+        let lost = one.expire(now);
+        two.expire(now);
+        expect_that!(lost.contains(&ip(3)), eq(second == 6));
+    }
+    expect_that!(one.greeted().collect::<Vec<_>>(), eq(&vec![ip(2)]));
+}
