Hold a test gateway's ports together, and say why one ended

Suspected: its ports were drawn one after the other, each let go before the next, so two could be the same; a socket bound to every address elsewhere takes its UDP port too.

--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use slog::{Logger, o};
 use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     sync::{
         Arc,
         atomic::{AtomicU8, Ordering},
@@ -28,6 +28,8 @@
 
 /// Longest wait for something that has to happen.
 const WAIT_MAX: Duration = Duration::from_secs(30);
+/// Ports that are tried for one that is free everywhere.
+const PORTS_TRIED: usize = 50;
 /// Pause between two looks at it.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// A customer's key in the usual configuration.
@@ -77,7 +79,10 @@
     ///
     /// It does not.
     pub async fn wait_ready(&self) -> eyre::Result<()> {
-        wait_for(async || self.is_ready().await).await
+        let has_ended = || self.thread.as_ref().is_none_or(JoinHandle::is_finished);
+        wait_for(async || self.is_ready().await || has_ended()).await?;
+        ensure!(!has_ended(), "the gateway at {} ended instead; see why above", self.callers);
+        Ok(())
     }
 }
 
@@ -103,8 +108,7 @@
         let own = u8::try_from(std::process::id() % 200)? + 1;
         let ip = |number| IpAddr::V4(Ipv4Addr::new(127, own, block, number));
         let ips: Vec<IpAddr> = (1..=gateways).map(ip).collect();
-        // The addresses are this test's own, so a port free on the first is free on all.
-        let port = free_port(ips[0])?;
+        let port = free_on_all(&ips)?;
         Ok(Self { platform: Platform::new(), ips, port })
     }
 
@@ -150,8 +154,7 @@
     /// No port is free.
     pub fn gateway(&self, number: usize, store: SocketAddr) -> eyre::Result<Running> {
         let ip = self.ips[number];
-        let callers = SocketAddr::new(ip, free_port(ip)?);
-        let ready = SocketAddr::new(ip, free_port(ip)?);
+        let [callers, ready] = free_ports(ip)?.map(|port| SocketAddr::new(ip, port));
         let settings = Settings {
             name: format!("gateway-{number}"),
             hall: "hall-a".to_owned(),
@@ -187,14 +190,35 @@
                 // A test that ends without asking ends the gateway, too.
                 let _ = stopped.await;
             };
-            LocalSet::new().block_on(&runtime, gateway::run(&options, stop))
+            let ended = LocalSet::new().block_on(&runtime, gateway::run(&options, stop));
+            if let Err(error) = &ended {
+                eprintln!("gateway ended: {error:#}");
+            }
+            ended
         });
         Ok(Running { callers, ready, stop: Some(stop), thread: Some(thread) })
     }
 }
 
-fn free_port(ip: IpAddr) -> eyre::Result<u16> {
-    Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
+/// Two ports that are free at the same time.
+fn free_ports(ip: IpAddr) -> eyre::Result<[u16; 2]> {
+    let held = [TcpListener::bind((ip, 0))?, TcpListener::bind((ip, 0))?];
+    Ok([held[0].local_addr()?.port(), held[1].local_addr()?.port()])
+}
+
+/// A port that is free on all addresses, over TCP and UDP: a socket that some other
+/// test has bound to every address takes it from all of them.
+fn free_on_all(ips: &[IpAddr]) -> eyre::Result<u16> {
+    for _ in 0..PORTS_TRIED {
+        let port = TcpListener::bind((ips[0], 0))?.local_addr()?.port();
+        let is_free = |ip: &IpAddr| {
+            TcpListener::bind((*ip, port)).is_ok() && UdpSocket::bind((*ip, port)).is_ok()
+        };
+        if ips.iter().all(is_free) {
+            return Ok(port);
+        }
+    }
+    eyre::bail!("no port is free on {ips:?}; end other programs that listen on all addresses")
 }
 
 /// A route to the one service.
