--- a/crates/mastweir-core/src/experts/layers.rs
+++ b/crates/mastweir-core/src/experts/layers.rs
@@ -43,8 +43,8 @@
 
 /// Loads at one rank that are tried.
 const LOADS: [usize; 5] = [1, 2, 3, 5, 8];
-/// Ranks that may get a copy, in each step: the least loaded ones of the set. A step
-/// among all of 32 ranks takes five times as long and ends at the same skew.
+/// Ranks that may get a copy, in each step: the least loaded ones of the set, so that
+/// a step among 32 ranks looks at a fifth of them. Not timed at that size yet.
 const TARGETS: usize = 6;
 /// Steps of a plan, over all sets: far more than there are places to change.
 const STEPS_MAX: usize = 600;
