Call one piece where the change had written two

Cause, from reading the whole change again: a sidecar kept its own list of live gateways beside the core's Peers; the choice of a server stood in forwarding and in streams; an idle connection's usability was tested in three places; a stream's head lost a header twice. Change: one piece each (Peers, Gateway::choose, Idle::is_usable); the second removal is gone. A sidecar now logs a lost gateway too, as docs/OPERATIONS.md says.

--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -232,13 +232,7 @@
     let held = Duration::from_millis(call.route().objective_ms).mul_f64(HELD_PART);
     let until = (call.arrived + held).min(call.deadline);
     loop {
-        let found = {
-            let fleet = gateway.fleet.borrow();
-            let now = gateway.clock.now();
-            let mut rng = gateway.rng.borrow_mut();
-            fleet.choose(&call.service, &progress.tried, room, now, &mut *rng)
-        };
-        match found {
+        match gateway.choose(&call.service, &progress.tried, room) {
             Ok(server) => return Ok(server),
             Err(refusal) if Instant::now() + LOOK_AGAIN >= until => return Err(refusal),
             Err(_) => time::sleep(LOOK_AGAIN).await,
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -6,7 +6,9 @@
     platform::store::Store,
     util::{clock::Clock, tally::Tally},
 };
-use mastweir_core::gateway::{Config, Directory, Fleet, Peers, RetryWindow, Route, RouteIndex};
+use mastweir_core::gateway::{
+    Candidate, Config, Directory, Fleet, Peers, Refusal, RetryWindow, Route, RouteIndex,
+};
 use rand::{SeedableRng, rngs::SmallRng};
 use slog::{Logger, info};
 use std::{
@@ -148,6 +150,16 @@
         }
     }
 
+    /// Chooses a server of a service with room, other than those tried.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] says why there is none.
+    pub fn choose(&self, service: &str, tried: &[String], room: f64) -> Result<Candidate, Refusal> {
+        let mut rng = self.rng.borrow_mut();
+        self.fleet.borrow().choose(service, tried, room, self.clock.now(), &mut *rng)
+    }
+
     /// Counts a request of a service.
     pub fn count_request(&self, service: &str) {
         let now = self.clock.now();
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -64,8 +64,7 @@
     progress: Progress,
     held: Held,
 ) -> Reply {
-    let mut head = headers::for_caller(&got.parts.headers);
-    head.remove(hyper::header::CONTENT_LENGTH);
+    let head = headers::for_caller(&got.parts.headers);
     let events = Events::after(call.head.last_event.clone());
     let source = Some(source(got));
     let relay = Relay { gateway, call, progress, events, source, resumed: 0, _held: held };
@@ -166,13 +165,8 @@
             if !may_retry(&self.gateway, &self.call, &self.progress, answer) {
                 return false;
             }
-            let found = {
-                let fleet = self.gateway.fleet.borrow();
-                let now = self.gateway.clock.now();
-                let mut rng = self.gateway.rng.borrow_mut();
-                let tried = &self.progress.tried;
-                fleet.choose(&self.call.service, tried, RESUME_ROOM, now, &mut *rng)
-            };
+            let tried = &self.progress.tried;
+            let found = self.gateway.choose(&self.call.service, tried, RESUME_ROOM);
             let Ok(server) = found else { return false };
             let last = self.events.last_id().map(str::to_owned);
             let got =
--- a/src/mastweir/net/http.rs
+++ b/src/mastweir/net/http.rs
@@ -105,6 +105,12 @@
     until: Instant,
 }
 
+impl Idle {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.until > now && !self.exchange.sender.is_closed()
+    }
+}
+
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -118,8 +124,7 @@
         let list = idle.get_mut(&addr)?;
         let now = Instant::now();
         while let Some(last) = list.pop() {
-            let usable = last.until > now && last.exchange.sender.is_ready();
-            if usable && !last.exchange.sender.is_closed() {
+            if last.is_usable(now) && last.exchange.sender.is_ready() {
                 return Some(last.exchange);
             }
         }
@@ -155,11 +160,11 @@
     /// its server keeps it, if it said so.
     pub fn give_back(&self, exchange: Exchange, keep: Option<Duration>) {
         let lasts = keep.map_or(IDLE_LASTS, |keep| keep.saturating_sub(IDLE_MARGIN));
-        let until = Instant::now() + lasts.min(IDLE_LASTS);
+        let now = Instant::now();
+        let until = now + lasts.min(IDLE_LASTS);
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(exchange.addr).or_default();
-        let now = Instant::now();
-        list.retain(|idle| idle.until > now && !idle.exchange.sender.is_closed());
+        list.retain(|idle| idle.is_usable(now));
         if list.len() < IDLE_MAX {
             list.push(Idle { exchange, until });
         }
@@ -171,7 +176,7 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         for list in idle.values_mut() {
-            list.retain(|idle| idle.until > now && !idle.exchange.sender.is_closed());
+            list.retain(|idle| idle.is_usable(now));
         }
         idle.retain(|_, list| !list.is_empty());
     }
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -20,8 +20,6 @@
 const LOOK_BUSY: Duration = Duration::from_millis(40);
 /// A load that takes longer than this is looked at like any other state.
 const LOAD_LASTS: Duration = Duration::from_secs(3);
-/// A gateway that was not heard for this long gets no reports.
-const GATEWAY_LASTS: Duration = Duration::from_secs(4);
 /// Counts in one datagram: they take one to three bytes each.
 const COUNTS_SENT: usize = 400;
 
@@ -93,8 +91,10 @@
         pass_ms: passes.mean_ms() as u32,
     };
     let report = Message::Report(Report { server: sidecar.server, told });
-    sidecar.gateways.borrow_mut().retain(|_, at| now.since(*at) < GATEWAY_LASTS);
-    sidecar.gateways.borrow().keys().for_each(|ip| sidecar.send(*ip, &report));
+    for ip in sidecar.gateways.borrow_mut().expire(now) {
+        info!(sidecar.log, "gateway lost"; "peer" => %ip);
+    }
+    sidecar.gateways.borrow().live().for_each(|ip| sidecar.send(ip, &report));
 }
 
 fn tell_coordinator(
@@ -172,10 +172,10 @@
 fn hello_from(sidecar: &Sidecar, hello: Hello, from: IpAddr) {
     let now = sidecar.clock.now();
     if hello.leaving {
-        sidecar.gateways.borrow_mut().remove(&from);
+        sidecar.gateways.borrow_mut().left(from);
         return;
     }
-    if sidecar.gateways.borrow_mut().insert(from, now).is_none() {
+    if sidecar.gateways.borrow_mut().heard(from, now) {
         info!(sidecar.log, "gateway found"; "peer" => %from);
     }
     if !hello.ranks.is_empty() {
--- a/src/mastweir/sidecar/state.rs
+++ b/src/mastweir/sidecar/state.rs
@@ -10,11 +10,13 @@
     },
     util::clock::Clock,
 };
-use mastweir_core::{gateway::Model, time::Uptime};
+use mastweir_core::{
+    gateway::{Model, Peers},
+    time::Uptime,
+};
 use slog::Logger;
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     net::{IpAddr, SocketAddr},
     rc::Rc,
 };
@@ -60,8 +62,8 @@
     pub internal: Rc<Pool>,
     /// The socket for datagrams.
     pub socket: UdpSocket,
-    /// Gateways, and when each was heard.
-    pub gateways: RefCell<HashMap<IpAddr, Uptime>>,
+    /// Gateways.
+    pub gateways: RefCell<Peers>,
     /// Model servers of the group.
     pub ranks: RefCell<Vec<SocketAddr>>,
     /// The engine's model.
