Go on with a group at once when its coordinator's instance stands still

The coordinator of g0-1 froze right after it had paused the group at pass 199 (11.0 s); the successor had the lease at 11.75 s and resumed the group only at 12.59 s. Two waits of 0.4 s lay between: it asked the frozen rank's server for its state, and then for its map, before it did anything for the seven others. Ruled out: the lease (15 ms), the orders (20 ms). Also, a coordinator announced itself only between its steps, so one that waited 0.6 s for the answer to an order fell silent for its group.

Change: ranks whose sidecars are silent are asked in the background (sidecar/ranks, which now holds what the coordinator knows of its ranks); the map is read from those that answer; the announcer runs beside the steps, every 110 ms, and a coordinator is missing after 0.45 s (0.6 before).

--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -86,7 +86,7 @@
 }
 
 /// What a sidecar answers to an order.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct OrderReply {
     /// What the rank made of it; none if it gave no answer.
     pub taken: Option<Taken>,
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -1,8 +1,8 @@
 //! The coordinator of a group: plans maps, and has them put in force.
 
 use super::{
-    lead::{self, LEAD_EVERY},
     plan, rank,
+    ranks::{Ranks, Seen},
     state::Sidecar,
 };
 use crate::{
@@ -21,16 +21,11 @@
 use serde::Serialize;
 use slog::{info, warn};
 use std::{
-    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
 use tokio::{sync::mpsc, time};
 
-/// A rank's state that is older than this decides nothing.
-const STATE_LASTS: Duration = Duration::from_millis(700);
-/// Servers whose sidecars are silent are asked this often.
-const ASK_EVERY: Duration = Duration::from_millis(150);
 /// Pause between two looks while nothing is under way, and while something is.
 const LOOK_IDLE: Duration = Duration::from_millis(100);
 const LOOK_BUSY: Duration = Duration::from_millis(15);
@@ -51,43 +46,26 @@
 const PASSES_LEAST: u64 = 2;
 /// Passes that seem quicker than this come from a group that was idle.
 const PASS_MS_LEAST: f64 = 20.0;
-/// A load that was taken is not ordered again for this time: some ten experts.
-const LOAD_LASTS: Duration = Duration::from_millis(2_500);
 /// Versions under one token; tokens are the higher bits, so that no two
 /// coordinators give the same version to two maps.
 const VERSIONS_BITS: u32 = 20;
 
-#[derive(Debug)]
-struct Seen {
-    server: SocketAddr,
-    at: Uptime,
-    state: RankState,
-    /// Requests that run and wait there.
-    load: u32,
-    /// When its sidecar read it, on its own clock; none if that is silent and the
-    /// server was asked itself.
-    read_at: Option<Uptime>,
-}
-
 struct Coordinator<'a> {
     sidecar: &'a Sidecar,
     group: &'a str,
     token: u64,
-    ranks: BTreeMap<u32, Seen>,
+    ranks: Ranks,
     demand: Option<RecentDemand>,
     map: Option<(u64, GroupMap)>,
     wanted: Option<(Wanted, Uptime)>,
     versions: u64,
     fenced: bool,
-    asked: Uptime,
     /// When an order last got no answer.
     unanswered: Option<Uptime>,
     /// Whether a part of the map is a guess.
     guessed: bool,
     /// Where the coordinator before is, if there was another.
     before: Option<IpAddr>,
-    /// Version, epoch and time of the last load that a rank has begun.
-    loading: BTreeMap<u32, (u64, u64, Uptime)>,
 }
 
 /// Coordinates until another takes over.
@@ -102,35 +80,33 @@
         sidecar,
         group,
         token,
-        ranks: BTreeMap::new(),
+        ranks: Ranks::new(),
         demand: None,
         map: None,
         wanted: None,
         versions: 0,
         fenced: false,
-        asked: Uptime::default(),
         unanswered: None,
         guessed: false,
         before: before.filter(|ip| *ip != sidecar.ip),
-        loading: BTreeMap::new(),
     };
-    let mut announced = time::Instant::now() - LEAD_EVERY;
     loop {
-        if announced.elapsed() >= LEAD_EVERY {
-            announced = time::Instant::now();
-            lead::announce(sidecar, group, token);
-        }
         while let Ok(report) = reports.try_recv() {
             own.take_in(&report);
         }
+        while let Some(asked) = own.ranks.answer_now() {
+            own.ranks.take_answer(sidecar, asked);
+        }
         if own.is_over() {
             return;
         }
         let busy = own.step().await;
         let pause = if busy { LOOK_BUSY } else { LOOK_IDLE };
-        // A report ends the pause.
-        if let Ok(Some(report)) = time::timeout(pause, reports.recv()).await {
-            own.take_in(&report);
+        // A report or an answer ends the pause.
+        tokio::select! {
+            () = time::sleep(pause) => (),
+            Some(report) = reports.recv() => own.take_in(&report),
+            Some(asked) = own.ranks.answer() => own.ranks.take_answer(sidecar, asked),
         }
     }
 }
@@ -152,97 +128,22 @@
             return;
         }
         let now = self.sidecar.clock.now();
-        let seen = Seen {
-            server: report.server,
-            at: now,
-            read_at: Some(report.read_at),
-            state: report.state.clone(),
-            load: report.load,
-        };
-        self.note(seen);
+        self.ranks.report(report, now);
         let Some(model) = self.sidecar.model.borrow().clone() else { return };
         let demand =
             self.demand.get_or_insert_with(|| RecentDemand::new(model.sets, model.experts));
         demand.add(report.from as usize, &report.counts, now);
     }
 
-    /// Takes a rank's state in, unless a newer one is known.
-    fn note(&mut self, seen: Seen) {
-        let newer = self.ranks.get(&seen.state.rank).is_none_or(|before| {
-            let lapsed = seen.at.since(before.at) >= STATE_LASTS;
-            let later = match (seen.read_at, before.read_at) {
-                (Some(now), Some(before)) => now >= before,
-                _ => seen.state.pass >= before.state.pass,
-            };
-            lapsed || seen.state.epoch > before.state.epoch || later
-        });
-        if newer {
-            self.ranks.insert(seen.state.rank, seen);
-        }
-    }
-
-    /// The states of all ranks, in order; none where it is not fresh.
-    fn states(&self) -> Vec<Option<RankState>> {
-        let now = self.sidecar.clock.now();
-        let Some(size) = self.ranks.values().next().map(|seen| seen.state.size) else {
-            return Vec::new();
-        };
-        let fresh = |rank: u32| {
-            let seen = self.ranks.get(&rank).filter(|seen| now.since(seen.at) < STATE_LASTS)?;
-            let mut state = seen.state.clone();
-            state.busy |= self.is_loading(&state, now);
-            Some(state)
-        };
-        (0..size).map(fresh).collect()
-    }
-
-    /// Whether a rank has taken the order to load what is wanted, and may still be
-    /// at it: its state does not say so.
-    fn is_loading(&self, state: &RankState, now: Uptime) -> bool {
-        let Some((wanted, _)) = &self.wanted else { return false };
-        self.loading.get(&state.rank).is_some_and(|(version, epoch, since)| {
-            (*version, *epoch) == (wanted.version, state.epoch) && now.since(*since) < LOAD_LASTS
-        })
-    }
-
-    /// Asks the servers themselves whose sidecars are silent. What they say is some
-    /// hundred milliseconds old, and each call is paid for.
-    async fn ask_silent(&mut self) {
-        let now = self.sidecar.clock.now();
-        let heard = |server: &SocketAddr| {
-            let seen = self.ranks.values().find(|seen| seen.server == *server);
-            seen.is_some_and(|seen| now.since(seen.at) < STATE_LASTS)
-        };
-        let roster = self.sidecar.ranks.borrow().clone();
-        let silent: Vec<SocketAddr> = roster.into_iter().filter(|server| !heard(server)).collect();
-        if silent.is_empty() || now.since(self.asked) < ASK_EVERY {
-            return;
-        }
-        self.asked = now;
-        let engines: Vec<Engine> = silent.iter().map(|server| self.engine(*server)).collect();
-        let states = join_all(engines.iter().map(Engine::state)).await;
-        for (server, state) in silent.into_iter().zip(states) {
-            let state = state.ok().filter(|state| state.group.as_deref() == Some(self.group));
-            // What was read is as old as the question, if this process stood still.
-            if let Some(state) = state.and_then(|state| state.rank) {
-                let load = self.load_at(state.rank);
-                self.note(Seen { server, at: now, read_at: None, state, load });
-            }
-        }
-    }
-
-    fn load_at(&self, rank: u32) -> u32 {
-        self.ranks.get(&rank).map_or(0, |seen| seen.load)
-    }
-
     fn engine(&self, server: SocketAddr) -> Engine {
         Engine::new(server, self.sidecar.internal.clone())
     }
 
     /// One step. True if something is under way.
     async fn step(&mut self) -> bool {
-        self.ask_silent().await;
-        let states = self.states();
+        self.ranks.ask_silent(self.sidecar, self.group);
+        let wanted = self.wanted.as_ref().map(|(wanted, _)| wanted.version);
+        let states = self.ranks.states(wanted, self.sidecar.clock.now());
         let known: Vec<&RankState> = states.iter().flatten().collect();
         let Some(version) = known.first().map(|state| state.map) else { return false };
         let whole = known.len() == states.len();
@@ -281,19 +182,14 @@
     }
 
     fn own_rank(&self) -> usize {
-        let server = self.sidecar.server;
-        let own = self.ranks.iter().find(|(_, seen)| seen.server == server);
-        own.map_or(0, |(rank, _)| *rank as usize)
+        self.ranks.number_at(self.sidecar.server).unwrap_or(0)
     }
 
     /// The rank of the coordinator before, if it is the one that can't be reached.
     fn predecessor(&self, states: &[Option<RankState>]) -> Option<usize> {
         let before = self.before?;
-        let now = self.sidecar.clock.now();
-        let mut seen = self.ranks.values();
-        let reached = |seen: &Seen| seen.server.ip() == before && now.since(seen.at) < STATE_LASTS;
-        let missing = states.iter().position(Option::is_none);
-        if seen.any(reached) { None } else { missing }
+        let heard = self.ranks.hears(before, self.sidecar.clock.now());
+        if heard { None } else { states.iter().position(Option::is_none) }
     }
 
     /// Forgets a change that is in force, or that is too late.
@@ -320,7 +216,9 @@
     /// Reads the map in force from the ranks. A rank that can't be reached holds at
     /// least what no other does; the map is read again when it is back.
     async fn read_map(&mut self, version: u64, ranks: usize) {
-        let reads = self.ranks.iter().map(async |(rank, seen)| (*rank, self.read_rank(seen).await));
+        // One that is silent would hold up the others.
+        let fresh = self.ranks.fresh(self.sidecar.clock.now());
+        let reads = fresh.map(async |seen| (seen.state.rank, self.read_rank(seen).await));
         let read: Vec<(u32, Option<(u64, Layers)>)> = join_all(reads).await;
         let mut by_rank: Vec<Option<Layers>> = vec![None; ranks];
         for (rank, layers) in read {
@@ -358,8 +256,7 @@
             return;
         }
         let demand = demand.by_set();
-        let load = self.ranks.values().map(|seen| seen.load).sum();
-        let pressure = plan::pressure(&model, load, self.ranks.len());
+        let pressure = plan::pressure(&model, self.ranks.load(), states.len());
         let Some(plan) = plan::planner(&model).plan(map, &demand, pressure) else { return };
         info!(self.sidecar.log, "map planned"; "group" => self.group, "loads" => plan.loads,
             "moved" => plan.moved, "pressure" => format!("{pressure:.2}"), "skew_now" => format!("{:.3}", mean_skew(map, &demand)),
@@ -395,18 +292,18 @@
         let replies = join_all(given).await;
         for (rank, loads, reply) in replies {
             if let (Some(loads), Some(Taken::Yes)) = (loads, reply.taken) {
-                self.loading.insert(rank, (loads.0, loads.1, now));
+                self.ranks.loads(rank, loads.0, loads.1, now);
             }
             if reply.taken.is_none() {
                 self.unanswered = Some(now);
             }
             self.fenced |= reply.taken == Some(Taken::Fenced);
-            let Some(seen) = self.ranks.get(&rank) else { continue };
+            let Some(seen) = self.ranks.get(rank) else { continue };
             let server = seen.server;
             let read_at = seen.read_at.map(|_| reply.read_at);
             if let Some(state) = reply.state {
                 let load = seen.load;
-                self.note(Seen { server, at: now, read_at, state, load });
+                self.ranks.note(Seen { server, at: now, read_at, state, load });
             }
         }
     }
@@ -432,13 +329,15 @@
         let call = internal::call(&self.sidecar.internal, addr, path, asked, ORDER_LASTS);
         call.await.unwrap_or_else(|error| {
             warn!(self.sidecar.log, "sidecar gave no answer"; "rank" => seen.state.rank, "error" => %error);
-            OrderReply { taken: None, state: None, read_at: Uptime::default() }
+            OrderReply::default()
         })
     }
 
     /// Gives an order. Names the version and epoch if it was one to load.
     async fn give_one(&self, rank: u32, order: Order) -> (u32, Option<(u64, u64)>, OrderReply) {
-        let seen = &self.ranks[&rank];
+        let Some(seen) = self.ranks.get(rank) else {
+            return (rank, None, OrderReply::default());
+        };
         let reply = if seen.read_at.is_none() || seen.server == self.sidecar.server {
             rank::carry_out(self.sidecar, &self.engine(seen.server), &order).await
         } else if matches!(order.kind, OrderKind::Pause { .. } | OrderKind::Resume { .. }) {
--- a/src/mastweir/sidecar/lead.rs
+++ b/src/mastweir/sidecar/lead.rs
@@ -16,7 +16,7 @@
 
 /// A coordinator that was not heard for this long is missing: four of its
 /// messages. A group may stand still for as long.
-const LEAD_LASTS: Duration = Duration::from_millis(600);
+const LEAD_LASTS: Duration = Duration::from_millis(450);
 /// Each rank waits this much longer than the one before, so that they do not all
 /// ask the store.
 const RANK_WAITS: Duration = Duration::from_millis(80);
@@ -25,7 +25,7 @@
 /// Pause after the store gave no lease.
 const STORE_PAUSE: Duration = Duration::from_millis(700);
 /// How often a coordinator says that it is there.
-pub const LEAD_EVERY: Duration = Duration::from_millis(150);
+const LEAD_EVERY: Duration = Duration::from_millis(110);
 
 /// Looks for a coordinator, and becomes it if there is none, for ever.
 pub async fn elect(sidecar: Rc<Sidecar>) {
@@ -56,7 +56,11 @@
                 sidecar.token.set(token);
                 while reports.try_recv().is_ok() {}
                 let before = sidecar.heard.borrow().as_ref().map(|heard| heard.from);
-                coordinate::run(&sidecar, &group, token, before, &mut reports).await;
+                tokio::select! {
+                    () = coordinate::run(&sidecar, &group, token, before, &mut reports) => (),
+                    // Also while it waits for the answer to an order.
+                    () = announce(&sidecar, &group, token) => (),
+                }
                 sidecar.token.set(0);
                 info!(sidecar.log, "coordinator no more"; "group" => &group, "token" => token);
             }
@@ -99,10 +103,13 @@
     group.chars().map(safe).collect()
 }
 
-/// Tells the group's sidecars that this one is the coordinator.
-pub fn announce(sidecar: &Sidecar, group: &str, token: u64) {
+/// Tells the group's sidecars that this one is the coordinator, for ever.
+async fn announce(sidecar: &Sidecar, group: &str, token: u64) {
     let lead = Message::Lead(Lead { group: group.to_owned(), token });
-    let others = sidecar.ranks.borrow();
-    let others = others.iter().map(SocketAddr::ip).filter(|ip| *ip != sidecar.ip);
-    others.for_each(|ip| sidecar.send(ip, &lead));
+    loop {
+        let ranks = sidecar.ranks.borrow().clone();
+        let others = ranks.iter().map(SocketAddr::ip).filter(|ip| *ip != sidecar.ip);
+        others.for_each(|ip| sidecar.send(ip, &lead));
+        time::sleep(LEAD_EVERY).await;
+    }
 }
--- a/src/mastweir/sidecar/mod.rs
+++ b/src/mastweir/sidecar/mod.rs
@@ -3,13 +3,14 @@
 //! It reads the server's state and what its requests chose, which is free and
 //! fresh only there, and tells gateways and the group's coordinator. It carries
 //! out orders for the coordinator. One sidecar of each group is the coordinator
-//! (`coordinate`); what it decides is in [`mastweir_core::switch::hold`] and
+//! (`coordinate`, which knows its ranks by `ranks`); what it decides is in [`mastweir_core::switch::hold`] and
 //! [`mastweir_core::experts::layers`].
 
 mod coordinate;
 mod lead;
 mod plan;
 mod rank;
+mod ranks;
 mod state;
 
 use crate::{gateway::settings::Settings, net::internal};
--- /dev/null
+++ b/src/mastweir/sidecar/ranks.rs
@@ -0,0 +1,227 @@
+//! What a coordinator knows of its ranks, and where it comes from.
+//!
+//! Sidecars report their ranks' states. A rank whose sidecar is silent is asked
+//! itself, in the background: one that gives no answer, since its instance
+//! stands still, must not hold up what the others need.
+
+use super::state::Sidecar;
+use crate::{gateway::message::RankReport, net::http::Pool, platform::engine::Engine};
+use mastweir_core::{switch::hold::RankState, time::Uptime};
+use slog::info;
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashSet},
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{sync::mpsc, task};
+
+/// A rank's state that is older than this decides nothing.
+const STATE_LASTS: Duration = Duration::from_millis(700);
+/// Servers whose sidecars are silent are asked this often.
+const ASK_EVERY: Duration = Duration::from_millis(150);
+/// A load that was taken is not ordered again for this time: some ten experts.
+const LOAD_LASTS: Duration = Duration::from_millis(2_500);
+
+/// A rank's state, and how it came.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Where its server listens.
+    pub server: SocketAddr,
+    /// When it was known at the latest, on this process's clock.
+    pub at: Uptime,
+    /// The state.
+    pub state: RankState,
+    /// Requests that run and wait there.
+    pub load: u32,
+    /// When its sidecar read it, on its own clock; none if that is silent and the
+    /// server was asked itself.
+    pub read_at: Option<Uptime>,
+}
+
+/// What a server that was asked itself said; no state if it gave no answer.
+#[derive(Debug)]
+pub struct Asked {
+    server: SocketAddr,
+    at: Uptime,
+    state: Option<RankState>,
+}
+
+/// The last load that a rank has begun.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    version: u64,
+    epoch: u64,
+    at: Uptime,
+}
+
+/// The ranks of a group.
+#[derive(Debug)]
+pub struct Ranks {
+    seen: BTreeMap<u32, Seen>,
+    loading: BTreeMap<u32, Load>,
+    asked: Uptime,
+    pending: HashSet<SocketAddr>,
+    unanswering: RefCell<HashSet<SocketAddr>>,
+    answers: mpsc::UnboundedSender<Asked>,
+    answered: mpsc::UnboundedReceiver<Asked>,
+}
+
+impl Ranks {
+    /// Nothing known yet.
+    pub fn new() -> Self {
+        let (answers, answered) = mpsc::unbounded_channel();
+        Self {
+            seen: BTreeMap::new(),
+            loading: BTreeMap::new(),
+            asked: Uptime::default(),
+            pending: HashSet::new(),
+            unanswering: RefCell::default(),
+            answers,
+            answered,
+        }
+    }
+
+    /// A rank as it was last seen.
+    pub fn get(&self, rank: u32) -> Option<&Seen> {
+        self.seen.get(&rank)
+    }
+
+    /// Those whose state is fresh.
+    pub fn fresh(&self, now: Uptime) -> impl Iterator<Item = &Seen> {
+        self.seen.values().filter(move |seen| now.since(seen.at) < STATE_LASTS)
+    }
+
+    /// Requests that run and wait at all of them.
+    pub fn load(&self) -> u32 {
+        self.seen.values().map(|seen| seen.load).sum()
+    }
+
+    /// Number of the rank whose server listens at an address.
+    pub fn number_at(&self, server: SocketAddr) -> Option<usize> {
+        let own = self.seen.values().find(|seen| seen.server == server);
+        own.map(|seen| seen.state.rank as usize)
+    }
+
+    /// Whether a rank on an instance is fresh.
+    pub fn hears(&self, ip: IpAddr, now: Uptime) -> bool {
+        self.fresh(now).any(|seen| seen.server.ip() == ip)
+    }
+
+    /// Takes a sidecar's report in.
+    pub fn report(&mut self, report: &RankReport, now: Uptime) {
+        self.note(Seen {
+            server: report.server,
+            at: now,
+            read_at: Some(report.read_at),
+            state: report.state.clone(),
+            load: report.load,
+        });
+    }
+
+    /// Takes a rank's state in, unless a newer one is known.
+    pub fn note(&mut self, seen: Seen) {
+        let newer = self.seen.get(&seen.state.rank).is_none_or(|before| {
+            let lapsed = seen.at.since(before.at) >= STATE_LASTS;
+            let later = match (seen.read_at, before.read_at) {
+                (Some(now), Some(before)) => now >= before,
+                _ => seen.state.pass >= before.state.pass,
+            };
+            lapsed || seen.state.epoch > before.state.epoch || later
+        });
+        if newer {
+            self.seen.insert(seen.state.rank, seen);
+        }
+    }
+
+    /// A rank has taken the order to load a version.
+    pub fn loads(&mut self, rank: u32, version: u64, epoch: u64, at: Uptime) {
+        self.loading.insert(rank, Load { version, epoch, at });
+    }
+
+    /// The states of all ranks, in order; none where it is not fresh. A rank that
+    /// may still be loading `wanted` is busy: its state does not say so.
+    pub fn states(&self, wanted: Option<u64>, now: Uptime) -> Vec<Option<RankState>> {
+        let Some(size) = self.seen.values().next().map(|seen| seen.state.size) else {
+            return Vec::new();
+        };
+        let fresh = |rank: u32| {
+            let seen = self.seen.get(&rank).filter(|seen| now.since(seen.at) < STATE_LASTS)?;
+            let mut state = seen.state.clone();
+            state.busy |= wanted.is_some_and(|wanted| self.is_loading(&state, wanted, now));
+            Some(state)
+        };
+        (0..size).map(fresh).collect()
+    }
+
+    fn is_loading(&self, state: &RankState, wanted: u64, now: Uptime) -> bool {
+        self.loading.get(&state.rank).is_some_and(|load| {
+            (load.version, load.epoch) == (wanted, state.epoch) && now.since(load.at) < LOAD_LASTS
+        })
+    }
+
+    /// Asks the servers themselves whose sidecars are silent. What they say is some
+    /// hundred milliseconds old, and each call is paid for.
+    pub fn ask_silent(&mut self, sidecar: &Sidecar, group: &str) {
+        let now = sidecar.clock.now();
+        if now.since(self.asked) < ASK_EVERY {
+            return;
+        }
+        let heard: HashSet<SocketAddr> = self.fresh(now).map(|seen| seen.server).collect();
+        let roster = sidecar.ranks.borrow().clone();
+        let silent = roster.into_iter().filter(|server| !heard.contains(server));
+        let silent: Vec<SocketAddr> = silent.filter(|at| !self.pending.contains(at)).collect();
+        if silent.is_empty() {
+            return;
+        }
+        self.asked = now;
+        for server in silent {
+            self.pending.insert(server);
+            let pool = sidecar.internal.clone();
+            task::spawn_local(ask(server, pool, group.to_owned(), now, self.answers.clone()));
+        }
+    }
+
+    /// The next answer of a server that was asked itself.
+    pub async fn answer(&mut self) -> Option<Asked> {
+        self.answered.recv().await
+    }
+
+    /// The same, if it is there already.
+    pub fn answer_now(&mut self) -> Option<Asked> {
+        self.answered.try_recv().ok()
+    }
+
+    /// Takes such an answer in.
+    pub fn take_answer(&mut self, sidecar: &Sidecar, asked: Asked) {
+        let Asked { server, at, state } = asked;
+        self.pending.remove(&server);
+        let lost = state.is_none();
+        let mut unanswering = self.unanswering.borrow_mut();
+        let changed = if lost { unanswering.insert(server) } else { unanswering.remove(&server) };
+        drop(unanswering);
+        if changed {
+            let msg = if lost { "lost" } else { "regained" };
+            info!(sidecar.log, "silent rank's server"; "server" => %server, "state" => msg);
+        }
+        let Some(state) = state else { return };
+        let load = self.seen.get(&state.rank).map_or(0, |seen| seen.load);
+        self.note(Seen { server, at, read_at: None, state, load });
+    }
+}
+
+/// Asks one server. What is read is as old as the question, if this process stood
+/// still meanwhile.
+async fn ask(
+    server: SocketAddr,
+    pool: Rc<Pool>,
+    group: String,
+    at: Uptime,
+    answers: mpsc::UnboundedSender<Asked>,
+) {
+    let state = Engine::new(server, pool).state().await.ok();
+    let state = state.filter(|state| state.group.as_deref() == Some(&group));
+    // The coordinator may have ended meanwhile.
+    let _ = answers.send(Asked { server, at, state: state.and_then(|state| state.rank) });
+}
