Draw ports while no process is being started

Until it becomes its program, a process that is being started holds copies of all sockets of the test process; the harness draws free ports, lets them go, and a gateway that binds them in that moment finds them in use and ends. Ruled out: two worlds with the same addresses (blocks differ), outgoing connections (their source is 127.0.0.1), ports drawn twice (held together).

Change: one lock round every start of a process in tests and round the drawing of ports; an installation draws its three ports at once.

--- a/crates/mastweir-test-support/src/daemons.rs
+++ b/crates/mastweir-test-support/src/daemons.rs
@@ -1,12 +1,15 @@
 //! The real daemons as processes of their own.
 
+use crate::forks;
 use eyre::WrapErr;
 use serde::Deserialize;
 use std::{
+    fs::File,
     io::{BufRead, BufReader},
     net::SocketAddr,
+    ops::{Deref, DerefMut},
     path::Path,
-    process::{Child, Command, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
 };
 
 /// Where a daemon listens.
@@ -20,32 +23,25 @@
     pub http: Option<SocketAddr>,
 }
 
-/// A daemon; it is killed when this is dropped.
+/// A process; it is killed when this is dropped.
 #[derive(Debug)]
-pub struct Daemon {
+pub struct Process {
     child: Child,
-    /// Where it listens.
-    pub listening: Listening,
 }
 
-impl Daemon {
-    /// Starts `program` with `args` and waits until it listens.
+impl Process {
+    /// Starts a program; what it writes goes to `log`.
     ///
     /// # Errors
     ///
-    /// It does not start, or ends at once.
-    pub fn start(program: &Path, args: &[String]) -> eyre::Result<Self> {
-        let mut command = Command::new(program);
-        command.args(args).stdout(Stdio::piped()).stderr(Stdio::null()).stdin(Stdio::null());
-        let mut child =
-            command.spawn().wrap_err_with(|| format!("starting {}", program.display()))?;
-        let mut line = String::new();
-        if let Some(stdout) = child.stdout.take() {
-            BufReader::new(stdout).read_line(&mut line)?;
-        }
-        let listening = serde_json::from_str(&line)
-            .wrap_err("the daemon ended before it listened; run it by hand to see why")?;
-        Ok(Self { child, listening })
+    /// It can't be started.
+    pub fn start(command: &mut Command, log: File) -> eyre::Result<Self> {
+        command.stdin(Stdio::null()).stderr(log.try_clone()?).stdout(log);
+        let forking = forks();
+        let child = command.spawn();
+        drop(forking);
+        let child = child.wrap_err_with(|| format!("starting {:?}", command.get_program()))?;
+        Ok(Self { child })
     }
 
     /// Asks it to stop as planned.
@@ -53,6 +49,11 @@
         self.signal(libc::SIGTERM);
     }
 
+    /// Tells it that its settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(libc::SIGHUP);
+    }
+
     /// Freezes it.
     pub fn pause(&self) {
         self.signal(libc::SIGSTOP);
@@ -74,13 +75,13 @@
         self.child.id()
     }
 
-    /// Its exit code, once it has ended.
+    /// How it ended, once it has.
     ///
     /// # Errors
     ///
     /// The system does not tell.
-    pub fn exit_code(&mut self) -> eyre::Result<Option<i32>> {
-        Ok(self.child.try_wait()?.and_then(|status| status.code()))
+    pub fn ended(&mut self) -> eyre::Result<Option<ExitStatus>> {
+        Ok(self.child.try_wait()?)
     }
 
     #[expect(unsafe_code, reason = "the standard library sends no signals but SIGKILL")]
@@ -93,8 +94,62 @@
     }
 }
 
-impl Drop for Daemon {
+impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
     }
 }
+
+/// A daemon that tells where it listens.
+#[derive(Debug)]
+pub struct Daemon {
+    process: Process,
+    /// Where it listens.
+    pub listening: Listening,
+}
+
+impl Daemon {
+    /// Starts `program` with `args` and waits until it listens.
+    ///
+    /// # Errors
+    ///
+    /// It does not start, or ends at once.
+    pub fn start(program: &Path, args: &[String]) -> eyre::Result<Self> {
+        let mut command = Command::new(program);
+        command.args(args).stdout(Stdio::piped()).stderr(Stdio::null()).stdin(Stdio::null());
+        let forking = forks();
+        let child = command.spawn();
+        drop(forking);
+        let mut child = child.wrap_err_with(|| format!("starting {}", program.display()))?;
+        let mut line = String::new();
+        if let Some(stdout) = child.stdout.take() {
+            BufReader::new(stdout).read_line(&mut line)?;
+        }
+        let listening = serde_json::from_str(&line)
+            .wrap_err("the daemon ended before it listened; run it by hand to see why")?;
+        Ok(Self { process: Process { child }, listening })
+    }
+
+    /// Its exit code, once it has ended.
+    ///
+    /// # Errors
+    ///
+    /// The system does not tell.
+    pub fn exit_code(&mut self) -> eyre::Result<Option<i32>> {
+        Ok(self.process.ended()?.and_then(|status| status.code()))
+    }
+}
+
+impl Deref for Daemon {
+    type Target = Process;
+
+    fn deref(&self) -> &Process {
+        &self.process
+    }
+}
+
+impl DerefMut for Daemon {
+    fn deref_mut(&mut self) -> &mut Process {
+        &mut self.process
+    }
+}
--- a/crates/mastweir-test-support/src/lib.rs
+++ b/crates/mastweir-test-support/src/lib.rs
@@ -5,12 +5,16 @@
 //! and writes down what it ran; [`ranks`] is a group in lock-step; [`proxy`]
 //! delays, loses and cuts. [`fleet`] brings all of it up in one process, and
 //! [`doors`] speaks to the same objects as the users' platform does, and a
-//! [`scripted`] server answers byte for byte as a test says. [`daemons`] and [`procs`] start the real daemons as processes.
+//! [`scripted`] server answers byte for byte as a test says; [`lockstep`] is a group
+//! of its model servers, whose [`ordered`] ranks take orders. [`daemons`] and [`procs`]
+//! start the real daemons as processes.
 
 pub mod daemons;
 pub mod doors;
 pub mod engine;
 pub mod fleet;
+pub mod lockstep;
+pub mod ordered;
 pub mod platform;
 pub mod procs;
 pub mod proxy;
@@ -85,6 +89,14 @@
     Ok(Served { addr: receiver.await?, shutdown })
 }
 
+/// Held while a process is started, and while ports are drawn: until it becomes its
+/// program, a new process holds copies of all sockets of this one, and a port that was
+/// let go meanwhile can't be bound.
+pub fn forks() -> MutexGuard<'static, ()> {
+    static FORKS: Mutex<()> = Mutex::new(());
+    lock(&FORKS)
+}
+
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/mastweir-test-support/src/proxy.rs
+++ b/crates/mastweir-test-support/src/proxy.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -68,7 +68,22 @@
     ///
     /// No port is free.
     pub async fn start(tcp: SocketAddr, udp: SocketAddr, seed: u64) -> eyre::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let own = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 0);
+        Self::start_at(own, tcp, udp, seed).await
+    }
+
+    /// The same, at an address of its own.
+    ///
+    /// # Errors
+    ///
+    /// It is taken.
+    pub async fn start_at(
+        own: SocketAddr,
+        tcp: SocketAddr,
+        udp: SocketAddr,
+        seed: u64,
+    ) -> eyre::Result<Self> {
+        let listener = TcpListener::bind(own).await?;
         let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
         let proxy = Self {
             tcp: listener.local_addr()?,
--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -1,7 +1,7 @@
 //! A small installation of the users' kind: their store, scripted servers, and real
 //! gateways, each on a thread and a loopback address of its own.
 
-use crate::{Served, doors::Door, platform::Platform, scripted::Scripted};
+use crate::{Served, doors::Door, forks, platform::Platform, scripted::Scripted};
 use eyre::ensure;
 use mastweir::gateway::{
     self, GatewayOptions,
@@ -92,7 +92,15 @@
     /// The store's objects.
     pub platform: Arc<Platform>,
     ips: Vec<IpAddr>,
-    port: u16,
+    ports: Ports,
+}
+
+/// Ports of all processes of an installation, alike on all addresses.
+#[derive(Clone, Copy, Debug)]
+struct Ports {
+    internal: u16,
+    callers: u16,
+    ready: u16,
 }
 
 static NEXT: AtomicU8 = AtomicU8::new(1);
@@ -108,8 +116,9 @@
         let own = u8::try_from(std::process::id() % 200)? + 1;
         let ip = |number| IpAddr::V4(Ipv4Addr::new(127, own, block, number));
         let ips: Vec<IpAddr> = (1..=gateways).map(ip).collect();
-        let port = free_on_all(&ips)?;
-        Ok(Self { platform: Platform::new(), ips, port })
+        let ports = free_ports(&ips, 3)?;
+        let ports = Ports { internal: ports[0], callers: ports[1], ready: ports[2] };
+        Ok(Self { platform: Platform::new(), ips, ports })
     }
 
     /// Writes a configuration into the store.
@@ -154,12 +163,13 @@
     /// No port is free.
     pub fn gateway(&self, number: usize, store: SocketAddr) -> eyre::Result<Running> {
         let ip = self.ips[number];
-        let [callers, ready] = free_ports(ip)?.map(|port| SocketAddr::new(ip, port));
+        let at = |port| SocketAddr::new(ip, port);
+        let (callers, ready) = (at(self.ports.callers), at(self.ports.ready));
         let settings = Settings {
             name: format!("gateway-{number}"),
             hall: "hall-a".to_owned(),
             ip,
-            internal_port: self.port,
+            internal_port: self.ports.internal,
             seeds: self.ips.clone(),
             callers: Some(callers),
             ready: Some(ready),
@@ -200,23 +210,32 @@
     }
 }
 
-/// Two ports that are free at the same time.
-fn free_ports(ip: IpAddr) -> eyre::Result<[u16; 2]> {
-    let held = [TcpListener::bind((ip, 0))?, TcpListener::bind((ip, 0))?];
-    Ok([held[0].local_addr()?.port(), held[1].local_addr()?.port()])
-}
-
-/// A port that is free on all addresses, over TCP and UDP: a socket that some other
-/// test has bound to every address takes it from all of them.
-fn free_on_all(ips: &[IpAddr]) -> eyre::Result<u16> {
+/// Different ports that are free on all addresses, over TCP and UDP: a socket that some
+/// other test has bound to every address takes its port from all of them. All are held
+/// until the last is drawn, so that none is drawn twice.
+///
+/// # Errors
+///
+/// None is free.
+pub fn free_ports(ips: &[IpAddr], count: usize) -> eyre::Result<Vec<u16>> {
+    // Dropped last: the sockets are closed by then.
+    let _forking = forks();
+    let mut held = Vec::new();
+    let mut ports = Vec::new();
     for _ in 0..PORTS_TRIED {
-        let port = TcpListener::bind((ips[0], 0))?.local_addr()?.port();
-        let is_free = |ip: &IpAddr| {
-            TcpListener::bind((*ip, port)).is_ok() && UdpSocket::bind((*ip, port)).is_ok()
-        };
-        if ips.iter().all(is_free) {
-            return Ok(port);
+        if ports.len() == count {
+            return Ok(ports);
+        }
+        let first = TcpListener::bind((ips[0], 0))?;
+        let port = first.local_addr()?.port();
+        let others = ips[1..].iter().map(|ip| TcpListener::bind((*ip, port)));
+        let others: Result<Vec<TcpListener>, _> = others.collect();
+        let datagrams = ips.iter().map(|ip| UdpSocket::bind((*ip, port)));
+        let datagrams: Result<Vec<UdpSocket>, _> = datagrams.collect();
+        if others.is_ok() && datagrams.is_ok() {
+            ports.push(port);
         }
+        held.push((first, others, datagrams));
     }
     eyre::bail!("no port is free on {ips:?}; end other programs that listen on all addresses")
 }
@@ -229,7 +248,7 @@
 }
 
 /// An answer, as its bytes say.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Answer {
     /// HTTP status; 0 if there is no answer.
     pub status: u16,
@@ -276,7 +295,8 @@
     Ok(parse(&read))
 }
 
-fn parse(read: &[u8]) -> Answer {
+/// An answer from the bytes of a connection that ended.
+pub fn parse(read: &[u8]) -> Answer {
     let text = String::from_utf8_lossy(read).into_owned();
     let Some((head, rest)) = text.split_once("\r\n\r\n") else {
         return Answer { status: 0, head: text, body: String::new(), whole: false };
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -4,17 +4,24 @@
 use mastweir_core::table::{Row, RowKey, RowKind, hash_key};
 use mastweir_test_support::{
     fleet::{Fleet, OPERATOR_KEY, ServerOptions, customer, model, put_row},
+    forks,
     platform::Platform,
 };
 use std::{
-    io::Write,
-    process::{Command, Stdio},
+    io::{self, Write},
+    process::{Child, Command, Stdio},
     sync::atomic::Ordering,
 };
 
 const TOOL: &str = env!("CARGO_BIN_EXE_mastweir");
 const DAEMON: &str = env!("CARGO_BIN_EXE_mastweird");
 
+/// Starts a program without handing other tests' ports to it.
+fn start(command: &mut Command) -> io::Result<Child> {
+    let _forking = forks();
+    command.spawn()
+}
+
 /// Exit code and what was printed, without the parts that differ by run.
 async fn run(program: &str, args: &[&str]) -> String {
     let (program, args): (String, Vec<String>) =
@@ -26,7 +33,8 @@
         own.for_each(|(name, _)| {
             command.env_remove(name);
         });
-        command.args(args).stdin(Stdio::null()).output()
+        command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+        start(&mut command)?.wait_with_output()
     });
     let output = match running.await {
         Ok(Ok(output)) => output,
@@ -189,11 +197,9 @@
 #[tokio::test]
 async fn dash_reads_standard_input() -> eyre::Result<()> {
     let hash = tokio::task::spawn_blocking(|| {
-        let mut child = Command::new(TOOL)
-            .args(["key", "hash", "-"])
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .spawn()?;
+        let mut command = Command::new(TOOL);
+        command.args(["key", "hash", "-"]).stdin(Stdio::piped()).stdout(Stdio::piped());
+        let mut child = start(&mut command)?;
         if let Some(mut stdin) = child.stdin.take() {
             stdin.write_all(b"secret")?;
         }
--- a/tests/testsuite/fuzz_hold.rs
+++ b/tests/testsuite/fuzz_hold.rs
@@ -3,9 +3,8 @@
 //! beside their successors or stand still, ranks that can't be reached, groups
 //! that break. At the end a sound coordinator has to get the group going again.
 
-use mastweir_core::switch::hold::{
-    Act, GroupMap, Order, OrderKind, RankState, Taken, View, Wanted, decide,
-};
+use mastweir_core::switch::hold::{Act, Order, RankState, View, Wanted, decide};
+use mastweir_test_support::ordered::OrderedRank;
 use proptest::{
     prelude::*,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
@@ -69,103 +68,6 @@
     ]
 }
 
-/// A rank, as the users' pages describe it.
-#[derive(Clone, Debug, Default)]
-struct Rank {
-    state: RankState,
-    had: u64,
-    loading: Option<(u64, GroupMap)>,
-    loaded: Option<(u64, GroupMap)>,
-    map: GroupMap,
-    token: u64,
-}
-
-impl Rank {
-    fn take(&mut self, order: &Order) -> Taken {
-        if order.token < self.token {
-            return Taken::Fenced;
-        }
-        if order.epoch != self.state.epoch {
-            return Taken::Conflict;
-        }
-        let taken = self.carry_out(&order.kind);
-        if taken == Taken::Yes {
-            self.token = order.token;
-        }
-        taken
-    }
-
-    fn carry_out(&mut self, kind: &OrderKind) -> Taken {
-        let begun = self.state.pass;
-        match kind {
-            OrderKind::Load { version, map } => {
-                let has = self.loaded.as_ref().is_some_and(|(loaded, _)| loaded == version);
-                let is_loading = self.loading.as_ref().is_some_and(|(of, _)| of == version);
-                if has || is_loading {
-                    return Taken::Yes;
-                }
-                if *version <= self.had || self.state.scheduled.is_some() {
-                    return Taken::Conflict;
-                }
-                self.had = *version;
-                (self.loaded, self.state.loaded) = (None, None);
-                self.loading = Some((*version, map.clone()));
-                Taken::Yes
-            }
-            OrderKind::Schedule { version, pass } => {
-                let ready = self.state.loaded == Some(*version) && *pass > begun;
-                if ready {
-                    self.state.scheduled = Some((*version, *pass));
-                }
-                yes(ready)
-            }
-            OrderKind::Cancel { version } => {
-                if self.state.scheduled.is_some_and(|(scheduled, _)| scheduled == *version) {
-                    self.state.scheduled = None;
-                }
-                yes(self.state.map != *version)
-            }
-            OrderKind::Pause { pass } => {
-                let free = self.state.paused.is_none_or(|paused| paused == *pass);
-                if free && *pass > begun {
-                    self.state.paused = Some(*pass);
-                }
-                yes(free && *pass > begun)
-            }
-            OrderKind::Resume { pass } => {
-                let same = self.state.paused == Some(*pass);
-                if same {
-                    self.state.paused = None;
-                }
-                yes(same)
-            }
-        }
-    }
-
-    fn finish_load(&mut self) {
-        if let Some(loaded) = self.loading.take() {
-            self.state.loaded = Some(loaded.0);
-            self.loaded = Some(loaded);
-        }
-    }
-
-    fn begin(&mut self, pass: u64) {
-        self.state.pass = pass;
-        if self.state.scheduled.is_some_and(|(_, at)| at == pass) {
-            self.state.scheduled = None;
-            self.state.loaded = None;
-            if let Some((version, map)) = self.loaded.take() {
-                self.state.map = version;
-                self.map = map;
-            }
-        }
-    }
-}
-
-fn yes(is: bool) -> Taken {
-    if is { Taken::Yes } else { Taken::Conflict }
-}
-
 #[derive(Clone, Debug)]
 struct Leader {
     token: u64,
@@ -196,7 +98,7 @@
 
 #[derive(Debug)]
 struct World {
-    ranks: Vec<Rank>,
+    ranks: Vec<OrderedRank>,
     leaders: Vec<Leader>,
     flights: Vec<Flight>,
     pass: u64,
@@ -204,17 +106,8 @@
 
 impl World {
     fn new() -> Self {
-        let rank = |number| {
-            let state = RankState {
-                epoch: 1,
-                rank: number,
-                size: u32::try_from(RANKS).unwrap_or(0),
-                open: true,
-                ..RankState::default()
-            };
-            Rank { state, ..Rank::default() }
-        };
-        let ranks = (0..u32::try_from(RANKS).unwrap_or(0)).map(rank).collect();
+        let size = u32::try_from(RANKS).unwrap_or(0);
+        let ranks = (0..size).map(|number| OrderedRank::new(number, size)).collect();
         let mut world = Self { ranks, leaders: Vec::new(), flights: Vec::new(), pass: 0 };
         world.succeed(0, false);
         world
@@ -315,19 +208,7 @@
     }
 
     fn break_up(&mut self) {
-        for rank in &mut self.ranks {
-            let RankState { epoch, rank: number, size, taken, .. } = rank.state;
-            let state = RankState {
-                epoch: epoch + 1,
-                rank: number,
-                size,
-                taken,
-                open: true,
-                pass: self.pass,
-                ..RankState::default()
-            };
-            *rank = Rank { state, had: rank.had, token: rank.token, ..Rank::default() };
-        }
+        self.ranks.iter_mut().for_each(OrderedRank::form_anew);
     }
 
     fn apply(&mut self, step: Step) -> Result<(), TestCaseError> {
@@ -380,7 +261,7 @@
             while !self.flights.is_empty() {
                 self.deliver(0, true, false);
             }
-            self.ranks.iter_mut().for_each(Rank::finish_load);
+            self.ranks.iter_mut().for_each(OrderedRank::finish_load);
             self.begin_pass()?;
         }
         let paused = self.ranks.iter().any(|rank| rank.state.paused.is_some());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod fuzz_table;
 mod gateway;
 mod gateway_core;
+mod harness;
 mod hold;
 mod path;
 mod platform_file;
