Soak the real programs, and go on reporting to gateways that leave

Change: sidecars report to a gateway until it says no more. New: mastweir-soak, the real programs as processes against stand-ins, with faults drawn from a seed that overlap (kills, stops, freezes, cuts one way and both, grey servers, late orders, an ailing store, replaced servers), and promises checked from what callers and servers saw while it runs; four short runs of it are in the test suite.

--- /dev/null
+++ b/crates/mastweir-soak/src/callers.rs
@@ -0,0 +1,155 @@
+//! Callers: they choose a gateway as the users' balancer does, and write down how each
+//! request ends.
+
+use crate::ledger::{Kind, Ledger, Outcome, Sent};
+use mastweir_test_support::site::{self, HOST, KEY};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinSet,
+    time,
+};
+
+/// Requests a second, over all callers.
+const PER_SECOND: u64 = 60;
+/// Time that a caller waits for its answer.
+const WAIT: Duration = Duration::from_millis(4_000);
+/// A connection that does not open in this time is given up.
+const CONNECT_LASTS: Duration = Duration::from_secs(1);
+/// One caller in so many leaves early.
+const LEAVES: u32 = 12;
+/// The balancer asks this often, and takes a gateway out after two misses.
+const ASK_EVERY: Duration = Duration::from_millis(500);
+
+/// Gateways as the balancer sees them.
+#[derive(Debug)]
+pub struct Balancer {
+    gateways: Vec<(SocketAddr, SocketAddr)>,
+    misses: Mutex<Vec<u32>>,
+}
+
+impl Balancer {
+    /// A balancer before gateways, by the addresses for callers and for readiness.
+    pub fn new(gateways: Vec<(SocketAddr, SocketAddr)>) -> Self {
+        let misses = Mutex::new(vec![2; gateways.len()]);
+        Self { gateways, misses }
+    }
+
+    /// Asks for readiness, for ever.
+    pub async fn ask(self: Arc<Self>) {
+        loop {
+            for (number, (_, ready)) in self.gateways.iter().enumerate() {
+                let asked = is_ready(*ready).await;
+                let mut misses = self.misses.lock().unwrap_or_else(PoisonError::into_inner);
+                misses[number] = if asked { 0 } else { misses[number] + 1 };
+            }
+            time::sleep(ASK_EVERY).await;
+        }
+    }
+
+    fn choose(&self, rng: &mut SmallRng) -> SocketAddr {
+        let misses = self.misses.lock().unwrap_or_else(PoisonError::into_inner);
+        let all = 0..self.gateways.len();
+        let mut ready: Vec<usize> = all.clone().filter(|number| misses[*number] < 2).collect();
+        if ready.len() * 2 < self.gateways.len() {
+            ready = all.collect();
+        }
+        self.gateways[ready[rng.random_range(0..ready.len())]].0
+    }
+}
+
+/// Whether a gateway calls itself ready, within the time that the balancer waits.
+pub async fn is_ready(ready: SocketAddr) -> bool {
+    let asked = b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let answer = time::timeout(ASK_EVERY, site::exchange(ready, asked)).await;
+    matches!(answer, Ok(Ok(answer)) if answer.status == 200)
+}
+
+/// Sends requests until it is told to stop, and waits for their ends.
+pub async fn run(balancer: Arc<Balancer>, ledger: Arc<Ledger>, stop: Arc<AtomicBool>, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut ticks = time::interval(Duration::from_micros(1_000_000 / PER_SECOND));
+    let mut running = JoinSet::new();
+    let number = AtomicU64::new(0);
+    while !stop.load(Ordering::SeqCst) {
+        ticks.tick().await;
+        let kind = [Kind::Stream, Kind::Stream, Kind::Once, Kind::Safe][rng.random_range(0..4)];
+        let id = format!("r{seed:x}-{}", number.fetch_add(1, Ordering::Relaxed));
+        let leaves = (rng.random_range(0..LEAVES) == 0).then(|| rng.random_range(5..400));
+        let gateway = balancer.choose(&mut rng);
+        let ledger = ledger.clone();
+        running.spawn(async move {
+            let leaves = leaves.map(Duration::from_millis);
+            ask(gateway, kind, &id, leaves, &ledger).await;
+        });
+    }
+    while running.join_next().await.is_some() {}
+}
+
+/// One request and its end.
+pub async fn ask(
+    gateway: SocketAddr,
+    kind: Kind,
+    id: &str,
+    leaves: Option<Duration>,
+    ledger: &Ledger,
+) -> Outcome {
+    let path = match kind {
+        Kind::Safe | Kind::Probe => "/safe/a",
+        Kind::Once => "/once/a?b=c",
+        Kind::Stream => "/stream/a",
+    };
+    ask_at(gateway, kind, path, id, leaves, ledger).await
+}
+
+/// The same at a path of its own.
+pub async fn ask_at(
+    gateway: SocketAddr,
+    kind: Kind,
+    path: &str,
+    id: &str,
+    leaves: Option<Duration>,
+    ledger: &Ledger,
+) -> Outcome {
+    let reads = matches!(kind, Kind::Safe | Kind::Probe);
+    let method = if reads { "GET" } else { "POST" };
+    let body = if reads { String::new() } else { format!("body of {id}") };
+    let wait_ms = u64::try_from(WAIT.as_millis()).unwrap_or(u64::MAX);
+    ledger.sent(id, Sent { kind, path: path.to_owned(), body: body.clone(), wait_ms });
+    let accept = if kind == Kind::Stream { "Accept: text/event-stream\r\n" } else { "" };
+    let bytes = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nTenant: other\r\n\
+         Authorization: Bearer {KEY}\r\nConnection: close\r\nRequest-Deadline: {wait_ms}\r\n\
+         {accept}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let limit = leaves.unwrap_or(WAIT);
+    let read = time::timeout(limit, exchange(gateway, bytes.as_bytes())).await;
+    match read {
+        Ok(Some(read)) => ledger.answered(id, Some(&site::parse(&read))),
+        Ok(None) => ledger.answered(id, None),
+        Err(_) => {
+            ledger.left(id);
+            Outcome::Left
+        }
+    }
+}
+
+async fn exchange(addr: SocketAddr, bytes: &[u8]) -> Option<Vec<u8>> {
+    let connected = time::timeout(CONNECT_LASTS, TcpStream::connect(addr)).await;
+    let mut stream = connected.ok()?.ok()?;
+    stream.write_all(bytes).await.ok()?;
+    let mut read = Vec::new();
+    // A reset ends an answer as well; what came before it counts.
+    let _ = stream.read_to_end(&mut read).await;
+    Some(read)
+}
--- /dev/null
+++ b/crates/mastweir-soak/src/ledger.rs
@@ -0,0 +1,295 @@
+//! What callers sent and got, and what servers ran: the promises are checked on it.
+//!
+//! Only what was seen on sockets counts. An entry is checked as soon as it can be:
+//! when a server runs a request, and when its caller has its answer.
+
+use mastweir_test_support::site::Answer;
+use std::{
+    collections::HashMap,
+    sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+/// What may be repeated of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// May run more than once.
+    Safe,
+    /// Runs at most once.
+    Once,
+    /// A stream that another server may take up.
+    Stream,
+    /// Shows which configuration is in force; its route may not be there yet.
+    Probe,
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Outcome {
+    /// A whole success.
+    Served,
+    /// Told that it has not run.
+    Refused,
+    /// Told that it may have run, or a failure of the server's.
+    Failed,
+    /// An answer began, and broke off.
+    Cut,
+    /// No answer.
+    Broken,
+    /// The caller left.
+    Left,
+}
+
+/// A request as it was sent.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// What may be repeated of it.
+    pub kind: Kind,
+    /// Its path.
+    pub path: String,
+    /// Its body.
+    pub body: String,
+    /// Milliseconds that its caller waits.
+    pub wait_ms: u64,
+}
+
+/// An arrival at a server.
+#[derive(Clone, Debug)]
+pub struct Arrival<'a> {
+    /// Id of the request.
+    pub id: &'a str,
+    /// Its path.
+    pub path: &'a str,
+    /// Its body.
+    pub body: &'a [u8],
+    /// The customer that was named.
+    pub customer: &'a str,
+    /// Milliseconds that were given.
+    pub wait_ms: u64,
+    /// Whether the server runs it.
+    pub runs: bool,
+}
+
+#[derive(Debug)]
+struct Request {
+    sent: Sent,
+    at: Instant,
+    arrivals: u32,
+    runs: u32,
+    outcome: Option<Outcome>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    requests: HashMap<String, Request>,
+    arrivals: Vec<(Instant, bool)>,
+    starts: Vec<Instant>,
+    broken: Vec<String>,
+}
+
+/// All of it.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    inner: Mutex<Inner>,
+}
+
+/// Names of the one customer and of the headers' values that servers give.
+pub const CUSTOMER: &str = "north";
+
+impl Ledger {
+    fn with<T>(&self, act: impl FnOnce(&mut Inner) -> T) -> T {
+        act(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Notes a broken promise.
+    pub fn broken(&self, what: String) {
+        self.with(|inner| inner.broken.push(what));
+    }
+
+    /// Promises that were broken so far.
+    pub fn all_broken(&self) -> Vec<String> {
+        self.with(|inner| inner.broken.clone())
+    }
+
+    /// A caller sends a request.
+    pub fn sent(&self, id: &str, sent: Sent) {
+        let at = Instant::now();
+        let request = Request { sent, at, arrivals: 0, runs: 0, outcome: None };
+        self.with(|inner| {
+            inner.requests.insert(id.to_owned(), request);
+            inner.starts.push(at);
+        });
+    }
+
+    /// A request reaches a server.
+    pub fn arrived(&self, arrival: &Arrival<'_>) {
+        let checked = self.with(|inner| {
+            let Some(request) = inner.requests.get_mut(arrival.id) else {
+                return Err("a request arrives that nobody sent".to_owned());
+            };
+            inner.arrivals.push((Instant::now(), request.arrivals > 0));
+            request.arrivals += 1;
+            request.runs += u32::from(arrival.runs);
+            check_arrival(request, arrival)
+        });
+        if let Err(what) = checked {
+            self.broken(format!("{}: {what}", arrival.id));
+        }
+    }
+
+    /// A caller has its answer; it is checked against what was sent.
+    pub fn answered(&self, id: &str, answer: Option<&Answer>) -> Outcome {
+        let checked = self.with(|inner| {
+            let request = inner.requests.get_mut(id).ok_or("answered but not sent")?;
+            let outcome = outcome(id, request, answer)?;
+            request.outcome = Some(outcome);
+            Ok(outcome)
+        });
+        checked.unwrap_or_else(|what: String| {
+            self.broken(format!("{id}: {what}; the answer: {answer:?}"));
+            Outcome::Broken
+        })
+    }
+
+    /// A caller left.
+    pub fn left(&self, id: &str) {
+        self.with(|inner| {
+            if let Some(request) = inner.requests.get_mut(id) {
+                request.outcome = Some(Outcome::Left);
+            }
+        });
+    }
+
+    /// Counts by kind and outcome.
+    pub fn counts(&self) -> Vec<((Kind, Outcome), usize)> {
+        let mut counts: HashMap<(Kind, Outcome), usize> = HashMap::new();
+        self.with(|inner| {
+            for request in inner.requests.values() {
+                let outcome = request.outcome.unwrap_or(Outcome::Broken);
+                *counts.entry((request.sent.kind, outcome)).or_default() += 1;
+            }
+        });
+        let mut counts: Vec<_> = counts.into_iter().collect();
+        counts.sort_by_key(|((kind, outcome), _)| (format!("{kind:?}"), *outcome));
+        counts
+    }
+
+    /// What can only be checked once all is over: late runs of what was refused, and
+    /// requests without an end.
+    pub fn check_all(&self) {
+        let wrong: Vec<String> = self.with(|inner| {
+            let requests = inner.requests.iter();
+            requests
+                .filter_map(|(id, request)| Some(format!("{id}: {}", at_end(request)?)))
+                .collect()
+        });
+        wrong.into_iter().for_each(|what| self.broken(what));
+    }
+
+    /// Arrivals beyond the first of each request have to stay within a part of the
+    /// requests and an extra, in every window.
+    pub fn check_retries(&self, window: Duration, ratio: f64, extra: f64) {
+        let worst = self.with(|inner| {
+            let again: Vec<Instant> =
+                inner.arrivals.iter().filter(|(_, again)| *again).map(|(at, _)| *at).collect();
+            let within = |list: &[Instant], from: Instant| {
+                list.iter().filter(|at| (from..from + window).contains(*at)).count()
+            };
+            let over = |from: &Instant| {
+                let earlier = [Duration::ZERO, window / 2, window].map(|back| {
+                    from.checked_sub(back).map_or(0, |from| within(&inner.starts, from))
+                });
+                let requests = earlier.into_iter().max().unwrap_or(0);
+                let allowed = ratio * requests as f64 + extra;
+                let count = within(&again, *from);
+                (count as f64 > allowed).then_some((count, allowed))
+            };
+            again.iter().find_map(over)
+        });
+        if let Some((count, allowed)) = worst {
+            self.broken(format!("{count} retries in a window, allowed {allowed:.0}"));
+        }
+    }
+}
+
+fn check_arrival(request: &Request, arrival: &Arrival<'_>) -> Result<(), String> {
+    let sent = &request.sent;
+    if arrival.path != sent.path || arrival.body != sent.body.as_bytes() {
+        return Err(format!("changed on its way: {arrival:?}"));
+    }
+    if arrival.customer != CUSTOMER {
+        return Err(format!("arrives for another customer: {}", arrival.customer));
+    }
+    if arrival.wait_ms > sent.wait_ms {
+        return Err(format!("given {} ms of {}", arrival.wait_ms, sent.wait_ms));
+    }
+    if sent.kind == Kind::Once && request.runs > 1 {
+        return Err("runs twice".to_owned());
+    }
+    Ok(())
+}
+
+fn at_end(request: &Request) -> Option<&'static str> {
+    let refused = request.outcome == Some(Outcome::Refused);
+    if refused && request.sent.kind == Kind::Once && request.runs > 0 {
+        return Some("told that it has not run, and it has");
+    }
+    let end = request.at + Duration::from_millis(request.sent.wait_ms);
+    let late = end.elapsed() > Duration::from_secs(2);
+    (request.outcome.is_none() && late).then_some("has no end")
+}
+
+fn outcome(id: &str, request: &Request, answer: Option<&Answer>) -> Result<Outcome, String> {
+    let Some(answer) = answer.filter(|answer| answer.status != 0) else {
+        return Ok(Outcome::Broken);
+    };
+    let signature = answer.header("response-signature");
+    match answer.status {
+        200 => whole(id, request, answer),
+        408 | 421 | 429 | 503 if signature.is_some() => {
+            Err("a server's own failure promises that it has not run".to_owned())
+        }
+        408 | 421 | 429 | 503 => Ok(Outcome::Refused),
+        500 | 502 | 504 => Ok(Outcome::Failed),
+        404 if request.sent.kind == Kind::Probe => Ok(Outcome::Refused),
+        status => Err(format!("{status} for a request that is allowed")),
+    }
+}
+
+/// A success has to be the server's, of this request, and whole.
+fn whole(id: &str, request: &Request, answer: &Answer) -> Result<Outcome, String> {
+    let signature = answer.header("response-signature").ok_or("a success without a signature")?;
+    if answer.header("request-id") != Some(id) {
+        return Err("a success of another request".to_owned());
+    }
+    if request.sent.kind != Kind::Stream {
+        let right = answer.body == body_of(id, signature);
+        return match (answer.whole, right) {
+            (false, _) => Ok(Outcome::Cut),
+            (true, true) => Ok(Outcome::Served),
+            (true, false) => Err("the body is not the server's".to_owned()),
+        };
+    }
+    let (events, all) = (answer.body.as_str(), events_of(id));
+    match (answer.whole, all.starts_with(events), events == all) {
+        (true, _, true) => Ok(Outcome::Served),
+        (false, true, _) => Ok(Outcome::Cut),
+        _ => Err("a piece of the stream is missing, doubled or not its own".to_owned()),
+    }
+}
+
+/// The body of a plain answer.
+pub fn body_of(id: &str, signature: &str) -> String {
+    format!("{id} by {signature}")
+}
+
+/// Events of a request's stream: whichever server sends them, they are the same.
+pub fn events_of(id: &str) -> String {
+    events_after(id, 0).concat()
+}
+
+/// The events behind the one of a number.
+pub fn events_after(id: &str, last: usize) -> Vec<String> {
+    let count = 4 + id.bytes().map(usize::from).sum::<usize>() % 9;
+    (last + 1..=count).map(|number| format!("id: {number}\ndata: {id} {number}\n\n")).collect()
+}
--- /dev/null
+++ b/crates/mastweir-soak/src/plan.rs
@@ -0,0 +1,153 @@
+//! What goes wrong in a run, and when: drawn from a seed, so that it can be had again.
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::{fmt, time::Duration};
+
+/// Longest fault of one run, and shortest.
+const LASTS_MS: [u64; 2] = [300, 3_500];
+
+/// Sizes of the world that a plan is for.
+#[derive(Clone, Copy, Debug)]
+pub struct Sizes {
+    /// Gateways.
+    pub gateways: usize,
+    /// Model servers, each with a sidecar.
+    pub models: usize,
+    /// Servers of the plain service, behind the model servers.
+    pub plain: usize,
+    /// Groups.
+    pub groups: usize,
+}
+
+/// How a server misbehaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grey {
+    /// Breaks answers off in the middle.
+    Cut,
+    /// Runs requests and says nothing.
+    Mute,
+    /// Writes a second answer behind each.
+    Extra,
+    /// Answers with the id of another request.
+    OtherId,
+    /// Runs requests and answers with a failure.
+    Errors,
+    /// Turns requests away, and says so.
+    Shed,
+}
+
+/// Something that goes wrong. Numbers are those of gateways, servers or groups.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A gateway is killed, and starts again.
+    KillGateway(usize),
+    /// It is asked to stop, and starts again.
+    StopGateway(usize),
+    /// It stands still.
+    FreezeGateway(usize),
+    /// Its settings change.
+    HangUp(usize),
+    /// It can't reach the store.
+    CutFromStore(usize),
+    /// A sidecar is killed, and starts again.
+    KillSidecar(usize),
+    /// A model server's instance stands still, the sidecar with it.
+    FreezeInstance(usize),
+    /// Nothing passes to a server and back.
+    CutServer(usize),
+    /// Nothing comes back from it.
+    MuteServer(usize),
+    /// Its connections are reset.
+    ResetServer(usize),
+    /// It is slow to reach.
+    SlowServer(usize),
+    /// It misbehaves.
+    GreyServer(usize, Grey),
+    /// It leaves as planned, and another life comes at its address.
+    Replace(usize),
+    /// A group loses a rank, and forms anew.
+    BreakGroup(usize),
+    /// A part of a group's orders gets no answer and is carried out later.
+    LateOrders(usize),
+    /// The store is down.
+    StoreDown,
+    /// It is slow.
+    StoreSlow,
+    /// Its writes land, and their answers are lost.
+    StoreLoses,
+    /// It forgets what has changed so far.
+    StoreForgets,
+    /// Routes come and go.
+    Configure,
+    /// All processes are killed at once, and start again.
+    KillAll,
+}
+
+/// A fault at its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Since the start of the traffic.
+    pub at: Duration,
+    /// How long, where it lasts.
+    pub lasts: Duration,
+    /// What.
+    pub fault: Fault,
+}
+
+impl fmt::Display for Entry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (at, lasts) = (self.at.as_secs_f64(), self.lasts.as_secs_f64());
+        write!(f, "{at:6.2} s  {:?}, {lasts:.2} s", self.fault)
+    }
+}
+
+/// Draws a plan: about a fault a second, many of them overlapping.
+pub fn draw(seed: u64, lasts: Duration, sizes: Sizes) -> Vec<Entry> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let whole = u64::try_from(lasts.as_millis()).unwrap_or(u64::MAX);
+    let count = (whole / 900).max(1);
+    let mut plan: Vec<Entry> = (0..count)
+        .map(|_| Entry {
+            at: Duration::from_millis(rng.random_range(0..whole.max(1))),
+            lasts: Duration::from_millis(rng.random_range(LASTS_MS[0]..LASTS_MS[1])),
+            fault: fault(&mut rng, sizes),
+        })
+        .collect();
+    plan.sort_by_key(|entry| entry.at);
+    plan
+}
+
+fn fault(rng: &mut SmallRng, sizes: Sizes) -> Fault {
+    let gateway = rng.random_range(0..sizes.gateways);
+    let model = rng.random_range(0..sizes.models);
+    let server = rng.random_range(0..sizes.models + sizes.plain);
+    let group = rng.random_range(0..sizes.groups);
+    match rng.random_range(0..42) {
+        0..3 => Fault::KillGateway(gateway),
+        3..6 => Fault::StopGateway(gateway),
+        6..9 => Fault::FreezeGateway(gateway),
+        9 => Fault::HangUp(gateway),
+        10..12 => Fault::CutFromStore(gateway),
+        12..14 => Fault::KillSidecar(model),
+        14..18 => Fault::FreezeInstance(model),
+        18..20 => Fault::CutServer(server),
+        20..22 => Fault::MuteServer(server),
+        22 => Fault::ResetServer(server),
+        23 => Fault::SlowServer(server),
+        24..28 => Fault::GreyServer(server, grey(rng)),
+        28..31 => Fault::Replace(server),
+        31 => Fault::BreakGroup(group),
+        32..35 => Fault::LateOrders(group),
+        35 => Fault::StoreDown,
+        36 => Fault::StoreSlow,
+        37 => Fault::StoreLoses,
+        38 => Fault::StoreForgets,
+        39..41 => Fault::Configure,
+        _ => Fault::KillAll,
+    }
+}
+
+fn grey(rng: &mut SmallRng) -> Grey {
+    let all = [Grey::Cut, Grey::Mute, Grey::Extra, Grey::OtherId, Grey::Errors, Grey::Shed];
+    all[rng.random_range(0..all.len())]
+}
--- /dev/null
+++ b/crates/mastweir-soak/src/servers.rs
@@ -0,0 +1,231 @@
+//! Servers of the users' kind, one life after the other at an address.
+
+use crate::{
+    ledger::{Arrival, Ledger, body_of, events_after},
+    plan::Grey,
+};
+use mastweir_test_support::{
+    lockstep::LockStep,
+    scripted::{Act, Got, Scripted},
+};
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+/// Requests that a server runs at once, and as many wait.
+pub const SLOTS: u32 = 8;
+/// Between two events of a stream: the longest last a second, so that what comes late
+/// meets them.
+const EVENT_EVERY: Duration = Duration::from_millis(80);
+/// A plain answer takes this long.
+const PLAIN_LASTS: Duration = Duration::from_millis(30);
+/// Of a misbehaving server's requests, one in this many is spoilt.
+const SPOILS: u64 = 3;
+
+/// The life of a server.
+#[derive(Debug)]
+struct Life {
+    id: String,
+    number: u32,
+    /// When it said that it leaves.
+    leaving: Option<Instant>,
+    /// Ends of the requests that run.
+    running: Vec<Instant>,
+    grey: Option<Grey>,
+}
+
+/// A server at one address.
+#[derive(Debug)]
+pub struct Server {
+    /// Its number among all servers.
+    pub number: usize,
+    /// Its group and its rank there, if it is a model's.
+    pub seat: Option<(Arc<LockStep>, usize)>,
+    life: Mutex<Life>,
+    served: AtomicU64,
+    ledger: Arc<Ledger>,
+}
+
+impl Server {
+    /// Starts one.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub async fn start(
+        number: usize,
+        seat: Option<(Arc<LockStep>, usize)>,
+        ledger: Arc<Ledger>,
+    ) -> eyre::Result<(Arc<Self>, Scripted)> {
+        let life =
+            Life { id: name(number, 0), number: 0, leaving: None, running: Vec::new(), grey: None };
+        let server = Arc::new(Self {
+            number,
+            seat,
+            life: Mutex::new(life),
+            served: AtomicU64::new(0),
+            ledger,
+        });
+        let answering = server.clone();
+        let scripted = Scripted::start(move |got| answering.answer(got)).await?;
+        Ok((server, scripted))
+    }
+
+    fn life(&self) -> MutexGuard<'_, Life> {
+        self.life.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Name of its life.
+    pub fn id(&self) -> String {
+        self.life().id.clone()
+    }
+
+    /// It says that it leaves, and goes on.
+    pub fn leave(&self) {
+        self.life().leaving = Some(Instant::now());
+    }
+
+    /// It ends, and another life begins at its address.
+    pub fn begin_anew(&self) {
+        let mut life = self.life();
+        life.number += 1;
+        life.id = name(self.number, life.number);
+        life.leaving = None;
+        life.running.clear();
+    }
+
+    /// It misbehaves from now on, or no more.
+    pub fn set_grey(&self, grey: Option<Grey>) {
+        self.life().grey = grey;
+    }
+
+    fn answer(&self, got: &Got) -> Vec<Act> {
+        let running = {
+            let mut life = self.life();
+            let now = Instant::now();
+            life.running.retain(|end| *end > now);
+            u32::try_from(life.running.len()).unwrap_or(u32::MAX)
+        };
+        if let Some((group, rank)) = &self.seat
+            && let Some(acts) = group.control(*rank, got, running)
+        {
+            return acts;
+        }
+        let served = self.served.fetch_add(1, Ordering::Relaxed);
+        let (id, expected) = (text(got, "request-id"), text(got, "expect-instance"));
+        let (own, grey, leaving) = {
+            let life = self.life();
+            let grey = life.grey.filter(|_| served.is_multiple_of(SPOILS));
+            (life.id.clone(), grey, life.leaving)
+        };
+        let closed = self.seat.as_ref().is_some_and(|(group, _)| !group.is_open());
+        let turned_away = running >= 2 * SLOTS || closed || grey == Some(Grey::Shed);
+        let (right, runs) = (expected == own, expected == own && !turned_away);
+        self.arrived(got, &id, runs);
+        if let Some(since) = leaving.filter(|_| right) {
+            self.check_leaving(&id, since);
+        }
+        if !right {
+            return vec![short("421 Misdirected Request", "", &id, "")];
+        }
+        if turned_away {
+            return vec![short("503 Service Unavailable", "Not-Executed: 1\r\n", &id, "")];
+        }
+        self.run(got, &id, &own, grey)
+    }
+
+    fn arrived(&self, got: &Got, id: &str, runs: bool) {
+        let path = got.head.split(' ').nth(1).unwrap_or_default();
+        let wait_ms = text(got, "request-deadline").parse().unwrap_or(u64::MAX);
+        let customer = &text(got, "tenant");
+        self.ledger.arrived(&Arrival { id, path, body: &got.body, customer, wait_ms, runs });
+    }
+
+    /// Far beyond the bound, since gateways stand still and are cut off here.
+    fn check_leaving(&self, id: &str, since: Instant) {
+        if since.elapsed() > Duration::from_secs(12) {
+            self.ledger.broken(format!("{id}: reaches a server 12 s after it said that it leaves"));
+        }
+    }
+
+    fn run(&self, got: &Got, id: &str, own: &str, grey: Option<Grey>) -> Vec<Act> {
+        let is_stream = text(got, "accept") == "text/event-stream";
+        let last = text(got, "last-event-id").parse().unwrap_or(0);
+        let events = if is_stream { events_after(id, last) } else { Vec::new() };
+        let count = u32::try_from(events.len()).unwrap_or(0);
+        let lasts = PLAIN_LASTS + EVENT_EVERY * count;
+        self.life().running.push(Instant::now() + lasts);
+        let signature = format!("sig-{own}");
+        let mut acts = vec![Act::Wait(PLAIN_LASTS)];
+        let signed = format!("Response-Signature: {signature}\r\nServer-Load: 1,0,{SLOTS}\r\n");
+        match grey {
+            Some(Grey::Mute) => return vec![Act::Hang],
+            Some(Grey::Errors) => {
+                acts.push(short("500 Internal Server Error", &signed, id, "failed"));
+                return acts;
+            }
+            Some(Grey::OtherId) => {
+                acts.push(short("200 OK", &signed, "another", &body_of("another", &signature)));
+                return acts;
+            }
+            _ => (),
+        }
+        if is_stream {
+            acts.extend(stream(&events, &signed, id, grey == Some(Grey::Cut)));
+        } else if grey == Some(Grey::Cut) {
+            acts.push(Act::Send(cut(short("200 OK", &signed, id, &body_of(id, &signature)))));
+            acts.push(Act::Reset);
+        } else {
+            acts.push(short("200 OK", &signed, id, &body_of(id, &signature)));
+        }
+        if grey == Some(Grey::Extra) {
+            acts.push(short("200 OK", &signed, "another", &body_of("another", &signature)));
+        }
+        acts
+    }
+}
+
+fn name(number: usize, life: u32) -> String {
+    format!("i-{number}-{life}")
+}
+
+fn text(got: &Got, name: &str) -> String {
+    got.header(name).unwrap_or_default().to_owned()
+}
+
+fn short(status: &str, more: &str, id: &str, body: &str) -> Act {
+    let length = body.len();
+    let head =
+        format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n{more}Content-Length: {length}\r\n\r\n");
+    Act::Send((head + body).into_bytes())
+}
+
+fn cut(act: Act) -> Vec<u8> {
+    let Act::Send(mut bytes) = act else { return Vec::new() };
+    bytes.truncate(bytes.len().saturating_sub(3));
+    bytes
+}
+
+fn stream(events: &[String], signed: &str, id: &str, cut: bool) -> Vec<Act> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n{signed}Content-Type: text/event-stream\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    );
+    let mut acts = vec![Act::Send(head.into_bytes())];
+    for event in events.iter().take(if cut { events.len() / 2 } else { events.len() }) {
+        acts.push(Act::Send(format!("{:x}\r\n{event}\r\n", event.len()).into_bytes()));
+        acts.push(Act::Wait(EVENT_EVERY));
+    }
+    if cut {
+        // In the middle of an event.
+        acts.push(Act::Send(b"4\r\nid: \r\n".to_vec()));
+        acts.push(Act::Reset);
+    } else {
+        acts.push(Act::Send(b"0\r\n\r\n".to_vec()));
+    }
+    acts
+}
--- /dev/null
+++ b/crates/mastweir-soak/src/world.rs
@@ -0,0 +1,283 @@
+//! The world of a run: the real programs as processes, and stand-ins for the rest.
+
+use crate::{
+    callers::Balancer,
+    ledger::{CUSTOMER, Ledger},
+    plan::Sizes,
+    servers::{SLOTS, Server},
+};
+use eyre::WrapErr;
+use mastweir_test_support::{
+    Served,
+    daemons::Process,
+    doors::Door,
+    lockstep::{EXPERTS, LockStep, PLACES, SETS},
+    platform::Platform,
+    proxy::Proxy,
+    scripted::Scripted,
+    site::{HOST, KEY, free_ports},
+};
+use serde_json::{Value, json};
+use std::{
+    fs::{self, File},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::Command,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+};
+
+/// Ranks of a group, groups, servers of the plain service, and gateways.
+pub const SIZES: Sizes = Sizes { gateways: 3, models: 6, plain: 2, groups: 2 };
+/// Retries: a part of the requests, and an extra on top, in a window.
+pub const RETRY_RATIO: f64 = 0.2;
+/// See [`RETRY_RATIO`].
+pub const RETRY_EXTRA: f64 = 40.0;
+/// See [`RETRY_RATIO`], in seconds.
+pub const RETRY_WINDOW_S: u64 = 10;
+
+/// Worlds of one process have addresses of their own.
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+/// A process of ours that can be started again.
+#[derive(Debug)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// The way to the store.
+    pub store: Proxy,
+    role: &'static str,
+    settings: PathBuf,
+    /// The process, while it runs.
+    pub process: Option<Process>,
+}
+
+/// A server, and the proxy before it.
+#[derive(Debug)]
+pub struct Place {
+    /// The server.
+    pub server: Arc<Server>,
+    /// The proxy, at the address that the store lists.
+    pub proxy: Proxy,
+    _scripted: Scripted,
+}
+
+/// All of it.
+#[derive(Debug)]
+pub struct World {
+    /// The store's objects.
+    pub platform: Arc<Platform>,
+    /// Gateways.
+    pub gateways: Vec<Member>,
+    /// Sidecars, in the order of the model servers.
+    pub sidecars: Vec<Member>,
+    /// Model servers, then those of the plain service.
+    pub places: Vec<Place>,
+    /// Groups of model servers.
+    pub groups: Vec<Arc<LockStep>>,
+    /// Addresses of the gateways.
+    pub balancer: Arc<Balancer>,
+    /// Addresses of the gateways, for callers and for readiness.
+    pub doors: Vec<(SocketAddr, SocketAddr)>,
+    version: u64,
+    program: PathBuf,
+    folder: PathBuf,
+    _store: (Arc<Door>, Served),
+}
+
+impl World {
+    /// Starts everything; what the processes write goes to files in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// A process does not start, or an address is taken.
+    pub async fn start(program: &Path, folder: &Path, ledger: &Arc<Ledger>) -> eyre::Result<Self> {
+        fs::create_dir_all(folder).wrap_err_with(|| format!("creating {}", folder.display()))?;
+        let platform = Platform::new();
+        let store = Door::open(&platform).await?;
+        let ips = addresses()?;
+        let ports = free_ports(&ips, 4)?;
+        let at = |number: usize, port: usize| SocketAddr::new(ips[number], ports[port]);
+        let doors: Vec<(SocketAddr, SocketAddr)> =
+            (0..SIZES.gateways).map(|number| (at(number, 1), at(number, 2))).collect();
+        let size = u32::try_from(SIZES.models / SIZES.groups)?;
+        let groups = (0..SIZES.groups).map(|number| LockStep::start(&format!("g{number}"), size));
+        let mut world = Self {
+            platform,
+            gateways: Vec::new(),
+            sidecars: Vec::new(),
+            places: Vec::new(),
+            groups: groups.collect(),
+            balancer: Arc::new(Balancer::new(doors.clone())),
+            doors,
+            version: 0,
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            _store: store,
+        };
+        for number in 0..SIZES.models + SIZES.plain {
+            world.add_place(number, at(SIZES.gateways + number, 3), ledger).await?;
+        }
+        world.configure();
+        world.add_members(&ips, ports[0]).await?;
+        let count = world.gateways.len() + world.sidecars.len();
+        (0..count).try_for_each(|number| world.run(number))?;
+        Ok(world)
+    }
+
+    async fn add_members(&mut self, ips: &[IpAddr], port: u16) -> eyre::Result<()> {
+        let seeds: Vec<String> =
+            self.doors.iter().map(|(callers, _)| callers.to_string()).collect();
+        for (number, (callers, ready)) in self.doors.clone().into_iter().enumerate() {
+            let listen = format!("listen = {{ front = \"{callers}\", ready = \"{ready}\" }}");
+            let member = self.member(number, "gateway", ips[number], port, &seeds, &listen);
+            let member = member.await?;
+            self.gateways.push(member);
+        }
+        for number in 0..SIZES.models {
+            let app = format!("app = \"{}\"", self.places[number].proxy.tcp);
+            let ip = ips[SIZES.gateways + number];
+            let member = self.member(number, "sidecar", ip, port, &seeds, &app).await?;
+            self.sidecars.push(member);
+        }
+        Ok(())
+    }
+
+    async fn add_place(
+        &mut self,
+        number: usize,
+        address: SocketAddr,
+        ledger: &Arc<Ledger>,
+    ) -> eyre::Result<()> {
+        let ranks = SIZES.models / SIZES.groups;
+        let seat =
+            (number < SIZES.models).then(|| (self.groups[number / ranks].clone(), number % ranks));
+        let (server, scripted) = Server::start(number, seat, ledger.clone()).await?;
+        let seed = u64::try_from(number).unwrap_or(0);
+        let proxy = Proxy::start_at(address, scripted.addr, scripted.addr, seed).await?;
+        self.places.push(Place { server, proxy, _scripted: scripted });
+        self.list(number, "ready");
+        Ok(())
+    }
+
+    async fn member(
+        &self,
+        number: usize,
+        role: &'static str,
+        ip: IpAddr,
+        port: u16,
+        seeds: &[String],
+        more: &str,
+    ) -> eyre::Result<Member> {
+        let name = format!("{role}-{number}");
+        let door = self._store.1.addr;
+        let store = Proxy::start(door, door, 0).await?;
+        let text = format!(
+            "node = \"{name}\"\nip = \"{ip}\"\nzone = \"hall-{}\"\nregion = \"one\"\n\
+             internal_ports = [{port}, {port}]\nseeds = {seeds:?}\n{more}\n[bounds]\n\
+             drain_ms = 2000\ngrace_s = 4\nretry_budget_ratio = {RETRY_RATIO}\n\
+             budget_window_s = {RETRY_WINDOW_S}\nretry_budget_extra = {RETRY_EXTRA}\n\
+             [platform]\naddress = \"{}\"\n",
+            number % 2,
+            store.tcp,
+        );
+        let settings = self.folder.join(format!("{name}.toml"));
+        fs::write(&settings, text)?;
+        Ok(Member { name, store, role, settings, process: None })
+    }
+
+    /// The gateway or, behind them, the sidecar of a number.
+    pub fn at(&mut self, number: usize) -> &mut Member {
+        let gateways = self.gateways.len();
+        match number.checked_sub(gateways) {
+            None => &mut self.gateways[number],
+            Some(sidecar) => &mut self.sidecars[sidecar],
+        }
+    }
+
+    /// Starts a process, or starts it again.
+    ///
+    /// # Errors
+    ///
+    /// It can't be started.
+    pub fn run(&mut self, number: usize) -> eyre::Result<()> {
+        let (program, folder) = (self.program.clone(), self.folder.clone());
+        let member = self.at(number);
+        let log = folder.join(format!("{}.log", member.name));
+        let log = File::options().create(true).append(true).open(log)?;
+        let mut command = Command::new(program);
+        command.arg(member.role).env("MASTWEIR_SETTINGS", &member.settings);
+        member.process = Some(Process::start(&mut command, log)?);
+        Ok(())
+    }
+
+    /// Writes the settings of a process anew, with a line that changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// They can't be written.
+    pub fn touch_settings(&mut self, number: usize) -> eyre::Result<()> {
+        let settings = self.at(number).settings.clone();
+        let text = fs::read_to_string(&settings)? + "# changed\n";
+        Ok(fs::write(&settings, text)?)
+    }
+
+    /// Writes the list's entry of a server's present life.
+    pub fn list(&self, number: usize, state: &str) {
+        let place = &self.places[number];
+        let service = if number < SIZES.models { "model" } else { "desk" };
+        let spec = json!({ "service": service, "address": place.proxy.tcp.to_string(),
+            "zone": format!("hall-{}", number % 2), "version": "v1", "slots": SLOTS,
+            "state": state, "warmup_left_ms": 0, "seq": 1 });
+        self.platform.put("servers", &place.server.id(), json!({ "spec": spec }));
+    }
+
+    /// Takes a life off the list.
+    pub fn unlist(&self, id: &str) {
+        self.platform.remove("servers", id);
+    }
+
+    /// Writes a newer configuration: one route comes, and the one before it goes.
+    pub fn configure(&mut self) -> u64 {
+        self.version += 1;
+        let mut routes = vec![
+            route("/safe/", "safe", "desk"),
+            route("/once/", "unsafe", "desk"),
+            route("/stream/", "streaming", "model"),
+        ];
+        routes.push(route(&format!("/version-{}/", self.version), "safe", "desk"));
+        let engine = json!({ "slots": SLOTS, "sets": SETS, "experts": EXPERTS, "places": PLACES,
+            "spare_slots": 2, "expert_mb": 100.0, "link_mbps": 80_000.0 });
+        let spec = json!({
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                { "name": "desk", "health_path": "/healthz", "max_connections": 50 },
+                { "name": "model", "health_path": "/healthz", "max_connections": 50,
+                    "engine": engine },
+            ],
+            "limits": { "max_header_bytes": 16_384, "max_body_bytes": 100_000,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
+            "tenants": [{ "name": CUSTOMER, "api_keys": [KEY] }],
+        });
+        self.platform.put("config", "main", json!({ "spec": spec }));
+        self.version
+    }
+}
+
+/// Addresses of gateways, then of servers, in a block of this world's own.
+fn addresses() -> eyre::Result<Vec<IpAddr>> {
+    let block = NEXT.fetch_add(1, Ordering::Relaxed);
+    let own = u8::try_from(std::process::id() % 200)? + 30;
+    let ip = |number| IpAddr::V4(Ipv4Addr::new(127, own, block, number));
+    let count = u8::try_from(SIZES.gateways + SIZES.models + SIZES.plain)?;
+    Ok((1..=count).map(ip).collect())
+}
+
+fn route(prefix: &str, kind: &str, service: &str) -> Value {
+    json!({ "name": prefix, "host": HOST, "path_prefix": prefix, "kind": kind,
+        "timeout_ms": 4_000, "target_latency_ms": 400, "priority": 1, "service": service,
+        "max_attempts": 2, "public": false, "stream_resume": true, "gap_aim_ms": 120 })
+}
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -171,10 +171,8 @@
 
 fn hello_from(sidecar: &Sidecar, hello: Hello, from: IpAddr) {
     let now = sidecar.clock.now();
-    if hello.leaving {
-        sidecar.gateways.borrow_mut().left(from);
-        return;
-    }
+    // One that is leaving still serves: without reports it would take all servers for
+    // lost, and cut its last streams. It is forgotten when it says no more.
     if sidecar.gateways.borrow_mut().heard(from, now) {
         info!(sidecar.log, "gateway found"; "peer" => %from);
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,3 +15,4 @@
 mod path;
 mod platform_file;
 mod processes;
+mod soak;
--- /dev/null
+++ b/tests/testsuite/soak.rs
@@ -0,0 +1,80 @@
+//! Real gateways and sidecars as processes, under a few faults each: the soak, short.
+
+use eyre::Result;
+use googletest::prelude::*;
+use mastweir_soak::{
+    Report, SoakOptions,
+    ledger::{Kind, Outcome},
+    plan::{Entry, Fault},
+    run,
+};
+use std::{path::Path, time::Duration};
+
+async fn soak(seed: u64, plan: Option<&[Entry]>) -> Result<Report> {
+    let folder = std::env::temp_dir().join(format!("mastweir-soak-{}", std::process::id()));
+    let options = SoakOptions {
+        program: Path::new(env!("CARGO_BIN_EXE_mastweird")),
+        folder: &folder,
+        seed,
+        lasts: Duration::from_secs(5),
+        plan,
+    };
+    let report = run(&options).await?;
+    eprintln!("{report}");
+    Ok(report)
+}
+
+fn at(ms: u64, fault: Fault) -> Entry {
+    let lasts = Duration::from_millis(1_500);
+    Entry { at: Duration::from_millis(ms), lasts, fault }
+}
+
+fn count(report: &Report, kind: Kind, outcome: Outcome) -> usize {
+    let of = report.counts.iter().find(|(what, _)| *what == (kind, outcome));
+    of.map_or(0, |(_, count)| *count)
+}
+
+/// A gateway that leaves goes on hearing from sidecars: once it heard no more, it took
+/// all servers for lost and cut streams that were under way.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_stream() -> Result<()> {
+    let plan = [at(1_500, Fault::StopGateway(0)), at(2_500, Fault::StopGateway(1))];
+    let report = soak(101, Some(&plan)).await?;
+    expect_that!(report.broken, is_empty());
+    expect_that!(count(&report, Kind::Stream, Outcome::Cut), eq(0));
+    Ok(())
+}
+
+/// The coordinator of a group stands still, wherever it sits.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_goes_on_when_an_instance_stands_still() -> Result<()> {
+    let plan =
+        [0, 1, 2].map(|number| at(500 + 1_800 * number, Fault::FreezeInstance(number as usize)));
+    let report = soak(102, Some(&plan)).await?;
+    expect_that!(report.broken, is_empty());
+    expect_that!(report.changes, gt(0));
+    Ok(())
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_promised_holds_when_all_are_killed_in_an_outage() -> Result<()> {
+    let plan = [
+        at(500, Fault::StoreLoses),
+        at(1_000, Fault::LateOrders(0)),
+        at(1_500, Fault::KillAll),
+        at(3_000, Fault::Configure),
+    ];
+    let report = soak(103, Some(&plan)).await?;
+    expect_that!(report.broken, is_empty());
+    Ok(())
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drawn_plan_breaks_no_promise() -> Result<()> {
+    expect_that!(soak(104, None).await?.broken, is_empty());
+    Ok(())
+}
