Spare slow ranks, and groups whose passes grow too long

The sidecar's new line says that one rank of g0-0 took 12 times as long from 19.03 s to 28.17 s; its group's passes took 360 ms, so all its streams were late. The other group then got the rest (pressure 1.0), its passes went beyond 120 ms, and its streams were late as well; while requests were refused, the slow group had places free.

Change, in two steps: (1) reports tell a server's pace; plans weigh a rank's load by it and may drop an expert that others hold, which costs no load, so experts leave a slow rank; a slow server's requests count by its pace. (2) the part of a pass beyond 110 ms counts four times beside load (once before), so the next requests go elsewhere before all come late; where no group has room, one whose streams are late in any case takes them, as far as it has places.

A test of the choice expected "full" where a late answer is given now; it asks for that, and for "full" behind it.

--- a/crates/mastweir-core/src/experts/layers.rs
+++ b/crates/mastweir-core/src/experts/layers.rs
@@ -6,6 +6,8 @@
 //! number of loads a rank by what it saves in the time that is left of a horizon,
 //! less what the loads cost), and the next plan goes on from there. A group with
 //! places to spare gains little from quicker passes: its pressure weighs the gain.
+//! A rank that is slow takes longer for the same load, and all wait for it, so its
+//! experts go to others: copied there, and then dropped, which costs no load.
 
 use crate::switch::hold::GroupMap;
 
@@ -47,11 +49,28 @@
 /// Ranks that may get a copy, in each step: the least loaded ones of the set, so that
 /// a step among 32 ranks looks at a fifth of them.
 const TARGETS: usize = 6;
+/// Least gain of a step, in mean loads: of a copy, anything but rounding; of a drop,
+/// more, since a copy that is gone has to be loaded again when demand shifts.
+const COPY_GAIN_LEAST: f64 = 1e-6;
+const DROP_GAIN_LEAST: f64 = 0.02;
+/// Part of what a rank is lowered by that counts where others are loaded as much.
+const PREPARES: f64 = 0.05;
 /// Steps of a plan, over all sets: far more than there are places to change.
 const STEPS_MAX: usize = 600;
 
+/// What a map has to carry.
+#[derive(Clone, Copy, Debug)]
+pub struct Work<'a> {
+    /// Demand by set and expert.
+    pub demand: &'a [Vec<f64>],
+    /// Time that each rank takes for the same work, over what is usual: 1 where
+    /// nothing else is known.
+    pub pace: &'a [f64],
+}
+
 struct Set<'a> {
     demand: &'a [f64],
+    pace: &'a [f64],
     ranks: Vec<Vec<u16>>,
     before: Vec<Vec<u16>>,
     /// Ranks that hold an expert.
@@ -61,39 +80,52 @@
     fresh: Vec<usize>,
 }
 
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// An expert is loaded at a rank, in place of another where it has no room.
+    Copy { to: usize, expert: u16, evicted: Option<u16> },
+    /// A rank gives up an expert that others hold, too.
+    Drop { from: usize, expert: u16 },
+}
+
+#[derive(Clone, Copy, Debug)]
 struct Move {
-    set: usize,
-    to: usize,
-    expert: u16,
-    evicted: Option<u16>,
+    step: Step,
     gain: f64,
 }
 
-/// Mean skew over the sets: the most loaded rank over the mean.
-pub fn mean_skew(map: &GroupMap, demand: &[Vec<f64>]) -> f64 {
-    let sets: Vec<Set<'_>> = sets(map, demand);
+/// Mean skew over the sets: the most loaded rank over the mean at the usual pace.
+pub fn mean_skew(map: &GroupMap, work: Work<'_>) -> f64 {
+    let sets: Vec<Set<'_>> = sets(map, work);
     sets.iter().map(Set::skew).sum::<f64>() / sets.len().max(1) as f64
 }
 
-fn sets<'a>(map: &GroupMap, demand: &'a [Vec<f64>]) -> Vec<Set<'a>> {
-    map.iter().zip(demand).map(|(ranks, demand)| Set::new(ranks, demand)).collect()
+fn sets<'a>(map: &GroupMap, work: Work<'a>) -> Vec<Set<'a>> {
+    let sets = map.iter().zip(work.demand);
+    sets.map(|(ranks, demand)| Set::new(ranks, demand, work.pace)).collect()
 }
 
 impl<'a> Set<'a> {
-    fn new(ranks: &[Vec<u16>], demand: &'a [f64]) -> Self {
+    fn new(ranks: &[Vec<u16>], demand: &'a [f64], pace: &'a [f64]) -> Self {
         let mut holders = vec![Vec::new(); demand.len()];
         for (rank, experts) in ranks.iter().enumerate() {
             experts.iter().for_each(|expert| holders[usize::from(*expert)].push(rank));
         }
         let (ranks, before) = (ranks.to_vec(), ranks.to_vec());
         let fresh = vec![0; ranks.len()];
-        let mut set = Self { demand, ranks, before, holders, loads: Vec::new(), fresh };
-        set.loads = set.ranks.iter().map(|rank| set.load(rank)).collect();
+        let mut set = Self { demand, pace, ranks, before, holders, loads: Vec::new(), fresh };
+        set.loads = (0..set.ranks.len()).map(|rank| set.load(rank)).collect();
         set
     }
 
-    fn load(&self, rank: &[u16]) -> f64 {
-        rank.iter().map(|expert| self.part(*expert)).sum()
+    /// Time that a rank takes for its part.
+    fn load(&self, rank: usize) -> f64 {
+        let parts: f64 = self.ranks[rank].iter().map(|expert| self.part(*expert)).sum();
+        parts * self.pace(rank)
+    }
+
+    fn pace(&self, rank: usize) -> f64 {
+        self.pace.get(rank).copied().unwrap_or(1.0)
     }
 
     fn part(&self, expert: u16) -> f64 {
@@ -114,7 +146,7 @@
     }
 
     fn mean(&self) -> f64 {
-        self.loads.iter().sum::<f64>() / self.loads.len().max(1) as f64
+        self.demand.iter().sum::<f64>() / self.ranks.len().max(1) as f64
     }
 
     fn skew(&self) -> f64 {
@@ -149,20 +181,32 @@
         self.holders[usize::from(expert)].contains(&rank)
     }
 
-    /// Loads of the ranks if `expert` were copied to `to` in place of `evicted`, into
-    /// a buffer that is used again: a plan asks for thousands of them.
-    fn after(&self, to: usize, expert: u16, evicted: Option<u16>, loads: &mut Vec<f64>) {
+    /// Loads of the ranks after a step, into a buffer that is used again: a plan asks
+    /// for thousands of them.
+    fn after(&self, step: Step, loads: &mut Vec<f64>) {
         loads.clone_from(&self.loads);
-        let new = self.part_of(expert, self.copies(expert) + 1);
-        let change = new - self.part(expert);
-        self.holders[usize::from(expert)].iter().for_each(|rank| loads[*rank] += change);
-        loads[to] += new;
-        let Some(out) = evicted else { return };
-        let old = self.part(out);
-        let change = self.part_of(out, self.copies(out) - 1) - old;
-        let others = self.holders[usize::from(out)].iter().filter(|rank| **rank != to);
-        others.for_each(|rank| loads[*rank] += change);
-        loads[to] -= old;
+        match step {
+            Step::Copy { to, expert, evicted } => {
+                let new = self.part_of(expert, self.copies(expert) + 1);
+                self.shift(expert, to, new, loads);
+                loads[to] += new * self.pace(to);
+                evicted.into_iter().for_each(|out| self.without(out, to, loads));
+            }
+            Step::Drop { from, expert } => self.without(expert, from, loads),
+        }
+    }
+
+    /// A rank gives up an expert, and the others that hold it take its part.
+    fn without(&self, expert: u16, from: usize, loads: &mut [f64]) {
+        loads[from] -= self.part(expert) * self.pace(from);
+        self.shift(expert, from, self.part_of(expert, self.copies(expert) - 1), loads);
+    }
+
+    /// All holders of an expert but one get another part of it.
+    fn shift(&self, expert: u16, but: usize, part: f64, loads: &mut [f64]) {
+        let change = part - self.part(expert);
+        let others = self.holders[usize::from(expert)].iter().filter(|rank| **rank != but);
+        others.for_each(|rank| loads[*rank] += change * self.pace(*rank));
     }
 
     /// What can go from a rank to make room: the copy that is missed least.
@@ -178,61 +222,75 @@
         spare.min_by(|a, b| missed(*a).total_cmp(&missed(*b)))
     }
 
-    fn apply(&mut self, step: &Move) {
-        let mut touched = self.holders[usize::from(step.expert)].clone();
-        if let Some(out) = step.evicted {
-            touched.extend(&self.holders[usize::from(out)]);
-            self.ranks[step.to].retain(|expert| *expert != out);
-            self.holders[usize::from(out)].retain(|rank| *rank != step.to);
-            self.fresh[step.to] -= usize::from(!self.before[step.to].contains(&out));
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Copy { to, expert, evicted } => {
+                evicted.into_iter().for_each(|out| self.remove(to, out));
+                self.ranks[to].push(expert);
+                self.holders[usize::from(expert)].push(to);
+                self.fresh[to] += usize::from(!self.before[to].contains(&expert));
+                self.weigh(expert);
+            }
+            Step::Drop { from, expert } => self.remove(from, expert),
         }
-        self.ranks[step.to].push(step.expert);
-        self.holders[usize::from(step.expert)].push(step.to);
-        self.fresh[step.to] += usize::from(!self.before[step.to].contains(&step.expert));
-        touched.push(step.to);
-        for rank in touched {
-            self.loads[rank] = self.load(&self.ranks[rank]);
+    }
+
+    fn remove(&mut self, from: usize, expert: u16) {
+        self.ranks[from].retain(|held| *held != expert);
+        self.holders[usize::from(expert)].retain(|rank| *rank != from);
+        self.fresh[from] -= usize::from(!self.before[from].contains(&expert));
+        self.loads[from] = self.load(from);
+        self.weigh(expert);
+    }
+
+    /// Loads of the ranks that hold an expert, anew.
+    fn weigh(&mut self, expert: u16) {
+        for rank in self.holders[usize::from(expert)].clone() {
+            self.loads[rank] = self.load(rank);
         }
     }
 }
 
 impl LayerPlanner {
-    /// The best plan from a map on, if one is worth it. `demand` is by set and
-    /// expert; `pressure` is what a quicker pass is worth, 0 to 1.
-    pub fn plan(&self, map: &GroupMap, demand: &[Vec<f64>], pressure: f64) -> Option<LayerPlan> {
-        let now = mean_skew(map, demand);
-        let tried = LOADS.iter().map(|loads| self.with_loads(map, demand, *loads));
+    /// The best plan from a map on, if one is worth it. `pressure` is what a quicker
+    /// pass is worth, 0 to 1.
+    pub fn plan(&self, map: &GroupMap, work: Work<'_>, pressure: f64) -> Option<LayerPlan> {
+        let now = mean_skew(map, work);
+        let tried = LOADS.iter().map(|loads| self.with_loads(map, work, *loads));
         let worth = |plan: &LayerPlan| {
             let late = plan.loads as f64 * self.load_s;
             let saved = (now - plan.skew_then) * (self.horizon_s - late).max(0.0);
             let slowed = self.load_slows * now * late;
-            pressure * (saved - slowed) - self.load_cost * plan.moved as f64
+            // A plan without loads costs its orders.
+            pressure * (saved - slowed) - self.load_cost * (plan.moved + 1) as f64
         };
         let best = tried.max_by(|a, b| worth(a).total_cmp(&worth(b)))?;
         (worth(&best) > 0.0).then_some(best)
     }
 
     /// The plan that loads at most `budget` experts at a rank, over all sets.
-    fn with_loads(&self, map: &GroupMap, demand: &[Vec<f64>], budget: usize) -> LayerPlan {
-        let mut sets = sets(map, demand);
+    fn with_loads(&self, map: &GroupMap, work: Work<'_>, budget: usize) -> LayerPlan {
+        let mut sets = sets(map, work);
         let skew_now = sets.iter().map(Set::skew).sum::<f64>() / sets.len().max(1) as f64;
         let ranks = map.first().map_or(0, Vec::len);
         let mut spent = vec![0; ranks];
         let mut best: Vec<Option<Move>> =
-            (0..sets.len()).map(|at| self.best(&sets, at, &spent, budget)).collect();
+            sets.iter().map(|set| self.best(set, &spent, budget)).collect();
         for _ in 0..STEPS_MAX {
             let gain = |at: &usize| best[*at].as_ref().map_or(0.0, |step| step.gain);
             let Some(at) = (0..sets.len()).max_by(|a, b| gain(a).total_cmp(&gain(b))) else {
                 break;
             };
-            let Some(step) = best[at].take() else { break };
-            sets[at].apply(&step);
-            spent[step.to] += 1;
-            let full = spent[step.to] >= budget;
+            let Some(Move { step, .. }) = best[at].take() else { break };
+            sets[at].apply(step);
+            let mut full = None;
+            if let Step::Copy { to, .. } = step {
+                spent[to] += 1;
+                full = (spent[to] >= budget).then_some(to);
+            }
             for other in 0..sets.len() {
-                let touched = best[other].as_ref().is_some_and(|best| best.to == step.to);
-                if other == at || (full && touched) {
-                    best[other] = self.best(&sets, other, &spent, budget);
+                if other == at || best[other].is_some_and(|best| best.loads_at(full)) {
+                    best[other] = self.best(&sets[other], &spent, budget);
                 }
             }
         }
@@ -249,37 +307,44 @@
     }
 
     /// The step in a set that lowers its most loaded rank most, over the mean.
-    fn best(&self, sets: &[Set<'_>], at: usize, spent: &[usize], budget: usize) -> Option<Move> {
-        let set = &sets[at];
+    fn best(&self, set: &Set<'_>, spent: &[usize], budget: usize) -> Option<Move> {
         let (peak, second) = set.peak();
         let most = set.loads[peak];
-        let mean = set.mean();
+        let mean = set.mean().max(f64::MIN_POSITIVE);
+        let mut after = Vec::new();
         let mut best: Option<Move> = None;
+        let mut weigh = |step: Step, least: f64| {
+            set.after(step, &mut after);
+            let most_then = after.iter().copied().fold(0.0, f64::max);
+            // Where two ranks are equally loaded, lowering one of them only
+            // prepares the next step.
+            let lowered = (most - after[peak]).min(most - second.min(most)).max(0.0);
+            let gain = (most - most_then + PREPARES * lowered) / mean;
+            if gain > least && best.is_none_or(|best| gain > best.gain) {
+                best = Some(Move { step, gain });
+            }
+        };
         let open = |to: &usize| spent[*to] < budget && set.fresh[*to] < self.fresh;
-        let mut after = Vec::new();
         let targets = set.lightest(open);
-        for expert in &set.ranks[peak] {
-            for to in targets.iter().copied() {
-                if set.holds(to, *expert) {
-                    continue;
-                }
-                let evicted = if set.ranks[to].len() < self.places {
-                    None
-                } else {
-                    let Some(out) = set.evictable(to, *expert) else { continue };
-                    Some(out)
-                };
-                set.after(to, *expert, evicted, &mut after);
-                let most_then = after.iter().copied().fold(0.0, f64::max);
-                // Where two ranks are equally loaded, lowering one of them only
-                // prepares the next step.
-                let lowered = (most - after[peak]).min(most - second.min(most)).max(0.0);
-                let gain = (most - most_then + 0.05 * lowered) / mean.max(f64::MIN_POSITIVE);
-                if gain > 1e-6 && best.as_ref().is_none_or(|best| gain > best.gain) {
-                    best = Some(Move { set: at, to, expert: *expert, evicted, gain });
+        for expert in set.ranks[peak].iter().copied() {
+            if set.copies(expert) > 1 {
+                weigh(Step::Drop { from: peak, expert }, DROP_GAIN_LEAST);
+            }
+            for to in targets.iter().copied().filter(|to| !set.holds(*to, expert)) {
+                let has_room = set.ranks[to].len() < self.places;
+                let evicted = if has_room { None } else { set.evictable(to, expert) };
+                if has_room || evicted.is_some() {
+                    weigh(Step::Copy { to, expert, evicted }, COPY_GAIN_LEAST);
                 }
             }
         }
-        best.filter(|step| step.set == at)
+        best
+    }
+}
+
+impl Move {
+    /// Whether it loads an expert at that rank.
+    fn loads_at(&self, rank: Option<usize>) -> bool {
+        matches!(self.step, Step::Copy { to, .. } if Some(to) == rank)
     }
 }
--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -69,6 +69,9 @@
     pub pass: u64,
     /// Milliseconds that the last passes took, on average.
     pub pass_ms: u32,
+    /// Time that it takes for the same work over what is usual, in thousandths; zero
+    /// if that is not known.
+    pub pace_milli: u32,
 }
 
 /// Why no server was found.
@@ -109,6 +112,12 @@
 /// Milliseconds of a pass beyond which a group counts as slow: the users' streams
 /// are late where a pause, which is a pass, is longer than 120 ms.
 const PASS_SLOW_MS: f64 = 110.0;
+/// What such a part of a pass counts beside load: passes grow with the load, so the
+/// next requests go elsewhere before all that are there come late.
+const SLOW_WEIGHT: f64 = 4.0;
+/// Part beyond which a group's streams are late in any case; it takes what the others
+/// have no room for, since a late answer is better than none.
+const LATE_SLOW: f64 = 0.3;
 /// A missing server is kept this long as a last resort: entries that lapsed
 /// while the platform's list was away are back within two seconds.
 const MISSING_LASTS: Duration = Duration::from_millis(1_500);
@@ -126,6 +135,29 @@
 /// Load of a server whose group stands still, over that of one whose group runs.
 const STANDING: f64 = 100.0;
 
+/// How well a server would serve a request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fit {
+    /// Requests over its slots.
+    load: f64,
+    /// Time of a pass over what is in time, less one.
+    slow: f64,
+    /// Whether its group stands still.
+    stands: bool,
+}
+
+impl Fit {
+    fn score(self) -> f64 {
+        let standing = if self.stands { STANDING } else { 0.0 };
+        self.load + self.slow * SLOW_WEIGHT + standing
+    }
+
+    /// Whether all streams of its group are late, whatever else it gets.
+    fn is_late(self) -> bool {
+        !self.stands && self.slow > LATE_SLOW
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Seen {
     /// When the list first named it here.
@@ -275,21 +307,22 @@
         if usable.is_empty() {
             return self.last_resort(service, tried, now).ok_or(Refusal::NoServer);
         }
-        let scored = |id: &String| (self.score(id, now), id.clone());
-        let drawn = draw(&usable, rng).into_iter().map(scored);
-        let best = drawn.min_by(|a, b| a.0.total_cmp(&b.0));
-        let mut best = best.ok_or(Refusal::NoServer)?;
-        if best.0 > room {
+        let fit = |id: &&'_ String| (self.fit(id, now), (*id).clone());
+        let least = |a: &(Fit, String), b: &(Fit, String)| a.0.score().total_cmp(&b.0.score());
+        let mut best = draw(&usable, rng).iter().map(fit).min_by(least);
+        if best.as_ref().is_some_and(|(fit, _)| fit.score() > room) {
             // The few drawn are full: look at all of them.
-            let all = usable.iter().map(|id| scored(id));
-            best = all.min_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or(best);
+            best = usable.iter().map(fit).min_by(least);
         }
-        if best.0 > room {
-            let standing = best.0 >= STANDING;
-            return Err(if standing { Refusal::Standing } else { Refusal::Full });
+        let mut best = best.ok_or(Refusal::NoServer)?;
+        if best.0.score() > room {
+            let late = usable.iter().map(fit).filter(|(fit, _)| fit.is_late() && fit.load <= room);
+            let late = late.min_by(|a, b| a.0.load.total_cmp(&b.0.load));
+            let refusal = if best.0.stands { Refusal::Standing } else { Refusal::Full };
+            best = late.ok_or(refusal)?;
         }
         let server = &self.directory.servers[&best.1];
-        Ok(self.candidate(server, best.0, now))
+        Ok(self.candidate(server, best.0.score(), now))
     }
 
     /// A request was sent to a server.
@@ -377,7 +410,7 @@
         out || seen.is_silent(usual, now)
     }
 
-    fn score(&self, id: &str, now: Uptime) -> f64 {
+    fn fit(&self, id: &str, now: Uptime) -> Fit {
         let server = &self.directory.servers[id];
         let seen = self.seen.get(id);
         let places = f64::from(server.slots.max(1));
@@ -385,13 +418,17 @@
         let told = seen.and_then(|seen| seen.told.as_ref());
         let told = told.filter(|(at, _)| now.since(*at) < REPORT_LASTS);
         let own = seen.map_or(0, |seen| seen.in_flight);
-        let Some((_, told)) = told else { return (f64::from(own) + away) / places };
+        let Some((_, told)) = told else {
+            return Fit { load: (f64::from(own) + away) / places, ..Fit::default() };
+        };
         let since = seen.map_or(0, |seen| seen.sent_since);
         let ended = seen.map_or(0, |seen| seen.ended_since);
         let load = (told.running + told.waiting + since).saturating_sub(ended).max(own);
-        let standing = if told.group_open { 0.0 } else { STANDING };
         let slow = (f64::from(told.pass_ms) / PASS_SLOW_MS - 1.0).max(0.0);
-        (f64::from(load) + away) / places + slow + standing
+        // Its whole group waits for a slow server, the longer the more it has.
+        let pace = f64::from(told.pace_milli.max(1_000)) / 1_000.0;
+        let load = (f64::from(load) * pace + away) / places;
+        Fit { load, slow, stands: !told.group_open }
     }
 
     fn candidate(&self, server: &Server, score: f64, now: Uptime) -> Candidate {
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -68,6 +68,8 @@
     pub state: RankState,
     /// Requests that run and wait there.
     pub load: u32,
+    /// Time that it takes for the same work over what is usual, in thousandths.
+    pub pace_milli: u32,
     /// When it was read, on the sidecar's clock: datagrams overtake each other.
     pub read_at: Uptime,
     /// First of the counts, where they do not fit into one datagram.
--- a/src/mastweir/platform/engine.rs
+++ b/src/mastweir/platform/engine.rs
@@ -48,6 +48,9 @@
     kv_used: u64,
     #[serde(default)]
     kv_total: u64,
+    /// Time that it takes over what is usual: above 1 it is slow.
+    #[serde(default = "usual_pace")]
+    pace: f64,
     group: Option<Group>,
     #[serde(default)]
     size: u32,
@@ -63,6 +66,10 @@
     held: Value,
 }
 
+const fn usual_pace() -> f64 {
+    1.0
+}
+
 #[derive(Debug, Deserialize)]
 struct Group {
     name: String,
@@ -100,6 +107,8 @@
     pub waiting: u32,
     /// Memory in use, in thousandths.
     pub memory_milli: u32,
+    /// Time that it takes for the same work over what is usual, in thousandths.
+    pub pace_milli: u32,
     /// Name of its group.
     pub group: Option<String>,
     /// Its rank's state.
@@ -248,6 +257,7 @@
         running: report.running,
         waiting: report.queued,
         memory_milli: u32::try_from(memory).unwrap_or(u32::MAX),
+        pace_milli: (report.pace * 1_000.0) as u32,
         group: report.group.map(|group| group.name),
         rank,
     }
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -12,7 +12,7 @@
 };
 use futures_util::future::join_all;
 use mastweir_core::{
-    experts::{layers::mean_skew, recent::RecentDemand},
+    experts::{layers::Work, recent::RecentDemand},
     switch::{
         OrderLoss,
         hold::{Act, GroupMap, Layers, Order, OrderKind, RankState, Taken, View, Wanted, decide},
@@ -255,13 +255,13 @@
         if !idle || !demand.is_known() {
             return;
         }
-        let demand = demand.by_set();
+        let (demand, pace) = (demand.by_set(), self.ranks.paces(states.len()));
+        let work = Work { demand: &demand, pace: &pace };
         let pressure = plan::pressure(&model, self.ranks.load(), states.len());
-        let Some(plan) = plan::planner(&model).plan(map, &demand, pressure) else {
-            return;
-        };
+        let Some(plan) = plan::planner(&model).plan(map, work, pressure) else { return };
         info!(self.sidecar.log, "map planned"; "group" => self.group, "loads" => plan.loads,
-            "moved" => plan.moved, "pressure" => format!("{pressure:.2}"), "skew_now" => format!("{:.3}", mean_skew(map, &demand)),
+            "moved" => plan.moved, "pressure" => format!("{pressure:.2}"),
+            "skew_now" => format!("{:.3}", plan.skew_now),
             "skew_then" => format!("{:.3}", plan.skew_then));
         self.want(plan.map);
     }
@@ -299,8 +299,8 @@
             let server = seen.server;
             let read_at = seen.read_at.map(|_| reply.read_at);
             if let Some(state) = reply.state {
-                let load = seen.load;
-                self.ranks.note(Seen { server, at: now, read_at, state, load });
+                let (load, pace_milli) = (seen.load, seen.pace_milli);
+                self.ranks.note(Seen { server, at: now, read_at, state, load, pace_milli });
             }
         }
     }
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -48,6 +48,11 @@
                 } else {
                     tell_coordinator(&sidecar, &state, None, None);
                 }
+                let pace = sidecar.state.borrow().as_ref().map(|before| before.pace_milli);
+                if pace.is_some_and(|before| before != state.pace_milli) {
+                    info!(sidecar.log, "model server's pace changed"; "before_milli" => pace,
+                        "now_milli" => state.pace_milli);
+                }
                 let changing = is_changing(&sidecar, &state);
                 *sidecar.state.borrow_mut() = Some(state);
                 if changing { LOOK_BUSY } else { LOOK_EVERY }
@@ -89,6 +94,7 @@
         group_open: rank.is_none_or(|rank| rank.open && !stalled),
         pass: rank.map_or(0, |rank| rank.pass),
         pass_ms: passes.mean_ms() as u32,
+        pace_milli: state.pace_milli,
     };
     let report = Message::Report(Report { server: sidecar.server, told });
     for ip in sidecar.gateways.borrow_mut().expire(now) {
@@ -114,6 +120,7 @@
         server: sidecar.server,
         state: rank.clone(),
         load: state.running + state.waiting,
+        pace_milli: state.pace_milli,
         read_at: now,
         from: u32::try_from(number * COUNTS_SENT).unwrap_or(u32::MAX),
         counts: counts.to_vec(),
--- a/src/mastweir/sidecar/ranks.rs
+++ b/src/mastweir/sidecar/ranks.rs
@@ -35,6 +35,8 @@
     pub state: RankState,
     /// Requests that run and wait there.
     pub load: u32,
+    /// Time that it takes for the same work over what is usual, in thousandths.
+    pub pace_milli: u32,
     /// When its sidecar read it, on its own clock; none if that is silent and the
     /// server was asked itself.
     pub read_at: Option<Uptime>,
@@ -46,6 +48,7 @@
     server: SocketAddr,
     at: Uptime,
     state: Option<RankState>,
+    pace_milli: u32,
 }
 
 /// The last load that a rank has begun.
@@ -98,6 +101,13 @@
         self.seen.values().map(|seen| seen.load).sum()
     }
 
+    /// Paces of the ranks, in order.
+    pub fn paces(&self, count: usize) -> Vec<f64> {
+        let of =
+            |rank| self.seen.get(&rank).map_or(1.0, |seen| f64::from(seen.pace_milli) / 1_000.0);
+        (0..u32::try_from(count).unwrap_or(0)).map(of).collect()
+    }
+
     /// Number of the rank whose server listens at an address.
     pub fn number_at(&self, server: SocketAddr) -> Option<usize> {
         let own = self.seen.values().find(|seen| seen.server == server);
@@ -117,6 +127,7 @@
             read_at: Some(report.read_at),
             state: report.state.clone(),
             load: report.load,
+            pace_milli: report.pace_milli,
         });
     }
 
@@ -195,7 +206,7 @@
 
     /// Takes such an answer in.
     pub fn take_answer(&mut self, sidecar: &Sidecar, asked: Asked) {
-        let Asked { server, at, state } = asked;
+        let Asked { server, at, state, pace_milli } = asked;
         self.pending.remove(&server);
         let lost = state.is_none();
         let mut unanswering = self.unanswering.borrow_mut();
@@ -207,7 +218,7 @@
         }
         let Some(state) = state else { return };
         let load = self.seen.get(&state.rank).map_or(0, |seen| seen.load);
-        self.note(Seen { server, at, read_at: None, state, load });
+        self.note(Seen { server, at, read_at: None, state, load, pace_milli });
     }
 }
 
@@ -223,5 +234,7 @@
     let state = Engine::new(server, pool).state().await.ok();
     let state = state.filter(|state| state.group.as_deref() == Some(&group));
     // The coordinator may have ended meanwhile.
-    let _ = answers.send(Asked { server, at, state: state.and_then(|state| state.rank) });
+    let pace_milli = state.as_ref().map_or(1_000, |state| state.pace_milli);
+    let state = state.and_then(|state| state.rank);
+    let _ = answers.send(Asked { server, at, state, pace_milli });
 }
--- a/tests/testsuite/gateway_core.rs
+++ b/tests/testsuite/gateway_core.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use mastweir_core::{
     experts::{
-        layers::{LayerPlanner, mean_skew},
+        layers::{LayerPlanner, Work, mean_skew},
         recent::RecentDemand,
     },
     gateway::{
@@ -272,6 +272,9 @@
     expect_that!(choose(&fleet, now), ok(eq("a")));
     (0..2).for_each(|_| fleet.sent("a"));
     fleet.sent("b");
+    // Streams are late there in any case, which is better than none.
+    expect_that!(choose(&fleet, now), ok(eq("c")));
+    (0..11).for_each(|_| fleet.sent("c"));
     expect_that!(choose(&fleet, now), err(eq(&Refusal::Full)));
     // A sidecar that has fallen silent stands for a server that can't be reached.
     let later = now + Duration::from_millis(900);
@@ -325,6 +328,28 @@
     expect_that!(fleet.stuck_in("a", now + soon), none());
 }
 
+/// Before all streams of a group come late, the next go to another; where all groups
+/// are full, to one whose streams are late anyway, rather than nowhere.
+#[googletest::test]
+fn a_group_is_spared_before_its_passes_are_too_long() {
+    let now = Uptime::from_secs(10);
+    let mut fleet = fleet(&["a", "b"]);
+    fleet.told("a", Told { pass_ms: 125, ..told(3) }, now);
+    fleet.told("b", Told { pass_ms: 60, ..told(7) }, now);
+    expect_that!(choose(&fleet, now), ok(eq("b")));
+    fleet.told("b", Told { pass_ms: 130, ..told(7) }, now);
+    expect_that!(choose(&fleet, now), ok(eq("a")));
+    fleet.told("a", Told { pass_ms: 300, ..told(3) }, now);
+    expect_that!(choose(&fleet, now), ok(eq("a")));
+    // It has room for so many, too.
+    fleet.told("a", Told { pass_ms: 300, ..told(11) }, now);
+    expect_that!(choose(&fleet, now), err(eq(&Refusal::Full)));
+    // All in a group wait for its slow server, so that gets little.
+    fleet.told("a", Told { pace_milli: 4_000, ..told(2) }, now);
+    fleet.told("b", told(7), now);
+    expect_that!(choose(&fleet, now), ok(eq("b")));
+}
+
 #[googletest::test]
 fn most_servers_are_never_left_out() {
     let now = Uptime::from_secs(10);
@@ -352,14 +377,44 @@
     load_slows: 0.15,
 };
 
+fn usual(demand: &[Vec<f64>]) -> Work<'_> {
+    Work { demand, pace: &[] }
+}
+
+/// All ranks wait for one that is five times slower.
+#[googletest::test]
+fn a_slow_rank_is_relieved_and_taken_back() {
+    let demand = vec![steep(0), steep(17)];
+    let mut map = in_turn();
+    let slow = Work { demand: &demand, pace: &[1.0, 1.0, 5.0, 1.0, 1.0, 1.0, 1.0, 1.0] };
+    let before = mean_skew(&map, slow);
+    for _ in 0..6 {
+        let Some(plan) = PLANNER.plan(&map, slow, 1.0) else { break };
+        map = plan.map;
+    }
+    expect_that!(before, gt(4.0));
+    expect_that!(mean_skew(&map, slow), lt(1.7));
+    for set in &map {
+        let held: std::collections::HashSet<u16> = set.iter().flatten().copied().collect();
+        expect_that!(held.len(), eq(64));
+        expect_that!(set.iter().all(|rank| rank.len() <= PLANNER.places), eq(true));
+    }
+    // Once it is as quick as the others it carries its part again.
+    for _ in 0..6 {
+        let Some(plan) = PLANNER.plan(&map, usual(&demand), 1.0) else { break };
+        map = plan.map;
+    }
+    expect_that!(mean_skew(&map, usual(&demand)), lt(1.3));
+}
+
 #[googletest::test]
 fn a_plan_evens_the_ranks_within_its_bounds() {
     let demand = vec![steep(0), steep(17)];
     let map = in_turn();
-    let plan = PLANNER.plan(&map, &demand, 1.0).expect("so steep a demand is worth a plan");
+    let plan = PLANNER.plan(&map, usual(&demand), 1.0).expect("so steep a demand is worth a plan");
     expect_that!(plan.skew_now, gt(2.0));
     expect_that!(plan.skew_then, lt(1.6));
-    expect_that!(mean_skew(&plan.map, &demand), approx_eq(plan.skew_then));
+    expect_that!(mean_skew(&plan.map, usual(&demand)), approx_eq(plan.skew_then));
     for (set, before) in plan.map.iter().zip(&map) {
         let held: std::collections::HashSet<u16> = set.iter().flatten().copied().collect();
         expect_that!(held.len(), eq(64));
@@ -378,11 +433,11 @@
 #[googletest::test]
 fn what_gains_little_is_left_as_it_is() {
     let even = vec![vec![10.0; 64]; 2];
-    expect_that!(PLANNER.plan(&in_turn(), &even, 1.0), none());
+    expect_that!(PLANNER.plan(&in_turn(), usual(&even), 1.0), none());
     // The same plan is not worth its loads in a group with places to spare.
     let mild = vec![(0..64).map(|expert| 10.0 + f64::from(expert % 8)).collect(); 2];
-    expect_that!(PLANNER.plan(&in_turn(), &mild, 1.0), some(anything()));
-    expect_that!(PLANNER.plan(&in_turn(), &mild, 0.1), none());
+    expect_that!(PLANNER.plan(&in_turn(), usual(&mild), 1.0), some(anything()));
+    expect_that!(PLANNER.plan(&in_turn(), usual(&mild), 0.1), none());
 }
 
 #[googletest::test]
