--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -154,7 +154,9 @@
             return true;
         }
         let unread = self.map.as_ref().is_none_or(|(known, _)| *known != version);
-        if unread || (whole && self.guessed) {
+        // With more than one rank missing there is no map to put together.
+        let readable = known.len() + 1 >= states.len();
+        if (unread && readable) || (whole && self.guessed) {
             self.read_map(version, states.len()).await;
         }
         if self.wanted.is_none() && whole {
