Leave servers that don't answer for as long as others are heard

Most servers were silent there, so they took the fault for their own, tried all, and spent four times 0.25 s on each request before they said 503 (233 of 253 requests, 1.04 s on average), though the servers of their own hall told them that their group stood still.

Change: silence counts as long as some server is heard; where those are full, silent ones are tried, since sidecars may be lost where servers are not. A connection that does not open leaves a server out for a second, and twice as long each time up to four, until it answers. Servers that fail requests are left out as before, never most.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -125,8 +125,11 @@
 const DRAWN: usize = 4;
 /// Failures in a row after which a server is left out for a while.
 const FAILURES_MAX: u32 = 3;
-/// Time for which it is left out, and for which a refused connection counts.
+/// Time for which it is left out, and for which the first connection that did not
+/// open counts; each further one doubles it.
 const LEFT_OUT: Duration = Duration::from_millis(1_000);
+/// The longest: a hall that was cut off is back in use soon after.
+const LEFT_OUT_MAX: Duration = Duration::from_secs(4);
 /// Load over its slots up to which a server that refuses is taken for one that can't
 /// serve, not for a full one.
 const REFUSED_ROOM: f64 = 0.8;
@@ -170,6 +173,9 @@
     reported: bool,
     failures: u32,
     left_out: Option<Uptime>,
+    /// Connections in a row that did not open, and when the last one did not.
+    unopened: u32,
+    unopened_at: Uptime,
 }
 
 impl Seen {
@@ -185,6 +191,18 @@
         }
     }
 
+    /// Whether requests there failed lately.
+    fn is_failing(&self, now: Uptime) -> bool {
+        self.left_out.is_some_and(|since| now.since(since) < LEFT_OUT)
+    }
+
+    /// Whether connections to it did not open lately.
+    fn is_closed(&self, now: Uptime) -> bool {
+        let Some(doubled) = self.unopened.checked_sub(1) else { return false };
+        let lasts = LEFT_OUT * 2_u32.pow(doubled.min(8));
+        now.since(self.unopened_at) < lasts.min(LEFT_OUT_MAX)
+    }
+
     /// When it will count as silent unless it is heard before.
     fn silent_at(&self) -> Option<Uptime> {
         let (at, _) = self.told.as_ref().filter(|_| self.reported)?;
@@ -261,6 +279,7 @@
         let seen = self.seen.entry(id.to_owned()).or_default();
         seen.told = Some((now, told));
         seen.reported = true;
+        seen.unopened = seen.unopened.min(1);
         seen.sent_since = 0;
         seen.ended_since = 0;
     }
@@ -298,14 +317,21 @@
         let ready = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let untried: Vec<&String> = ready.iter().filter(|id| !tried.contains(id)).collect();
         let usual = self.sidecars_usual(ready, now);
-        let mut usable: Vec<&String> =
-            untried.iter().copied().filter(|id| !self.is_left_out(id, usual, now)).collect();
-        // When most look bad the fault is more likely on this side.
-        if usable.len() * 2 < untried.len() {
-            usable.clone_from(&untried);
-        }
-        if usable.is_empty() {
+        let seen = |id: &String| self.seen.get(id);
+        let is_closed = |id: &String| seen(id).is_some_and(|seen| seen.is_closed(now));
+        let is_silent = |id: &String| seen(id).is_some_and(|seen| seen.is_silent(usual, now));
+        let open: Vec<&String> = untried.iter().copied().filter(|id| !is_closed(id)).collect();
+        let heard: Vec<&String> = open.iter().copied().filter(|id| !is_silent(id)).collect();
+        // When none is left the fault is more likely on this side.
+        let reachable = [&heard, &open, &untried].into_iter().find(|ids| !ids.is_empty());
+        let Some(reachable) = reachable else {
             return self.last_resort(service, tried, now).ok_or(Refusal::NoServer);
+        };
+        let is_failing = |id: &String| seen(id).is_some_and(|seen| seen.is_failing(now));
+        let mut usable: Vec<&String> =
+            reachable.iter().copied().filter(|id| !is_failing(id)).collect();
+        if usable.len() * 2 < reachable.len() {
+            usable.clone_from(reachable);
         }
         let fit = |id: &&'_ String| (self.fit(id, now), (*id).clone());
         let least = |a: &(Fit, String), b: &(Fit, String)| a.0.score().total_cmp(&b.0.score());
@@ -319,7 +345,13 @@
             let late = usable.iter().map(fit).filter(|(fit, _)| fit.is_late() && fit.load <= room);
             let late = late.min_by(|a, b| a.0.load.total_cmp(&b.0.load));
             let refusal = if best.0.stands { Refusal::Standing } else { Refusal::Full };
-            best = late.ok_or(refusal)?;
+            // Sidecars may be lost where servers are not.
+            let silent = || {
+                let silent = open.iter().filter(|id| is_silent(id)).map(fit);
+                silent.filter(|(fit, _)| fit.score() <= room).min_by(least)
+            };
+            let silent = if best.0.stands { None } else { silent() };
+            best = late.or(silent).ok_or(refusal)?;
         }
         let server = &self.directory.servers[&best.1];
         Ok(self.candidate(server, best.0.score(), now))
@@ -364,10 +396,18 @@
         }
     }
 
-    /// A server could not be reached, or is another one by now.
+    /// A server answered, whatever it said.
+    pub fn reached(&mut self, id: &str) {
+        if let Some(seen) = self.seen.get_mut(id) {
+            seen.unopened = 0;
+        }
+    }
+
+    /// No connection to a server opened, or another one has its address by now.
     pub fn unreachable(&mut self, id: &str, now: Uptime) {
         let seen = self.seen.entry(id.to_owned()).or_default();
-        seen.left_out = Some(now);
+        seen.unopened = seen.unopened.saturating_add(1);
+        seen.unopened_at = now;
     }
 
     /// Requests of this gateway that are in flight.
@@ -404,12 +444,6 @@
         ids.iter().filter(reports).count() * 2 > ids.len()
     }
 
-    fn is_left_out(&self, id: &str, usual: bool, now: Uptime) -> bool {
-        let Some(seen) = self.seen.get(id) else { return false };
-        let out = seen.left_out.is_some_and(|since| now.since(since) < LEFT_OUT);
-        out || seen.is_silent(usual, now)
-    }
-
     fn fit(&self, id: &str, now: Uptime) -> Fit {
         let server = &self.directory.servers[id];
         let seen = self.seen.get(id);
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -127,6 +127,7 @@
     };
     let (parts, body) = response.into_parts();
     let head = headers::read_answer(&parts.headers);
+    gateway.fleet.borrow_mut().reached(&place.server.id);
     note_load(gateway, &place, &head);
     if !head.id.is_empty() && head.id != call.head.id {
         progress.runs += 1;
--- a/tests/testsuite/gateway_core.rs
+++ b/tests/testsuite/gateway_core.rs
@@ -350,6 +350,44 @@
     expect_that!(choose(&fleet, now), ok(eq("b")));
 }
 
+/// A gateway whose hall is cut off hears the servers of its own hall, whose group stands
+/// still: it says so at once, rather than try the others, one connection after another.
+#[googletest::test]
+fn servers_of_other_halls_are_not_tried_while_those_of_ones_own_are_heard() {
+    let start = Uptime::from_secs(10);
+    let mut fleet = fleet(&["a", "b", "c", "d"]);
+    ["a", "b", "c", "d"].iter().for_each(|id| fleet.told(id, told(2), start));
+    let now = start + Duration::from_millis(900);
+    fleet.told("a", Told { group_open: false, ..told(2) }, now);
+    expect_that!(choose(&fleet, now), err(eq(&Refusal::Standing)));
+    // Where it is full instead, sidecars may be lost and their servers not.
+    fleet.told("a", told(11), now);
+    expect_that!(choose(&fleet, now), ok(not(eq("a"))));
+    ["b", "c", "d"].iter().for_each(|id| fleet.unreachable(id, now));
+    expect_that!(choose(&fleet, now), err(eq(&Refusal::Full)));
+}
+
+#[googletest::test]
+fn a_server_that_does_not_open_is_tried_less_and_less_until_it_answers() {
+    let mut fleet = fleet(&["a", "b"]);
+    let mut tries = Vec::new();
+    for ms in (10_000..20_000).step_by(100) {
+        let now = Uptime::from_millis(ms);
+        let tried = ["b".to_owned()];
+        let other = fleet.choose("s", &tried, 1.06, now, &mut SmallRng::seed_from_u64(3));
+        // It is the only one left then, and tried in any case.
+        expect_that!(other.is_ok(), eq(true));
+        fleet.sent("b");
+        if choose(&fleet, now) == Ok("a".to_owned()) {
+            tries.push(ms);
+            fleet.unreachable("a", now);
+        }
+    }
+    expect_that!(tries, eq(&vec![10_000, 11_000, 13_000, 17_000]));
+    fleet.reached("a");
+    expect_that!(choose(&fleet, Uptime::from_millis(18_000)), ok(eq("a")));
+}
+
 #[googletest::test]
 fn most_servers_are_never_left_out() {
     let now = Uptime::from_secs(10);
