Split the choice of a server into its steps

No change of what is chosen: the reachable, those that don't fail, the least loaded of a few, those that are late in any case. A refusal without a known group, and a rank's lost server, are kept without detours.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -317,44 +317,52 @@
         let ready = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let untried: Vec<&String> = ready.iter().filter(|id| !tried.contains(id)).collect();
         let usual = self.sidecars_usual(ready, now);
-        let seen = |id: &String| self.seen.get(id);
-        let is_closed = |id: &String| seen(id).is_some_and(|seen| seen.is_closed(now));
-        let is_silent = |id: &String| seen(id).is_some_and(|seen| seen.is_silent(usual, now));
+        let is_closed = |id: &&String| self.seen.get(*id).is_some_and(|seen| seen.is_closed(now));
         let open: Vec<&String> = untried.iter().copied().filter(|id| !is_closed(id)).collect();
-        let heard: Vec<&String> = open.iter().copied().filter(|id| !is_silent(id)).collect();
+        let is_silent =
+            |id: &&String| self.seen.get(*id).is_some_and(|seen| seen.is_silent(usual, now));
+        let (silent, heard): (Vec<&String>, Vec<&String>) =
+            open.iter().copied().partition(is_silent);
         // When none is left the fault is more likely on this side.
-        let reachable = [&heard, &open, &untried].into_iter().find(|ids| !ids.is_empty());
+        let reachable = [heard, open, untried].into_iter().find(|ids| !ids.is_empty());
         let Some(reachable) = reachable else {
             return self.last_resort(service, tried, now).ok_or(Refusal::NoServer);
         };
-        let is_failing = |id: &String| seen(id).is_some_and(|seen| seen.is_failing(now));
-        let mut usable: Vec<&String> =
-            reachable.iter().copied().filter(|id| !is_failing(id)).collect();
-        if usable.len() * 2 < reachable.len() {
-            usable.clone_from(reachable);
-        }
-        let fit = |id: &&'_ String| (self.fit(id, now), (*id).clone());
-        let least = |a: &(Fit, String), b: &(Fit, String)| a.0.score().total_cmp(&b.0.score());
-        let mut best = draw(&usable, rng).iter().map(fit).min_by(least);
-        if best.as_ref().is_some_and(|(fit, _)| fit.score() > room) {
-            // The few drawn are full: look at all of them.
-            best = usable.iter().map(fit).min_by(least);
-        }
-        let mut best = best.ok_or(Refusal::NoServer)?;
-        if best.0.score() > room {
-            let late = usable.iter().map(fit).filter(|(fit, _)| fit.is_late() && fit.load <= room);
-            let late = late.min_by(|a, b| a.0.load.total_cmp(&b.0.load));
-            let refusal = if best.0.stands { Refusal::Standing } else { Refusal::Full };
+        let usable = self.not_failing(reachable, now);
+        let best = self.least_loaded(&draw(&usable, rng), now);
+        let best = best.filter(|(fit, _)| fit.score() <= room);
+        // The few drawn are full: look at all of them.
+        let best = best.or_else(|| self.least_loaded(&usable, now)).ok_or(Refusal::NoServer)?;
+        let (fit, id) = if best.0.score() <= room {
+            best
+        } else if best.0.stands {
+            self.late(&usable, room, now).ok_or(Refusal::Standing)?
+        } else {
             // Sidecars may be lost where servers are not.
-            let silent = || {
-                let silent = open.iter().filter(|id| is_silent(id)).map(fit);
-                silent.filter(|(fit, _)| fit.score() <= room).min_by(least)
-            };
-            let silent = if best.0.stands { None } else { silent() };
-            best = late.or(silent).ok_or(refusal)?;
-        }
-        let server = &self.directory.servers[&best.1];
-        Ok(self.candidate(server, best.0.score(), now))
+            let unheard = || self.least_loaded(&silent, now);
+            let unheard = || unheard().filter(|(fit, _)| fit.score() <= room);
+            self.late(&usable, room, now).or_else(unheard).ok_or(Refusal::Full)?
+        };
+        Ok(self.candidate(&self.directory.servers[id], fit.score(), now))
+    }
+
+    /// Those whose requests don't fail, or all if that is most of them.
+    fn not_failing<'a>(&self, ids: Vec<&'a String>, now: Uptime) -> Vec<&'a String> {
+        let is_failing = |id: &&String| self.seen.get(*id).is_some_and(|seen| seen.is_failing(now));
+        let sound: Vec<&String> = ids.iter().copied().filter(|id| !is_failing(id)).collect();
+        if sound.len() * 2 < ids.len() { ids } else { sound }
+    }
+
+    fn least_loaded<'a>(&self, ids: &[&'a String], now: Uptime) -> Option<(Fit, &'a String)> {
+        let fits = ids.iter().map(|id| (self.fit(id, now), *id));
+        fits.min_by(|a, b| a.0.score().total_cmp(&b.0.score()))
+    }
+
+    /// The least loaded with room among those whose streams are late in any case.
+    fn late<'a>(&self, ids: &[&'a String], room: f64, now: Uptime) -> Option<(Fit, &'a String)> {
+        let fits = ids.iter().map(|id| (self.fit(id, now), *id));
+        let late = fits.filter(|(fit, _)| fit.is_late() && fit.load <= room);
+        late.min_by(|a, b| a.0.load.total_cmp(&b.0.load))
     }
 
     /// A request was sent to a server.
@@ -383,17 +391,13 @@
             return;
         }
         let Some(seen) = self.seen.get_mut(id) else { return };
-        let (_, told) = seen.told.get_or_insert_with(|| (now, Told::default()));
-        told.group_open = false;
-        let Some(group) = told.group.clone() else {
+        let group = seen.told.as_ref().and_then(|(_, told)| told.group.clone());
+        if group.is_none() {
             seen.told = Some((now, Told { group_open: false, ..Told::default() }));
             return;
-        };
-        for (_, told) in self.seen.values_mut().filter_map(|seen| seen.told.as_mut()) {
-            if told.group.as_ref() == Some(&group) {
-                told.group_open = false;
-            }
         }
+        let told = self.seen.values_mut().filter_map(|seen| seen.told.as_mut());
+        told.filter(|(_, told)| told.group == group).for_each(|(_, told)| told.group_open = false);
     }
 
     /// A server answered, whatever it said.
--- a/src/mastweir/sidecar/ranks.rs
+++ b/src/mastweir/sidecar/ranks.rs
@@ -9,7 +9,6 @@
 use mastweir_core::{switch::hold::RankState, time::Uptime};
 use slog::info;
 use std::{
-    cell::RefCell,
     collections::{BTreeMap, HashSet},
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -66,7 +65,7 @@
     loading: BTreeMap<u32, Load>,
     asked: Uptime,
     pending: HashSet<SocketAddr>,
-    unanswering: RefCell<HashSet<SocketAddr>>,
+    unanswering: HashSet<SocketAddr>,
     answers: mpsc::UnboundedSender<Asked>,
     answered: mpsc::UnboundedReceiver<Asked>,
 }
@@ -80,7 +79,7 @@
             loading: BTreeMap::new(),
             asked: Uptime::default(),
             pending: HashSet::new(),
-            unanswering: RefCell::default(),
+            unanswering: HashSet::new(),
             answers,
             answered,
         }
@@ -209,12 +208,11 @@
         let Asked { server, at, state, pace_milli } = asked;
         self.pending.remove(&server);
         let lost = state.is_none();
-        let mut unanswering = self.unanswering.borrow_mut();
-        let changed = if lost { unanswering.insert(server) } else { unanswering.remove(&server) };
-        drop(unanswering);
+        let changed =
+            if lost { self.unanswering.insert(server) } else { self.unanswering.remove(&server) };
         if changed {
-            let msg = if lost { "lost" } else { "regained" };
-            info!(sidecar.log, "silent rank's server"; "server" => %server, "state" => msg);
+            let state = if lost { "lost" } else { "regained" };
+            info!(sidecar.log, "silent rank's server"; "server" => %server, "state" => state);
         }
         let Some(state) = state else { return };
         let load = self.seen.get(&state.rank).map_or(0, |seen| seen.load);
