--- a/tests/testsuite/fuzz_hold.rs
+++ b/tests/testsuite/fuzz_hold.rs
@@ -12,6 +12,8 @@
 
 const RANKS: usize = 3;
 const CASES: u32 = 3_000;
+/// As many as it takes to meet what is rare.
+const MANY_CASES: u32 = 40_000;
 const STEPS: usize = 160;
 /// Looks in which a sound coordinator, alone, has to resume a paused group.
 const LOOKS_MAX: usize = 40;
@@ -270,9 +272,8 @@
     }
 }
 
-#[test]
-fn every_pass_has_one_map() {
-    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+fn fuzz(cases: u32) {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let steps = prop::collection::vec(step(), STEPS);
     let result = TestRunner::new_with_rng(config, rng).run(&steps, |steps| {
@@ -286,3 +287,14 @@
         panic!("{error}");
     }
 }
+
+#[test]
+fn every_pass_has_one_map() {
+    fuzz(CASES);
+}
+
+/// Fails; see KNOWN-RED.txt.
+#[test]
+fn one_map_in_forty_thousand_cases() {
+    fuzz(MANY_CASES);
+}
