Give orders through one piece, and split the tests of decisions by job

Cause: read again as a newcomer.

Change: rank::give serves both (the line "order without an answer" names `taken` in both cases now); the choice of servers is tested in fleet.rs, plans in plans.rs, moved as they stand; the comment says what `room` is.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -300,8 +300,8 @@
         seen.ended_since = 0;
     }
 
-    /// Chooses a server of a service that is not among `tried`. With `full`, one
-    /// at which the request would have to wait counts as well.
+    /// Chooses a server of a service that is not among `tried`, and whose load over its
+    /// slots is at most `room`.
     ///
     /// # Errors
     ///
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -311,14 +311,7 @@
     /// A pause must not depend on the sidecar: if it stood still right after giving
     /// it, nobody could end the pause.
     async fn give_directly(&self, seen: &Seen, order: &Order) -> OrderReply {
-        let taken = match self.engine(seen.server).order(order).await {
-            Ok(taken) => Some(taken),
-            Err(error) => {
-                warn!(self.sidecar.log, "order without an answer"; "token" => order.token,
-                    "error" => %error);
-                None
-            }
-        };
+        let taken = rank::give(self.sidecar, &self.engine(seen.server), order).await;
         let reply = self.call_sidecar(seen, "/state", &()).await;
         OrderReply { taken, ..reply }
     }
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -215,16 +215,21 @@
     if let OrderKind::Load { version, .. } = &order.kind {
         sidecar.loading.set(Some((*version, sidecar.clock.now())));
     }
-    let taken = match engine.order(order).await {
+    let taken = give(sidecar, engine, order).await;
+    sidecar.changed.notify_one();
+    after(sidecar, engine, taken).await
+}
+
+/// Gives an order to a server; none if it gave no answer.
+pub async fn give(sidecar: &Sidecar, engine: &Engine, order: &OrderCall) -> Option<Taken> {
+    match engine.order(order).await {
         Ok(taken) => Some(taken),
         Err(error) => {
             warn!(sidecar.log, "order without an answer"; "token" => order.token,
                 "taken" => order.taken, "error" => %error);
             None
         }
-    };
-    sidecar.changed.notify_one();
-    after(sidecar, engine, taken).await
+    }
 }
 
 /// What a rank made of an order, with its state now.
--- /dev/null
+++ b/tests/testsuite/fleet.rs
@@ -0,0 +1,236 @@
+//! The choice among servers: load, pace, silence, refusals, and lives that ended.
+
+use googletest::prelude::*;
+use mastweir_core::{
+    gateway::{Directory, Fleet, Refusal, Server, ServerState, Told},
+    time::Uptime,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use std::time::Duration;
+
+fn server(id: &str, state: ServerState) -> (String, Server) {
+    let server = Server {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        addr: ([10, 0, 0, 1], 80).into(),
+        hall: "here".to_owned(),
+        slots: 10,
+        state,
+        changed: 1,
+    };
+    (id.to_owned(), server)
+}
+
+fn fleet(ids: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new("here");
+    let servers = ids.iter().map(|id| server(id, ServerState::Ready)).collect();
+    fleet.replace(Directory { revision: 5, servers }, Uptime::default());
+    fleet
+}
+
+fn told(running: u32) -> Told {
+    Told { running, group_open: true, pass_ms: 50, ..Told::default() }
+}
+
+fn choose(fleet: &Fleet, at: Uptime) -> std::result::Result<String, Refusal> {
+    let mut rng = SmallRng::seed_from_u64(3);
+    fleet.choose("s", &[], 1.06, at, &mut rng).map(|server| server.id)
+}
+
+#[googletest::test]
+fn an_older_list_changes_nothing() {
+    let mut fleet = fleet(&["a", "b"]);
+    let older = Directory { revision: 4, servers: Default::default() };
+    expect_that!(fleet.replace(older, Uptime::from_secs(1)), eq(false));
+    expect_that!(fleet.directory().servers.len(), eq(2));
+}
+
+#[googletest::test]
+fn a_server_that_left_the_list_is_a_last_resort_for_a_moment() {
+    let mut fleet = fleet(&["a"]);
+    let gone = Directory { revision: 6, servers: Default::default() };
+    fleet.replace(gone, Uptime::from_secs(1));
+    expect_that!(choose(&fleet, Uptime::from_millis(1_500)), ok(eq("a")));
+    expect_that!(choose(&fleet, Uptime::from_secs(3)), err(eq(&Refusal::NoServer)));
+    // One that said it leaves is none.
+    let mut fleet = Fleet::new("here");
+    let servers = [server("a", ServerState::Leaving)].into();
+    fleet.replace(Directory { revision: 1, servers }, Uptime::default());
+    expect_that!(choose(&fleet, Uptime::default()), err(eq(&Refusal::NoServer)));
+}
+
+/// After all lost power the list names the lives before and the new ones.
+#[googletest::test]
+fn of_two_lives_at_one_address_only_the_newer_is_used() {
+    let mut fleet = Fleet::new("here");
+    let mut servers: std::collections::BTreeMap<String, Server> =
+        [server("a", ServerState::Ready), server("b", ServerState::Ready)].into();
+    servers.get_mut("b").expect("listed").changed = 9;
+    fleet.replace(Directory { revision: 9, servers: servers.clone() }, Uptime::default());
+    let now = Uptime::from_secs(1);
+    expect_that!(choose(&fleet, now), ok(eq("b")));
+    let tried = ["b".to_owned()];
+    let other = fleet.choose("s", &tried, 1.06, now, &mut SmallRng::seed_from_u64(3));
+    expect_that!(other, err(eq(&Refusal::NoServer)));
+    // When the newer one leaves, the older is no server either.
+    servers.get_mut("b").expect("listed").state = ServerState::Leaving;
+    fleet.replace(Directory { revision: 10, servers }, now);
+    expect_that!(choose(&fleet, now), err(eq(&Refusal::NoServer)));
+}
+
+#[googletest::test]
+fn a_refusal_with_room_speaks_for_the_whole_group() {
+    let now = Uptime::from_secs(10);
+    let mut fleet = fleet(&["a", "b", "c"]);
+    let of = |group: &str| Told { group: Some(group.to_owned()), ..told(2) };
+    fleet.told("a", of("one"), now);
+    fleet.told("b", of("one"), now);
+    fleet.told("c", Told { running: 7, ..of("two") }, now);
+    // One that is full says nothing of its group.
+    fleet.refused("a", 950, now);
+    expect_that!(choose(&fleet, now), not(ok(eq("c"))));
+    fleet.refused("a", 200, now);
+    expect_that!(choose(&fleet, now), ok(eq("c")));
+    fleet.refused("c", 700, now);
+    expect_that!(choose(&fleet, now), err(eq(&Refusal::Standing)));
+    // A report says when it goes on.
+    fleet.told("b", of("one"), now);
+    expect_that!(choose(&fleet, now), ok(eq("b")));
+}
+
+#[googletest::test]
+fn load_pace_and_silence_decide_among_servers() {
+    let now = Uptime::from_secs(10);
+    let mut fleet = fleet(&["a", "b", "c"]);
+    fleet.told("a", told(9), now);
+    fleet.told("b", told(3), now);
+    fleet.told("c", Told { pass_ms: 400, ..told(0) }, now);
+    expect_that!(choose(&fleet, now), ok(eq("b")));
+    // Requests sent since the report count on top of it.
+    (0..7).for_each(|_| fleet.sent("b"));
+    expect_that!(choose(&fleet, now), ok(eq("a")));
+    (0..2).for_each(|_| fleet.sent("a"));
+    fleet.sent("b");
+    // Streams are late there in any case, which is better than none.
+    expect_that!(choose(&fleet, now), ok(eq("c")));
+    (0..11).for_each(|_| fleet.sent("c"));
+    expect_that!(choose(&fleet, now), err(eq(&Refusal::Full)));
+    // A sidecar that has fallen silent stands for a server that can't be reached.
+    let later = now + Duration::from_millis(900);
+    fleet.told("a", told(9), later);
+    fleet.told("c", Told { pass_ms: 60, ..told(10) }, later);
+    expect_that!(choose(&fleet, later), ok(eq("a")));
+    expect_that!(fleet.is_stuck("b", later), eq(true));
+    // Groups that stand still are told apart from full ones.
+    for id in ["a", "b", "c"] {
+        fleet.told(id, Told { group_open: false, ..told(0) }, later);
+    }
+    expect_that!(choose(&fleet, later), err(eq(&Refusal::Standing)));
+}
+
+#[googletest::test]
+fn a_server_never_heard_is_left_only_where_the_others_report() {
+    let start = Uptime::from_secs(10);
+    let later = start + Duration::from_millis(900);
+    let listed = |ids: &[&str]| {
+        let mut fleet = Fleet::new("here");
+        let servers = ids.iter().map(|id| server(id, ServerState::Ready)).collect();
+        fleet.replace(Directory { revision: 5, servers }, start);
+        fleet
+    };
+    let mut fleet = listed(&["a", "b", "c"]);
+    fleet.told("a", told(9), later);
+    expect_that!(fleet.is_stuck("c", later), eq(false));
+    fleet.told("b", told(8), later);
+    // A gateway that has just started can't know that it ever reported.
+    expect_that!(fleet.is_stuck("c", later), eq(true));
+    expect_that!(choose(&fleet, later), ok(eq("b")));
+    // One without a sidecar is not left for ever.
+    let much_later = start + Duration::from_secs(5);
+    fleet.told("a", told(9), much_later);
+    fleet.told("b", told(8), much_later);
+    expect_that!(choose(&fleet, much_later), ok(eq("c")));
+    // Servers of plain services have none at all.
+    expect_that!(listed(&["a", "b"]).is_stuck("a", later), eq(false));
+}
+
+#[googletest::test]
+fn a_server_is_stuck_from_the_moment_told_before() {
+    let now = Uptime::from_secs(10);
+    let mut fleet = fleet(&["a", "b"]);
+    expect_that!(fleet.stuck_in("a", now), none());
+    fleet.told("a", told(1), now);
+    let soon = fleet.stuck_in("a", now).unwrap_or_default();
+    let just_before = now + soon - Duration::from_millis(1);
+    expect_that!(fleet.is_stuck("a", just_before), eq(false));
+    expect_that!(fleet.is_stuck("a", now + soon), eq(true));
+    expect_that!(fleet.stuck_in("a", now + soon), none());
+}
+
+/// Before all streams of a group come late, the next go to another; where all groups
+/// are full, to one whose streams are late anyway, rather than nowhere.
+#[googletest::test]
+fn a_group_is_spared_before_its_passes_are_too_long() {
+    let now = Uptime::from_secs(10);
+    let mut fleet = fleet(&["a", "b"]);
+    fleet.told("a", Told { pass_ms: 125, ..told(3) }, now);
+    fleet.told("b", Told { pass_ms: 60, ..told(7) }, now);
+    expect_that!(choose(&fleet, now), ok(eq("b")));
+    fleet.told("b", Told { pass_ms: 130, ..told(7) }, now);
+    expect_that!(choose(&fleet, now), ok(eq("a")));
+    fleet.told("a", Told { pass_ms: 300, ..told(3) }, now);
+    expect_that!(choose(&fleet, now), ok(eq("a")));
+    // It has room for so many, too.
+    fleet.told("a", Told { pass_ms: 300, ..told(11) }, now);
+    expect_that!(choose(&fleet, now), err(eq(&Refusal::Full)));
+    // All in a group wait for its slow server, so that gets little.
+    fleet.told("a", Told { pace_milli: 4_000, ..told(2) }, now);
+    fleet.told("b", told(7), now);
+    expect_that!(choose(&fleet, now), ok(eq("b")));
+}
+
+/// A gateway whose hall is cut off hears the servers of its own hall, whose group stands
+/// still: it says so at once, rather than try the others, one connection after another.
+#[googletest::test]
+fn servers_of_other_halls_are_not_tried_while_those_of_ones_own_are_heard() {
+    let start = Uptime::from_secs(10);
+    let mut fleet = fleet(&["a", "b", "c", "d"]);
+    ["a", "b", "c", "d"].iter().for_each(|id| fleet.told(id, told(2), start));
+    let now = start + Duration::from_millis(900);
+    fleet.told("a", Told { group_open: false, ..told(2) }, now);
+    expect_that!(choose(&fleet, now), err(eq(&Refusal::Standing)));
+    // Where it is full instead, sidecars may be lost and their servers not.
+    fleet.told("a", told(11), now);
+    expect_that!(choose(&fleet, now), ok(not(eq("a"))));
+    ["b", "c", "d"].iter().for_each(|id| fleet.unreachable(id, now));
+    expect_that!(choose(&fleet, now), err(eq(&Refusal::Full)));
+}
+
+#[googletest::test]
+fn a_server_that_does_not_open_is_tried_less_and_less_until_it_answers() {
+    let mut fleet = fleet(&["a", "b"]);
+    let mut tries = Vec::new();
+    for ms in (10_000..20_000).step_by(100) {
+        let now = Uptime::from_millis(ms);
+        let tried = ["b".to_owned()];
+        let other = fleet.choose("s", &tried, 1.06, now, &mut SmallRng::seed_from_u64(3));
+        // It is the only one left then, and tried in any case.
+        expect_that!(other.is_ok(), eq(true));
+        fleet.sent("b");
+        if choose(&fleet, now) == Ok("a".to_owned()) {
+            tries.push(ms);
+            fleet.unreachable("a", now);
+        }
+    }
+    expect_that!(tries, eq(&vec![10_000, 11_000, 13_000, 17_000]));
+    fleet.reached("a");
+    expect_that!(choose(&fleet, Uptime::from_millis(18_000)), ok(eq("a")));
+}
+
+#[googletest::test]
+fn most_servers_are_never_left_out() {
+    let now = Uptime::from_secs(10);
+    let mut fleet = fleet(&["a", "b", "c"]);
+    ["a", "b", "c"].iter().for_each(|id| fleet.unreachable(id, now));
+    expect_that!(choose(&fleet, now), ok(anything()));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod faults;
+mod fleet;
 mod fuzz_hold;
 mod fuzz_lease;
 mod fuzz_outcomes;
@@ -13,6 +14,7 @@
 mod harness;
 mod hold;
 mod path;
+mod plans;
 mod platform_file;
 mod processes;
 mod soak;
--- /dev/null
+++ b/tests/testsuite/plans.rs
@@ -0,0 +1,121 @@
+//! Plans of expert maps, and the demand that they follow.
+
+use googletest::prelude::*;
+use mastweir_core::{
+    experts::{
+        layers::{LayerPlanner, Work, mean_skew},
+        recent::RecentDemand,
+    },
+    time::Uptime,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use std::time::Duration;
+
+/// Demand as steep as the users', with the popular experts at `offset`.
+fn steep(offset: usize) -> Vec<f64> {
+    (0..64).map(|expert| 1_000.0 / (((expert + offset) % 64) as f64 + 1.0).powf(1.2)).collect()
+}
+
+fn in_turn() -> Vec<Vec<Vec<u16>>> {
+    let rank = |rank: u16| (0..64).filter(|expert| expert % 8 == rank).collect();
+    vec![(0..8).map(rank).collect(); 2]
+}
+
+const PLANNER: LayerPlanner = LayerPlanner {
+    places: 11,
+    fresh: 4,
+    load_s: 0.15,
+    horizon_s: 2.5,
+    load_cost: 0.007,
+    load_slows: 0.15,
+};
+
+fn usual(demand: &[Vec<f64>]) -> Work<'_> {
+    Work { demand, pace: &[] }
+}
+
+/// All ranks wait for one that is five times slower.
+#[googletest::test]
+fn a_slow_rank_is_relieved_and_taken_back() {
+    let demand = vec![steep(0), steep(17)];
+    let mut map = in_turn();
+    let slow = Work { demand: &demand, pace: &[1.0, 1.0, 5.0, 1.0, 1.0, 1.0, 1.0, 1.0] };
+    let before = mean_skew(&map, slow);
+    for _ in 0..6 {
+        let Some(plan) = PLANNER.plan(&map, slow, 1.0) else { break };
+        map = plan.map;
+    }
+    expect_that!(before, gt(4.0));
+    expect_that!(mean_skew(&map, slow), lt(1.7));
+    for set in &map {
+        let held: std::collections::HashSet<u16> = set.iter().flatten().copied().collect();
+        expect_that!(held.len(), eq(64));
+        expect_that!(set.iter().all(|rank| rank.len() <= PLANNER.places), eq(true));
+    }
+    // Once it is as quick as the others it carries its part again.
+    for _ in 0..6 {
+        let Some(plan) = PLANNER.plan(&map, usual(&demand), 1.0) else { break };
+        map = plan.map;
+    }
+    expect_that!(mean_skew(&map, usual(&demand)), lt(1.3));
+}
+
+#[googletest::test]
+fn a_plan_evens_the_ranks_within_its_bounds() {
+    let demand = vec![steep(0), steep(17)];
+    let map = in_turn();
+    let plan = PLANNER.plan(&map, usual(&demand), 1.0).expect("so steep a demand is worth a plan");
+    expect_that!(plan.skew_now, gt(2.0));
+    expect_that!(plan.skew_then, lt(1.6));
+    expect_that!(mean_skew(&plan.map, usual(&demand)), approx_eq(plan.skew_then));
+    for (set, before) in plan.map.iter().zip(&map) {
+        let held: std::collections::HashSet<u16> = set.iter().flatten().copied().collect();
+        expect_that!(held.len(), eq(64));
+        for (rank, before) in set.iter().zip(before) {
+            let mut sorted = rank.clone();
+            sorted.sort_unstable();
+            sorted.dedup();
+            expect_that!(sorted.len(), eq(rank.len()));
+            expect_that!(rank.len(), le(PLANNER.places));
+            let fresh = rank.iter().filter(|expert| !before.contains(expert)).count();
+            expect_that!(fresh, le(PLANNER.fresh));
+        }
+    }
+}
+
+#[googletest::test]
+fn what_gains_little_is_left_as_it_is() {
+    let even = vec![vec![10.0; 64]; 2];
+    expect_that!(PLANNER.plan(&in_turn(), usual(&even), 1.0), none());
+    // The same plan is not worth its loads in a group with places to spare.
+    let mild = vec![(0..64).map(|expert| 10.0 + f64::from(expert % 8)).collect(); 2];
+    expect_that!(PLANNER.plan(&in_turn(), usual(&mild), 1.0), some(anything()));
+    expect_that!(PLANNER.plan(&in_turn(), usual(&mild), 0.1), none());
+}
+
+#[googletest::test]
+fn a_shift_of_demand_is_followed_at_once_and_chance_is_not() {
+    let counts = |offset: usize, second: &mut SmallRng| -> Vec<u32> {
+        use rand::Rng;
+        let one = steep(offset);
+        one.iter().map(|mean| (mean / 20.0 * second.random_range(0.7..1.3)) as u32).collect()
+    };
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut demand = RecentDemand::new(1, 64);
+    let mut now = Uptime::from_secs(1);
+    for _ in 0..30 {
+        demand.add(0, &counts(0, &mut rng), now);
+        now = now + Duration::from_millis(200);
+    }
+    expect_that!(demand.is_known(), eq(true));
+    expect_that!(demand.shifts(), le(1));
+    let before = demand.shifts();
+    for _ in 0..3 {
+        demand.add(0, &counts(40, &mut rng), now);
+        now = now + Duration::from_millis(200);
+    }
+    expect_that!(demand.shifts(), gt(before));
+    let estimate = &demand.by_set()[0];
+    // The expert that is popular now stands out over the one that was.
+    expect_that!(estimate[24], gt(estimate[0]));
+}
