Cancel a map only once a rank has gone on, and trust no token

Cause: an order to cancel, carried out late, met a version that all ranks had scheduled by then (the fuzz with 40,000 cases: passes under 1001 and 0, three coordinators). A rank that has everything scheduled gets no order from a successor, so it never learnt the newer token. Where servers check no token (an installation that says so exists) the fuzz failed within seconds in a second way: a coordinator two tokens older schedules at the rank that a successor takes for its predecessor's. Ruled out: the count of orders (it never rises there), the stand-in. Change: a version is cancelled only once some rank has gone on to a newer one; ranks are made to go on where none has. A change is taken back without its coordinator's rank only behind that coordinator's own pause, and only if that one's token is next below; a pause for another reason lies one rank further. A newer coordinator's change is left to it. The fuzz has servers that ignore tokens, and tells its story.

--- a/crates/mastweir-core/src/switch/hold.rs
+++ b/crates/mastweir-core/src/switch/hold.rs
@@ -13,16 +13,24 @@
 //! the coordinator that began the change and for one that took over:
 //!
 //! - a paused group is resumed only when every rank has the same map scheduled;
-//! - where only some have one scheduled, the others get it, or, if they can't
-//!   any more, those that have it cancel it;
-//! - where none has, the coordinator's own map is loaded and scheduled. With that
-//!   every rank has seen its token, so a predecessor's late orders are refused.
+//! - where only some have one scheduled, the others get it, if they have it loaded;
+//! - a version is cancelled only once some rank has gone on to a newer one: a rank
+//!   never takes an older version, so none can be scheduled at all ranks again, and
+//!   an order to cancel it does no harm, however late it is. Where no rank has gone on,
+//!   the coordinator loads a map of its own where nothing is scheduled;
+//! - where none has one scheduled, the coordinator's own map is loaded and scheduled.
+//!   With that no rank can schedule a predecessor's map any more.
 //!
-//! A coordinator pauses the group at another rank than its own, and schedules at
-//! its own rank last, once all others have it. So a successor that can't reach its
-//! predecessor's rank knows: if any other rank has nothing scheduled, that one
-//! hasn't either. It takes back what is scheduled, loads a map of its own at the
-//! others, so that they refuse the predecessor, and resumes.
+//! None of this rests on tokens being checked, since not all servers look at them.
+//!
+//! A coordinator pauses the group at the rank behind its own, once all ranks have its
+//! map loaded, and schedules at its own rank last, once all others have it. So a
+//! successor that can't reach its predecessor's rank knows: if the pause is the
+//! predecessor's, no map older than the predecessor's can be scheduled at that rank;
+//! and if any other rank has nothing scheduled, that one hasn't either. It takes back
+//! what is scheduled, loads a map of its own at the others, and resumes. A pause for
+//! another reason lies one rank further, so that it is not taken for that. A
+//! coordinator never goes on with the change of one that came after it.
 
 use serde::{Deserialize, Serialize};
 
@@ -31,6 +39,21 @@
 /// Experts by set and rank.
 pub type GroupMap = Vec<Vec<Vec<u16>>>;
 
+/// Changes of maps under one token, as a power of two.
+const VERSIONS_BITS: u32 = 20;
+
+/// The version that a coordinator gives the map of one of its changes. Tokens are the
+/// higher bits, so that no two coordinators give the same to two maps, and a
+/// successor's are above its predecessors'.
+pub const fn version(token: u64, number: u64) -> u64 {
+    (token << VERSIONS_BITS) + number
+}
+
+/// Token of the coordinator whose version it is.
+const fn owner(version: u64) -> u64 {
+    version >> VERSIONS_BITS
+}
+
 /// What a rank says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RankState {
@@ -58,6 +81,20 @@
     pub paused: Option<u64>,
 }
 
+impl RankState {
+    /// Whether it has had a newer version, so that it takes this one no more.
+    fn is_beyond(&self, version: u64) -> bool {
+        let scheduled = self.scheduled.map(|(scheduled, _)| scheduled);
+        self.map > version || self.loaded.max(scheduled) > Some(version)
+    }
+
+    /// Token of the coordinator whose map it has loaded or scheduled.
+    fn changed_by(&self) -> Option<u64> {
+        let scheduled = self.scheduled.map(|(scheduled, _)| scheduled);
+        self.loaded.max(scheduled).map(owner)
+    }
+}
+
 /// What a rank is to do.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderKind {
@@ -144,7 +181,9 @@
     pub ranks: &'a [Option<RankState>],
     /// The coordinator's own rank.
     pub own: usize,
-    /// The rank of the coordinator before, if there was another.
+    /// The coordinator's token.
+    pub token: u64,
+    /// The rank of the coordinator whose token is one lower, if it was another's.
     pub predecessor: Option<usize>,
     /// Passes between the last one begun and the one before which the group is
     /// paused: as many as the orders to all ranks take, so that it does not stand.
@@ -179,6 +218,22 @@
         missing.len() == 1 && missing.first().copied() == self.predecessor
     }
 
+    /// The rank at which a coordinator pauses the group for its own change.
+    const fn behind(&self, own: usize) -> usize {
+        (own + 1) % self.ranks.len()
+    }
+
+    /// Whether the group is paused by its predecessor's change, and by nothing else:
+    /// then no older map is or comes to be scheduled at the predecessor's rank.
+    fn is_paused_by(&self, predecessor: usize) -> bool {
+        let mut paused = self.known().filter(|(_, rank)| rank.paused.is_some());
+        let is_its = |(at, rank): (usize, &RankState)| {
+            at == self.behind(predecessor) && rank.changed_by() >= Some(self.token - 1)
+        };
+        // Of two ranks, the one behind the next is the same.
+        self.ranks.len() > 2 && paused.all(is_its)
+    }
+
     fn each(&self, order: impl Fn(usize, &RankState) -> Option<OrderKind>) -> Act {
         let orders: Vec<(usize, OrderKind)> =
             self.known().filter_map(|(at, rank)| Some((at, order(at, rank)?))).collect();
@@ -192,7 +247,7 @@
         return Act::Wait;
     }
     let paused = view.known().filter_map(|(_, rank)| rank.paused).max();
-    let scheduled = view.known().find_map(|(_, rank)| rank.scheduled);
+    let scheduled = view.known().filter_map(|(_, rank)| rank.scheduled).max();
     if !view.is_whole() {
         return match paused {
             Some(_) if view.lacks_predecessor() => take_back(view, wanted),
@@ -200,7 +255,7 @@
         };
     }
     match (paused, scheduled) {
-        (Some(_), Some(scheduled)) => finish(view, scheduled),
+        (Some(_), Some(scheduled)) => finish(view, scheduled, wanted),
         (Some(pass), None) => schedule(view, wanted, pass),
         (None, Some(scheduled)) => watch(view, scheduled),
         (None, None) => begin(view, wanted),
@@ -208,16 +263,36 @@
 }
 
 /// Paused, and a map is scheduled at some ranks at least.
-fn finish(view: View<'_>, scheduled: (u64, u64)) -> Act {
+fn finish(view: View<'_>, scheduled: (u64, u64), wanted: Option<&Wanted>) -> Act {
     let (version, pass) = scheduled;
     let has = |rank: &RankState| rank.scheduled == Some(scheduled);
     if view.all(has) {
         return view.each(|_, rank| rank.paused.map(|pass| OrderKind::Resume { pass }));
     }
+    if owner(version) > view.token {
+        return Act::Wait;
+    }
     if view.all(|rank| has(rank) || rank.loaded == Some(version)) {
         return schedule_missing(view, version, pass);
     }
-    view.each(|_, rank| rank.scheduled.map(|(version, _)| OrderKind::Cancel { version }))
+    replace(view, wanted)
+}
+
+/// Some ranks have a version scheduled that others can't get. It is cancelled where
+/// some rank has gone on to a newer one; until then, ranks are made to go on. Were it
+/// cancelled sooner, the order could come late, after all had it scheduled and the
+/// group was told to resume: a pass under two maps.
+fn replace(view: View<'_>, wanted: Option<&Wanted>) -> Act {
+    let is_lost = |version: u64| view.known().any(|(_, rank)| rank.is_beyond(version));
+    let cancel = view.each(|_, rank| {
+        let (version, _) = rank.scheduled.filter(|(version, _)| is_lost(*version))?;
+        Some(OrderKind::Cancel { version })
+    });
+    if cancel != Act::Wait {
+        return cancel;
+    }
+    let Some(wanted) = wanted else { return Act::Want };
+    load(view, wanted)
 }
 
 /// Schedules where it is not yet; at the coordinator's own rank last.
@@ -239,13 +314,13 @@
 
 /// Paused, and the predecessor's rank can't be reached.
 fn take_back(view: View<'_>, wanted: Option<&Wanted>) -> Act {
-    if view.all(|rank| rank.scheduled.is_some()) {
+    let is_its = view.predecessor.is_some_and(|predecessor| view.is_paused_by(predecessor));
+    if !is_its || view.all(|rank| rank.scheduled.is_some()) {
         // That rank may have it scheduled, or not: only it can tell.
         return Act::Wait;
     }
     if !view.all(|rank| rank.scheduled.is_none()) {
-        return view
-            .each(|_, rank| rank.scheduled.map(|(version, _)| OrderKind::Cancel { version }));
+        return replace(view, wanted);
     }
     let Some(wanted) = wanted else { return Act::Want };
     if !view.all(|rank| rank.loaded == Some(wanted.version)) {
@@ -262,7 +337,7 @@
     if agreed || view.known().any(|(_, rank)| begun(rank)) {
         return Act::Wait;
     }
-    pause(view, scheduled.1)
+    pause(view, view.behind(view.behind(view.own)), scheduled.1)
 }
 
 /// Nothing is under way.
@@ -275,17 +350,19 @@
         return load(view, wanted);
     }
     let last = view.known().map(|(_, rank)| rank.pass).max().unwrap_or(0);
-    pause(view, last + view.ahead)
+    pause(view, view.behind(view.own), last + view.ahead)
 }
 
 /// At another rank than the coordinator's own, which may be lost with it.
-fn pause(view: View<'_>, pass: u64) -> Act {
-    let at = (view.own + 1) % view.ranks.len();
+fn pause(view: View<'_>, at: usize, pass: u64) -> Act {
+    let at = if at == view.own { view.behind(at) } else { at };
     Act::Orders(vec![(at, OrderKind::Pause { pass })])
 }
 
 fn load(view: View<'_>, wanted: &Wanted) -> Act {
     let order = OrderKind::Load { version: wanted.version, map: wanted.map.clone() };
-    let missing = |rank: &RankState| rank.loaded != Some(wanted.version) && !rank.busy;
+    let missing = |rank: &RankState| {
+        rank.loaded != Some(wanted.version) && rank.scheduled.is_none() && !rank.busy
+    };
     view.each(|_, rank| missing(rank).then(|| order.clone()))
 }
--- a/crates/mastweir-test-support/src/ordered.rs
+++ b/crates/mastweir-test-support/src/ordered.rs
@@ -17,6 +17,8 @@
     loading: Option<(u64, GroupMap)>,
     loaded: Option<(u64, GroupMap)>,
     token: u64,
+    /// Whether it takes orders under any token.
+    unfenced: bool,
 }
 
 impl OrderedRank {
@@ -26,9 +28,14 @@
         Self { state, ..Self::default() }
     }
 
+    /// The same, of a server that doesn't look at tokens.
+    pub fn unfenced(self) -> Self {
+        Self { unfenced: true, ..self }
+    }
+
     /// Takes an order, or refuses it.
     pub fn take(&mut self, order: &Order) -> Taken {
-        if order.token < self.token {
+        if order.token < self.token && !self.unfenced {
             return Taken::Fenced;
         }
         if order.epoch != self.state.epoch {
@@ -124,7 +131,8 @@
             pass,
             ..RankState::default()
         };
-        *self = Self { state, had: self.had, token: self.token, ..Self::default() };
+        let (had, token, unfenced) = (self.had, self.token, self.unfenced);
+        *self = Self { state, had, token, unfenced, ..Self::default() };
     }
 }
 
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -15,7 +15,10 @@
     experts::{layers::Work, recent::RecentDemand},
     switch::{
         OrderLoss,
-        hold::{Act, GroupMap, Layers, Order, OrderKind, RankState, Taken, View, Wanted, decide},
+        hold::{
+            Act, GroupMap, Layers, Order, OrderKind, RankState, Taken, View, Wanted, decide,
+            version,
+        },
     },
     time::Uptime,
 };
@@ -46,10 +49,6 @@
 const PASSES_LEAST: u64 = 1;
 /// Passes that seem quicker than this come from a group that was idle.
 const PASS_MS_LEAST: f64 = 20.0;
-/// Versions under one token; tokens are the higher bits, so that no two
-/// coordinators give the same version to two maps.
-const VERSIONS_BITS: u32 = 20;
-
 struct Coordinator<'a> {
     sidecar: &'a Sidecar,
     group: &'a str,
@@ -64,7 +63,7 @@
     loss: OrderLoss,
     /// Whether a part of the map is a guess.
     guessed: bool,
-    /// Where the coordinator before is, if there was another.
+    /// Where the coordinator with the token before is, if that is known.
     before: Option<IpAddr>,
 }
 
@@ -165,6 +164,7 @@
         let view = View {
             ranks: &states,
             own: self.own_rank(),
+            token: self.token,
             predecessor: self.predecessor(&states),
             ahead: self.ahead(states.len()),
         };
@@ -277,7 +277,7 @@
 
     fn want(&mut self, map: GroupMap) {
         self.versions += 1;
-        let version = (self.token << VERSIONS_BITS) + self.versions;
+        let version = version(self.token, self.versions);
         self.wanted = Some((Wanted { version, map }, self.sidecar.clock.now()));
     }
 
--- a/src/mastweir/sidecar/lead.rs
+++ b/src/mastweir/sidecar/lead.rs
@@ -55,7 +55,10 @@
                 info!(sidecar.log, "coordinator now"; "group" => &group, "token" => token);
                 sidecar.token.set(token);
                 while reports.try_recv().is_ok() {}
-                let before = sidecar.heard.borrow().as_ref().map(|heard| heard.from);
+                // One that came between was not heard, and where it is isn't known.
+                let heard = sidecar.heard.borrow().clone();
+                let before = heard.filter(|heard| heard.lead.token + 1 == token);
+                let before = before.map(|heard| heard.from);
                 tokio::select! {
                     () = coordinate::run(&sidecar, &group, token, before, &mut reports) => (),
                     // Also while it waits for the answer to an order.
--- a/tests/testsuite/fuzz_hold.rs
+++ b/tests/testsuite/fuzz_hold.rs
@@ -3,7 +3,7 @@
 //! beside their successors or stand still, ranks that can't be reached, groups
 //! that break. At the end a sound coordinator has to get the group going again.
 
-use mastweir_core::switch::hold::{Act, Order, RankState, View, Wanted, decide};
+use mastweir_core::switch::hold::{Act, Order, RankState, View, Wanted, decide, version};
 use mastweir_test_support::ordered::OrderedRank;
 use proptest::{
     prelude::*,
@@ -70,6 +70,15 @@
     ]
 }
 
+/// What servers make of the tokens in their orders.
+#[derive(Clone, Copy, Debug)]
+enum Fences {
+    /// One that is lower than another seen before is refused.
+    Checked,
+    /// Any will do.
+    Ignored,
+}
+
 #[derive(Clone, Debug)]
 struct Leader {
     token: u64,
@@ -84,7 +93,7 @@
 impl Leader {
     fn want(&mut self) {
         self.versions += 1;
-        let version = self.token * 1_000 + self.versions;
+        let version = version(self.token, self.versions);
         // The content names who wanted it.
         let map = vec![vec![vec![u16::try_from(version % 60_000).unwrap_or(0)]; RANKS]];
         self.wanted = Some(Wanted { version, map });
@@ -104,13 +113,20 @@
     leaders: Vec<Leader>,
     flights: Vec<Flight>,
     pass: u64,
+    /// What was carried out, for the message of a failure.
+    story: Vec<String>,
 }
 
 impl World {
-    fn new() -> Self {
+    fn new(fences: Fences) -> Self {
         let size = u32::try_from(RANKS).unwrap_or(0);
-        let ranks = (0..size).map(|number| OrderedRank::new(number, size)).collect();
-        let mut world = Self { ranks, leaders: Vec::new(), flights: Vec::new(), pass: 0 };
+        let ranks = (0..size).map(|number| OrderedRank::new(number, size));
+        let ranks = match fences {
+            Fences::Checked => ranks.collect(),
+            Fences::Ignored => ranks.map(OrderedRank::unfenced).collect(),
+        };
+        let mut world =
+            Self { ranks, leaders: Vec::new(), flights: Vec::new(), pass: 0, story: Vec::new() };
         world.succeed(0, false);
         world
     }
@@ -148,7 +164,8 @@
             return;
         }
         let predecessor = leader.before.filter(|rank| leader.seen[*rank].is_none());
-        let view = View { ranks: &leader.seen, own: leader.own, predecessor, ahead: 2 };
+        let (own, token) = (leader.own, leader.token);
+        let view = View { ranks: &leader.seen, own, token, predecessor, ahead: 2 };
         match decide(view, leader.wanted.as_ref()) {
             Act::Wait => {
                 let version = leader.wanted.as_ref().map(|wanted| wanted.version);
@@ -179,7 +196,9 @@
         if !again {
             self.flights.remove(at);
         }
-        self.ranks[flight.rank].take(&flight.order);
+        let taken = self.ranks[flight.rank].take(&flight.order);
+        let (token, rank, kind) = (flight.order.token, flight.rank, &flight.order.kind);
+        self.story.push(format!("token {token}, rank {rank}: {kind:?} {taken:?}"));
         let reached = !self.is_still(flight.rank) && !self.leaders[flight.leader].still;
         if answered && reached {
             self.read(flight.leader, flight.rank);
@@ -200,11 +219,12 @@
             return Ok(());
         }
         self.pass = next;
+        self.story.push(format!("pass {next}"));
         self.ranks.iter_mut().for_each(|rank| rank.begin(next));
         let first = &self.ranks[0];
         for rank in &self.ranks {
-            prop_assert_eq!(rank.state.map, first.state.map, "versions differ in pass {}", next);
-            prop_assert_eq!(&rank.map, &first.map, "contents differ in pass {}", next);
+            prop_assert_eq!(rank.state.map, first.state.map, "versions differ, {:#?}", self.story);
+            prop_assert_eq!(&rank.map, &first.map, "contents differ, {:#?}", self.story);
         }
         Ok(())
     }
@@ -267,17 +287,17 @@
             self.begin_pass()?;
         }
         let paused = self.ranks.iter().any(|rank| rank.state.paused.is_some());
-        prop_assert!(!paused, "still paused");
+        prop_assert!(!paused, "still paused, {:#?}", self.story);
         Ok(())
     }
 }
 
-fn fuzz(cases: u32) {
+fn fuzz(cases: u32, fences: Fences) {
     let config = Config { cases, failure_persistence: None, ..Config::default() };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let steps = prop::collection::vec(step(), STEPS);
     let result = TestRunner::new_with_rng(config, rng).run(&steps, |steps| {
-        let mut world = World::new();
+        let mut world = World::new(fences);
         for step in steps {
             world.apply(step)?;
         }
@@ -290,11 +310,15 @@
 
 #[test]
 fn every_pass_has_one_map() {
-    fuzz(CASES);
+    fuzz(CASES, Fences::Checked);
 }
 
-/// Fails; see KNOWN-RED.txt.
 #[test]
 fn one_map_in_forty_thousand_cases() {
-    fuzz(MANY_CASES);
+    fuzz(MANY_CASES, Fences::Checked);
+}
+
+#[test]
+fn one_map_where_servers_ignore_tokens() {
+    fuzz(MANY_CASES, Fences::Ignored);
 }
--- a/tests/testsuite/hold.rs
+++ b/tests/testsuite/hold.rs
@@ -4,13 +4,17 @@
 use mastweir_core::{
     switch::{
         OrderLoss,
-        hold::{Act, OrderKind, RankState, View, Wanted, decide},
+        hold::{Act, OrderKind, RankState, View, Wanted, decide, version},
     },
     time::Uptime,
 };
 
 const RANKS: u32 = 4;
 const OWN: usize = 1;
+const TOKEN: u64 = 3;
+/// Of this coordinator, and of the one before.
+const OURS: u64 = version(TOKEN, 1);
+const THEIRS: u64 = version(TOKEN - 1, 1);
 
 fn rank(number: u32) -> RankState {
     RankState { epoch: 3, rank: number, size: RANKS, open: true, pass: 70, ..RankState::default() }
@@ -27,9 +31,9 @@
 }
 
 fn act(ranks: &[Option<RankState>], predecessor: Option<usize>, wanted: bool) -> String {
-    let wanted = wanted.then(|| Wanted { version: 9, map: vec![vec![vec![0]]] });
-    let view = View { ranks, own: OWN, predecessor, ahead: 2 };
-    match decide(view, wanted.as_ref()) {
+    let wanted = wanted.then(|| Wanted { version: OURS, map: vec![vec![vec![0]]] });
+    let view = View { ranks, own: OWN, token: TOKEN, predecessor, ahead: 2 };
+    let told = match decide(view, wanted.as_ref()) {
         Act::Orders(orders) => {
             let told = |(rank, order): &(usize, OrderKind)| match order {
                 OrderKind::Load { version, .. } => format!("{rank}: load {version}"),
@@ -38,40 +42,41 @@
             orders.iter().map(told).collect::<Vec<String>>().join("\n")
         }
         other => format!("{other:?}"),
-    }
+    };
+    told.replace(&OURS.to_string(), "ours").replace(&THEIRS.to_string(), "theirs")
 }
 
 #[test]
 fn a_map_is_loaded_where_it_is_not_yet() {
     let mut ranks = group(|_| ());
-    ranks[0] = Some(RankState { loaded: Some(9), ..rank(0) });
+    ranks[0] = Some(RankState { loaded: Some(OURS), ..rank(0) });
     ranks[2] = Some(RankState { busy: true, ..rank(2) });
     insta::assert_snapshot!(act(&ranks, None, true), @"
-    1: load 9
-    3: load 9
+    1: load ours
+    3: load ours
     ");
 }
 
 #[test]
 fn a_pause_is_kept_at_another_rank_than_ones_own() {
-    let ranks = group(|state| state.loaded = Some(9));
+    let ranks = group(|state| state.loaded = Some(OURS));
     insta::assert_snapshot!(act(&ranks, None, true), @"2: Pause { pass: 72 }");
 }
 
 #[test]
 fn the_own_rank_is_scheduled_last() {
-    let mut ranks = group(|state| state.loaded = Some(9));
-    ranks[2] = Some(RankState { loaded: Some(9), paused: Some(72), ..rank(2) });
+    let mut ranks = group(|state| state.loaded = Some(OURS));
+    ranks[2] = Some(RankState { loaded: Some(OURS), paused: Some(72), ..rank(2) });
     insta::assert_snapshot!(act(&ranks, None, true), @"
-    0: Schedule { version: 9, pass: 72 }
-    2: Schedule { version: 9, pass: 72 }
-    3: Schedule { version: 9, pass: 72 }
+    0: Schedule { version: ours, pass: 72 }
+    2: Schedule { version: ours, pass: 72 }
+    3: Schedule { version: ours, pass: 72 }
     ");
     for state in ranks.iter_mut().flatten().filter(|state| state.rank as usize != OWN) {
-        state.scheduled = Some((9, 72));
+        state.scheduled = Some((OURS, 72));
     }
-    insta::assert_snapshot!(act(&ranks, None, true), @"1: Schedule { version: 9, pass: 72 }");
-    ranks.iter_mut().flatten().for_each(|state| state.scheduled = Some((9, 72)));
+    insta::assert_snapshot!(act(&ranks, None, true), @"1: Schedule { version: ours, pass: 72 }");
+    ranks.iter_mut().flatten().for_each(|state| state.scheduled = Some((OURS, 72)));
     insta::assert_snapshot!(act(&ranks, None, true), @"2: Resume { pass: 72 }");
 }
 
@@ -82,47 +87,80 @@
     insta::assert_snapshot!(act(&ranks, None, false), @"Want");
 }
 
+/// Not before: the order may come late, when all have it scheduled after all.
 #[test]
-fn what_the_others_can_not_have_is_cancelled() {
+fn what_the_others_can_not_have_is_cancelled_once_one_has_gone_on() {
     let mut ranks = group(|_| ());
-    ranks[0] = Some(RankState { scheduled: Some((8, 72)), paused: Some(72), ..rank(0) });
-    insta::assert_snapshot!(act(&ranks, None, true), @"0: Cancel { version: 8 }");
+    ranks[0] = Some(RankState { scheduled: Some((THEIRS, 72)), paused: Some(72), ..rank(0) });
+    insta::assert_snapshot!(act(&ranks, None, false), @"Want");
+    insta::assert_snapshot!(act(&ranks, None, true), @"
+    1: load ours
+    2: load ours
+    3: load ours
+    ");
+    ranks[2] = Some(RankState { loaded: Some(OURS), ..rank(2) });
+    insta::assert_snapshot!(act(&ranks, None, true), @"0: Cancel { version: theirs }");
+}
+
+#[test]
+fn the_change_of_a_successor_is_left_to_it() {
+    let theirs = version(TOKEN + 1, 1);
+    let mut ranks = group(|state| state.loaded = Some(theirs));
+    ranks[0] = Some(RankState { scheduled: Some((theirs, 72)), paused: Some(72), ..rank(0) });
+    insta::assert_snapshot!(act(&ranks, None, true), @"Wait");
 }
 
 #[test]
 fn what_only_some_have_scheduled_is_mended_behind_a_pause() {
-    let mut ranks = group(|state| state.loaded = Some(9));
-    ranks[3] = Some(RankState { loaded: Some(9), scheduled: Some((9, 74)), ..rank(3) });
-    insta::assert_snapshot!(act(&ranks, None, true), @"2: Pause { pass: 74 }");
+    let mut ranks = group(|state| state.loaded = Some(OURS));
+    ranks[3] = Some(RankState { loaded: Some(OURS), scheduled: Some((OURS, 74)), ..rank(3) });
+    insta::assert_snapshot!(act(&ranks, None, true), @"3: Pause { pass: 74 }");
 }
 
 /// The rank of a coordinator that stands still can't be reached: what it began is
 /// taken back, and the others refuse it from then on.
 #[test]
 fn a_change_is_taken_back_without_its_coordinators_rank() {
-    let mut ranks = group(|state| state.loaded = Some(8));
+    let mut ranks = group(|state| state.loaded = Some(THEIRS));
     ranks[0] = None;
-    ranks[3] = Some(RankState { scheduled: Some((8, 72)), paused: Some(72), ..rank(3) });
-    insta::assert_snapshot!(act(&ranks, Some(0), true), @"3: Cancel { version: 8 }");
-    ranks[3] = Some(RankState { loaded: Some(8), paused: Some(72), ..rank(3) });
+    ranks[1] = Some(RankState { loaded: Some(THEIRS), paused: Some(72), ..rank(1) });
+    ranks[3] = Some(RankState { scheduled: Some((THEIRS, 72)), ..rank(3) });
     insta::assert_snapshot!(act(&ranks, Some(0), true), @"
-    1: load 9
-    2: load 9
-    3: load 9
+    1: load ours
+    2: load ours
     ");
-    ranks.iter_mut().flatten().for_each(|state| state.loaded = Some(9));
-    insta::assert_snapshot!(act(&ranks, Some(0), true), @"3: Resume { pass: 72 }");
+    ranks[1] = Some(RankState { loaded: Some(OURS), paused: Some(72), ..rank(1) });
+    ranks[2] = Some(RankState { loaded: Some(OURS), ..rank(2) });
+    insta::assert_snapshot!(act(&ranks, Some(0), true), @"3: Cancel { version: theirs }");
+    ranks[3] = Some(RankState { loaded: Some(THEIRS), ..rank(3) });
+    insta::assert_snapshot!(act(&ranks, Some(0), true), @"3: load ours");
+    ranks[3] = Some(RankState { loaded: Some(OURS), ..rank(3) });
+    insta::assert_snapshot!(act(&ranks, Some(0), true), @"1: Resume { pass: 72 }");
+}
+
+/// Only a pause of the predecessor's own change tells what its rank can have.
+#[test]
+fn nothing_is_taken_back_behind_the_pause_of_another() {
+    let pause_at = |at: usize, loaded: u64| {
+        let mut ranks = group(|state| state.loaded = Some(loaded));
+        ranks[0] = None;
+        ranks[at].as_mut().expect("known").paused = Some(72);
+        act(&ranks, Some(0), true)
+    };
+    insta::assert_snapshot!(pause_at(2, THEIRS), @"Wait");
+    insta::assert_snapshot!(pause_at(1, version(TOKEN - 2, 1)), @"Wait");
+    insta::assert_snapshot!(pause_at(1, OURS), @"1: Resume { pass: 72 }");
 }
 
 #[test]
 fn nothing_is_taken_back_where_that_rank_may_have_it() {
-    let mut ranks = group(|state| state.scheduled = Some((8, 72)));
-    ranks[3] = Some(RankState { scheduled: Some((8, 72)), paused: Some(72), ..rank(3) });
+    let mut ranks = group(|state| state.scheduled = Some((THEIRS, 72)));
+    ranks[1] = Some(RankState { scheduled: Some((THEIRS, 72)), paused: Some(72), ..rank(1) });
     ranks[0] = None;
     insta::assert_snapshot!(act(&ranks, Some(0), true), @"Wait");
     // Nor where another rank than the coordinator's is missing.
-    let mut ranks = group(|_| ());
-    ranks[3] = Some(RankState { paused: Some(72), ..rank(3) });
+    let mut ranks = group(|state| state.loaded = Some(THEIRS));
+    ranks[1] = Some(RankState { loaded: Some(THEIRS), paused: Some(72), ..rank(1) });
     ranks[2] = None;
     insta::assert_snapshot!(act(&ranks, Some(0), true), @"Wait");
 }
