Count choices ten times a second

Cause: ranks report at the same moments, each 0.2 s, so a shift shows 0.1 s late on average, and the first report behind it is half from before. Change: sidecars tell the coordinator each 0.1 s (gateways as before); no plan for 0.08 s behind a shift, by when the next round has come.

--- a/crates/mastweir-core/src/experts/recent.rs
+++ b/crates/mastweir-core/src/experts/recent.rs
@@ -18,7 +18,7 @@
 /// What is counted so soon after a shift was noticed does not decide: the reports that
 /// show it are partly from before it, and the next round comes within this time. A plan
 /// from them left a skew of 2 where one from the next round leaves 1.5.
-const MIXED: Duration = Duration::from_millis(150);
+const MIXED: Duration = Duration::from_millis(80);
 /// Distance of the two distributions, 0 to 2, beyond which popularity has
 /// shifted: this, and as much as chance gives.
 const SHIFT_LEAST: f64 = 0.25;
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -14,8 +14,12 @@
 use std::{net::IpAddr, rc::Rc, time::Duration};
 use tokio::time;
 
-/// The server is looked at this often.
-const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// The server is looked at this often, and the coordinator told what its requests chose.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Gateways are told of it this often.
+const TELL_EVERY: Duration = Duration::from_millis(200);
+/// Timers fire slightly early or late; what is due within this time is done at once.
+const LOOK_SLACK: Duration = Duration::from_millis(10);
 /// And this often while an order is under way at it.
 const LOOK_BUSY: Duration = Duration::from_millis(40);
 /// A load that takes longer than this is looked at like any other state.
@@ -29,6 +33,7 @@
     let mut passes = Passes::default();
     let mut lost = false;
     let mut told_at: Option<Uptime> = None;
+    let mut counted_at: Option<Uptime> = None;
     loop {
         let pause = match sidecar.engine.state().await {
             Ok(state) => {
@@ -39,10 +44,13 @@
                 let pass = state.rank.as_ref().map_or(0, |rank| rank.pass);
                 passes.seen(pass, state.running, now);
                 sidecar.pass_ms.set(passes.mean_ms());
-                if told_at.is_none_or(|at| now.since(at) >= LOOK_EVERY) {
+                if told_at.is_none_or(|at| now.since(at) + LOOK_SLACK >= TELL_EVERY) {
                     told_at = Some(now);
-                    let choices = sidecar.engine.choices().await.ok();
                     tell_gateways(&sidecar, &state, &passes);
+                }
+                if counted_at.is_none_or(|at| now.since(at) + LOOK_SLACK >= LOOK_EVERY) {
+                    counted_at = Some(now);
+                    let choices = sidecar.engine.choices().await.ok();
                     tell_coordinator(&sidecar, &state, choices.as_ref(), before.as_ref());
                     before = choices.or(before);
                 } else {
