--- a/crates/mastweir-core/src/experts/recent.rs
+++ b/crates/mastweir-core/src/experts/recent.rs
@@ -12,7 +12,7 @@
 /// 0.25 s a shift is noticed 0.1 s later and 0.6 in 100 more streams are late (means
 /// of 15 simulated days).
 const SLOW_S: f64 = 1.0;
-const QUICK_S: f64 = 0.25;
+const QUICK_S: f64 = 0.12;
 /// Choices a set that a plan needs.
 const CHOICES_LEAST: f64 = 300.0;
 /// What is counted so soon after a shift was noticed does not decide: the reports that
