Hold new streams back while passes are longer than streams may pause

Cause: behind a shift of demand passes last 110 to 145 ms for 0.9 s (120 allowed), and each stream that begins then makes them longer: places in use grew from 5.5 to 8 of 12 a rank. First events had 300 ms to spare. Gateways learnt of it 0.3 s late, and a fixed 110 ms counted as slow where one installation allows 120 and another 150. Change: the coordinator tells gateways what passes take by the engine's own figures, the requests that run and the skew of the map, each 0.08 s while it changes the map. A new stream is held while a pass is above 0.8 of what its route may pause, at most until its first event would be late. How slow a group is counts against the route's pause; requests are no more refused for a slow group. The constants for slow and late groups go.

--- a/crates/mastweir-core/src/gateway/config.rs
+++ b/crates/mastweir-core/src/gateway/config.rs
@@ -84,6 +84,30 @@
     pub load_s: f64,
     /// Megabytes of one expert.
     pub load_mb: f64,
+    /// What makes up a pass.
+    pub pass: PassCost,
+}
+
+/// What makes up a pass of a group, from the engine's own figures.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PassCost {
+    /// Steps in a pass.
+    pub steps: f64,
+    /// Milliseconds of a step.
+    pub step_ms: f64,
+    /// Milliseconds more for each request that runs at a rank.
+    pub request_ms: f64,
+    /// Part of this work that is done by experts, 0 to 1.
+    pub expert_part: f64,
+}
+
+impl PassCost {
+    /// Milliseconds of a pass without prompts, by the requests that run at a rank on
+    /// average, and the most loaded rank's part of the experts' work over the mean.
+    pub fn pass_ms(&self, running: f64, skew: f64) -> f64 {
+        let work = self.steps * (self.step_ms + self.request_ms * running);
+        work * (1.0 - self.expert_part + self.expert_part * skew)
+    }
 }
 
 /// Servers of one kind.
--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -86,7 +86,7 @@
 }
 
 /// A server that was chosen.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
     /// Its id.
     pub id: String,
@@ -96,6 +96,8 @@
     pub load_milli: u32,
     /// Age of the report that the choice used, if there was one.
     pub report_age: Option<Duration>,
+    /// Milliseconds that its group's passes take, as far as is known.
+    pub pass_ms: f64,
 }
 
 /// A report older than this is not used; four of them are missing by then.
@@ -109,15 +111,13 @@
 /// do: a gateway that has just started can't tell whether it ever did. The users'
 /// instances stand still for four seconds and more.
 const UNHEARD_UNTIL: Duration = Duration::from_secs(4);
-/// Milliseconds of a pass beyond which a group counts as slow: the users' streams
-/// are late where a pause, which is a pass, is longer than 120 ms.
-const PASS_SLOW_MS: f64 = 110.0;
-/// What such a part of a pass counts beside load: passes grow with the load, so the
-/// next requests go elsewhere before all that are there come late.
+/// What a coordinator said of its group's passes is not used longer than this; it
+/// says so again each 80 ms while it changes the map.
+const PACE_LASTS: Duration = Duration::from_millis(300);
+/// What a pass counts beside load, for each part by which it is longer than streams
+/// may pause: passes grow with the load, so the next requests go elsewhere before all
+/// that are there come late.
 const SLOW_WEIGHT: f64 = 4.0;
-/// Part beyond which a group's streams are late in any case; it takes what the others
-/// have no room for, since a late answer is better than none.
-const LATE_SLOW: f64 = 0.3;
 /// A missing server is kept this long as a last resort: entries that lapsed
 /// while the platform's list was away are back within two seconds.
 const MISSING_LASTS: Duration = Duration::from_millis(1_500);
@@ -145,6 +145,8 @@
     load: f64,
     /// Time of a pass over what is in time, less one.
     slow: f64,
+    /// Milliseconds of a pass.
+    pass_ms: f64,
     /// Whether its group stands still.
     stands: bool,
 }
@@ -155,9 +157,9 @@
         self.load + self.slow * SLOW_WEIGHT + standing
     }
 
-    /// Whether all streams of its group are late, whatever else it gets.
-    fn is_late(self) -> bool {
-        !self.stands && self.slow > LATE_SLOW
+    /// Whether it has room for another request.
+    fn has_room(self, room: f64) -> bool {
+        !self.stands && self.load <= room
     }
 }
 
@@ -218,6 +220,21 @@
     by_service: HashMap<String, Vec<String>>,
     missing: HashMap<String, (Server, Uptime)>,
     seen: HashMap<String, Seen>,
+    /// Milliseconds of a group's passes, as its coordinator said, and when.
+    paces: HashMap<String, (Uptime, f64)>,
+}
+
+/// What a request needs of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Needs<'a> {
+    /// Its service.
+    pub service: &'a str,
+    /// Servers that won't do any more.
+    pub tried: &'a [String],
+    /// Load over a server's slots up to which it may get the request.
+    pub room: f64,
+    /// Longest wanted pause between two events, in ms; zero if that doesn't matter.
+    pub gap_ms: f64,
 }
 
 impl Fleet {
@@ -284,6 +301,11 @@
         seen.ended_since = 0;
     }
 
+    /// A group's coordinator expects its passes to take so long.
+    pub fn paced(&mut self, group: &str, pass_ms: u32, now: Uptime) {
+        self.paces.insert(group.to_owned(), (now, f64::from(pass_ms)));
+    }
+
     /// Takes in the load that a server wrote into an answer.
     pub fn answered_load(&mut self, id: &str, running: u32, waiting: u32, now: Uptime) {
         let Some(seen) = self.seen.get_mut(id) else { return };
@@ -300,20 +322,18 @@
         seen.ended_since = 0;
     }
 
-    /// Chooses a server of a service that is not among `tried`, and whose load over its
-    /// slots is at most `room`.
+    /// Chooses a server for a request.
     ///
     /// # Errors
     ///
     /// [`Refusal`] says whether there is no server, or none with room.
     pub fn choose(
         &self,
-        service: &str,
-        tried: &[String],
-        room: f64,
+        needs: Needs<'_>,
         now: Uptime,
         rng: &mut impl Rng,
     ) -> Result<Candidate, Refusal> {
+        let Needs { service, tried, room, .. } = needs;
         let ready = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let untried: Vec<&String> = ready.iter().filter(|id| !tried.contains(id)).collect();
         let usual = self.sidecars_usual(ready, now);
@@ -329,21 +349,20 @@
             return self.last_resort(service, tried, now).ok_or(Refusal::NoServer);
         };
         let usable = self.not_failing(reachable, now);
-        let best = self.least_loaded(&draw(&usable, rng), now);
-        let best = best.filter(|(fit, _)| fit.score() <= room);
+        let best = self.best(&draw(&usable, rng), needs, now);
+        let best = best.filter(|(fit, _)| fit.has_room(room));
         // The few drawn are full: look at all of them.
-        let best = best.or_else(|| self.least_loaded(&usable, now)).ok_or(Refusal::NoServer)?;
-        let (fit, id) = if best.0.score() <= room {
+        let best = best.or_else(|| self.best(&usable, needs, now)).ok_or(Refusal::NoServer)?;
+        let (fit, id) = if best.0.has_room(room) {
             best
         } else if best.0.stands {
-            self.late(&usable, room, now).ok_or(Refusal::Standing)?
+            return Err(Refusal::Standing);
         } else {
             // Sidecars may be lost where servers are not.
-            let unheard = || self.least_loaded(&silent, now);
-            let unheard = || unheard().filter(|(fit, _)| fit.score() <= room);
-            self.late(&usable, room, now).or_else(unheard).ok_or(Refusal::Full)?
+            let unheard = self.best(&silent, needs, now);
+            unheard.filter(|(fit, _)| fit.has_room(room)).ok_or(Refusal::Full)?
         };
-        Ok(self.candidate(&self.directory.servers[id], fit.score(), now))
+        Ok(self.candidate(&self.directory.servers[id], fit, now))
     }
 
     /// Those whose requests don't fail, or all if that is most of them.
@@ -353,16 +372,19 @@
         if sound.len() * 2 < ids.len() { ids } else { sound }
     }
 
-    fn least_loaded<'a>(&self, ids: &[&'a String], now: Uptime) -> Option<(Fit, &'a String)> {
-        let fits = ids.iter().map(|id| (self.fit(id, now), *id));
-        fits.min_by(|a, b| a.0.score().total_cmp(&b.0.score()))
-    }
-
-    /// The least loaded with room among those whose streams are late in any case.
-    fn late<'a>(&self, ids: &[&'a String], room: f64, now: Uptime) -> Option<(Fit, &'a String)> {
-        let fits = ids.iter().map(|id| (self.fit(id, now), *id));
-        let late = fits.filter(|(fit, _)| fit.is_late() && fit.load <= room);
-        late.min_by(|a, b| a.0.load.total_cmp(&b.0.load))
+    /// The server that fits best; any with room before one without.
+    fn best<'a>(
+        &self,
+        ids: &[&'a String],
+        needs: Needs<'_>,
+        now: Uptime,
+    ) -> Option<(Fit, &'a String)> {
+        let fits = ids.iter().map(|id| (self.fit(id, needs.gap_ms, now), *id));
+        let rank = |fit: Fit| (!fit.has_room(needs.room), fit.score());
+        fits.min_by(|a, b| {
+            let (a, b) = (rank(a.0), rank(b.0));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        })
     }
 
     /// A request was sent to a server.
@@ -453,7 +475,7 @@
         ids.iter().filter(reports).count() * 2 > ids.len()
     }
 
-    fn fit(&self, id: &str, now: Uptime) -> Fit {
+    fn fit(&self, id: &str, gap_ms: f64, now: Uptime) -> Fit {
         let server = &self.directory.servers[id];
         let seen = self.seen.get(id);
         let places = f64::from(server.slots.max(1));
@@ -467,20 +489,30 @@
         let since = seen.map_or(0, |seen| seen.sent_since);
         let ended = seen.map_or(0, |seen| seen.ended_since);
         let load = (told.running + told.waiting + since).saturating_sub(ended).max(own);
-        let slow = (f64::from(told.pass_ms) / PASS_SLOW_MS - 1.0).max(0.0);
+        let pass_ms = self.pass_ms(told, now);
+        let slow = if gap_ms > 0.0 { (pass_ms / gap_ms - 1.0).max(0.0) } else { 0.0 };
         // Its whole group waits for a slow server, the longer the more it has.
         let pace = f64::from(told.pace_milli.max(1_000)) / 1_000.0;
         let load = (f64::from(load) * pace + away) / places;
-        Fit { load, slow, stands: !told.group_open }
+        Fit { load, slow, pass_ms, stands: !told.group_open }
+    }
+
+    /// Milliseconds of a pass of a server's group: what its coordinator expects, or
+    /// what its sidecar saw.
+    fn pass_ms(&self, told: &Told, now: Uptime) -> f64 {
+        let pace = told.group.as_ref().and_then(|group| self.paces.get(group));
+        let pace = pace.filter(|(at, _)| now.since(*at) < PACE_LASTS);
+        pace.map_or(f64::from(told.pass_ms), |(_, pass_ms)| *pass_ms)
     }
 
-    fn candidate(&self, server: &Server, score: f64, now: Uptime) -> Candidate {
+    fn candidate(&self, server: &Server, fit: Fit, now: Uptime) -> Candidate {
         let told = self.seen.get(&server.id).and_then(|seen| seen.told.as_ref());
         Candidate {
             id: server.id.clone(),
             addr: server.addr,
-            load_milli: (score * 1_000.0) as u32,
+            load_milli: (fit.load * 1_000.0) as u32,
             report_age: told.map(|(at, _)| now.since(*at)),
+            pass_ms: fit.pass_ms,
         }
     }
 
@@ -492,7 +524,7 @@
                 && now.since(*since) < MISSING_LASTS
         };
         let (server, _) = self.missing.values().find(fits)?;
-        Some(self.candidate(server, 0.0, now))
+        Some(self.candidate(server, Fit::default(), now))
     }
 }
 
--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -9,15 +9,17 @@
 mod config;
 mod events;
 mod fleet;
+mod pace;
 mod passes;
 mod pauses;
 mod peers;
 mod proof;
 mod window;
 
-pub use config::{Config, Kind, Limits, Model, Route, RouteIndex, Service, Target};
+pub use config::{Config, Kind, Limits, Model, PassCost, Route, RouteIndex, Service, Target};
 pub use events::Events;
-pub use fleet::{Candidate, Directory, Fleet, Refusal, Server, ServerState, Told};
+pub use fleet::{Candidate, Directory, Fleet, Needs, Refusal, Server, ServerState, Told};
+pub use pace::held;
 pub use passes::Passes;
 pub use pauses::Pauses;
 pub use peers::Peers;
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -4,7 +4,7 @@
 use crate::platform::headers::CallHead;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
-use mastweir_core::gateway::Route;
+use mastweir_core::gateway::{Needs, Route};
 use std::{rc::Rc, time::Duration};
 use tokio::time::Instant;
 
@@ -47,6 +47,11 @@
         service.is_some_and(|service| service.model.is_some())
     }
 
+    /// What it needs of a server, with so much room there.
+    pub fn needs<'a>(&'a self, tried: &'a [String], room: f64) -> Needs<'a> {
+        Needs { service: &self.service, tried, room, gap_ms: self.route().gap_ms as f64 }
+    }
+
     /// Time that is left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -15,7 +15,7 @@
     header::{CONNECTION, HOST, HeaderValue},
 };
 use mastweir_core::gateway::{
-    Answer, Candidate, Kind, Next, Proof, Refusal, Route, Step, ending, next,
+    Answer, Candidate, Kind, Next, Proof, Refusal, Route, Step, ending, held, next,
 };
 use rand::Rng;
 use slog::info;
@@ -227,17 +227,25 @@
     progress: &Progress,
 ) -> Result<Candidate, Refusal> {
     let room = if call.is_model() { MODEL_ROOM } else { PLAIN_ROOM };
-    let held = Duration::from_millis(call.route().objective_ms).mul_f64(HELD_PART);
-    let until = (call.arrived + held).min(call.deadline);
+    let objective = Duration::from_millis(call.route().objective_ms);
+    let until = (call.arrived + objective.mul_f64(HELD_PART)).min(call.deadline);
     loop {
-        match gateway.choose(&call.service, &progress.tried, room) {
-            Ok(server) => return Ok(server),
+        match gateway.choose(call.needs(&progress.tried, room)) {
+            Ok(server) if is_paced(call, progress, &server) => return Ok(server),
             Err(refusal) if Instant::now() + LOOK_AGAIN >= until => return Err(refusal),
-            Err(_) => time::sleep(LOOK_AGAIN).await,
+            Ok(_) | Err(_) => time::sleep(LOOK_AGAIN).await,
         }
     }
 }
 
+/// Whether a request may begin now at that server.
+fn is_paced(call: &Call, progress: &Progress, server: &Candidate) -> bool {
+    let route = call.route();
+    let objective = Duration::from_millis(route.objective_ms);
+    let held = held(server.pass_ms, route.gap_ms as f64, objective);
+    progress.waited.is_some() || call.arrived.elapsed() + LOOK_AGAIN > held
+}
+
 /// Reads an answer to its end before any of it goes to the caller.
 async fn whole(
     gateway: &Rc<Gateway>,
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -28,6 +28,8 @@
     Rank(RankReport),
     /// A coordinator to its group's sidecars.
     Lead(Lead),
+    /// A coordinator to gateways.
+    Pace(Pace),
 }
 
 /// A gateway is here, and has got so far.
@@ -57,6 +59,15 @@
     pub told: Told,
 }
 
+/// How long a group's passes are expected to be: sooner known than seen.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pace {
+    /// The group.
+    pub group: String,
+    /// Milliseconds.
+    pub pass_ms: u32,
+}
+
 /// A rank's state, and what its requests chose since the last report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RankReport {
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -55,6 +55,10 @@
         match message {
             Ok(Message::Hello(hello)) => heard(&gateway, &hello, received.1, &mut behind),
             Ok(Message::Report(report)) => reported(&gateway, report, &ranks),
+            Ok(Message::Pace(pace)) => {
+                let now = gateway.clock.now();
+                gateway.fleet.borrow_mut().paced(&pace.group, pace.pass_ms, now);
+            }
             Ok(Message::Rank(_) | Message::Lead(_)) | Err(_) => {
                 gateway.tally.count("datagrams_ignored_total", "unexpected");
             }
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -7,7 +7,7 @@
     util::{clock::Clock, tally::Tally},
 };
 use mastweir_core::gateway::{
-    Candidate, Config, Directory, Fleet, Peers, Refusal, RetryWindow, Route, RouteIndex,
+    Candidate, Config, Directory, Fleet, Needs, Peers, Refusal, RetryWindow, Route, RouteIndex,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use slog::{Logger, info};
@@ -146,14 +146,14 @@
         }
     }
 
-    /// Chooses a server of a service with room, other than those tried.
+    /// Chooses a server for a request.
     ///
     /// # Errors
     ///
     /// [`Refusal`] says why there is none.
-    pub fn choose(&self, service: &str, tried: &[String], room: f64) -> Result<Candidate, Refusal> {
+    pub fn choose(&self, needs: Needs<'_>) -> Result<Candidate, Refusal> {
         let mut rng = self.rng.borrow_mut();
-        self.fleet.borrow().choose(service, tried, room, self.clock.now(), &mut *rng)
+        self.fleet.borrow().choose(needs, self.clock.now(), &mut *rng)
     }
 
     /// Counts a request of a service.
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -220,7 +220,7 @@
                 return false;
             }
             let tried = &self.progress.tried;
-            let found = self.gateway.choose(&self.call.service, tried, RESUME_ROOM);
+            let found = self.gateway.choose(self.call.needs(tried, RESUME_ROOM));
             let Ok(server) = found else { return false };
             let last = self.events.last_id().map(str::to_owned);
             let got =
--- a/src/mastweir/platform/config.rs
+++ b/src/mastweir/platform/config.rs
@@ -1,6 +1,6 @@
 //! The configuration, as the operator writes it into the store.
 
-use mastweir_core::gateway::{Config, Kind, Limits, Model, Route, Service, Target};
+use mastweir_core::gateway::{Config, Kind, Limits, Model, PassCost, Route, Service, Target};
 use serde::Deserialize;
 use std::collections::HashMap;
 
@@ -79,6 +79,15 @@
     expert_mb: f64,
     #[serde(default)]
     link_mbps: f64,
+    #[serde(default)]
+    stride: f64,
+    #[serde(default)]
+    step_ms: f64,
+    /// For each request that writes.
+    #[serde(default)]
+    per_seq_ms: f64,
+    #[serde(default)]
+    expert_share: f64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -157,6 +166,12 @@
         fresh: engine.spare_slots,
         load_s: load_s(&engine),
         load_mb: engine.expert_mb,
+        pass: PassCost {
+            steps: engine.stride.max(1.0),
+            step_ms: engine.step_ms,
+            request_ms: engine.per_seq_ms,
+            expert_part: engine.expert_share,
+        },
     });
     (service.name, Service { connections: service.max_connections, model })
 }
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -6,13 +6,16 @@
     state::Sidecar,
 };
 use crate::{
-    gateway::message::{OrderReply, RankReport},
+    gateway::message::{Message, OrderReply, Pace, RankReport},
     net::internal,
     platform::engine::Engine,
 };
 use futures_util::future::join_all;
 use mastweir_core::{
-    experts::{layers::Work, recent::RecentDemand},
+    experts::{
+        layers::{Work, mean_skew},
+        recent::RecentDemand,
+    },
     switch::{
         OrderLoss,
         hold::{
@@ -47,6 +50,8 @@
 /// The pass under way when a pause is asked for. Another may have begun since the last
 /// state; then the order finds its pass begun, and the next look names a later one.
 const PASSES_LEAST: u64 = 1;
+/// How often gateways are told of the pace meanwhile: one pass.
+const PACE_EVERY: Duration = Duration::from_millis(80);
 /// Passes that seem quicker than this come from a group that was idle.
 const PASS_MS_LEAST: f64 = 20.0;
 struct Coordinator<'a> {
@@ -63,6 +68,8 @@
     loss: OrderLoss,
     /// Whether a part of the map is a guess.
     guessed: bool,
+    /// When gateways were last told of the pace.
+    paced: Uptime,
     /// Where the coordinator with the token before is, if that is known.
     before: Option<IpAddr>,
 }
@@ -87,6 +94,7 @@
         fenced: false,
         loss: OrderLoss::default(),
         guessed: false,
+        paced: Uptime::default(),
         before: before.filter(|ip| *ip != sidecar.ip),
     };
     loop {
@@ -161,6 +169,9 @@
         if self.wanted.is_none() && whole {
             self.plan(&known);
         }
+        if self.wanted.is_some() {
+            self.tell_pace(states.len());
+        }
         let view = View {
             ranks: &states,
             own: self.own_rank(),
@@ -203,6 +214,8 @@
                 "pass" => states[0].pass, "took_ms" => now.since(*since).as_millis() as u64);
             self.map = Some((wanted.version, wanted.map.clone()));
             self.wanted = None;
+            self.paced = Uptime::default();
+            self.tell_pace(states.len());
             return;
         }
         let begun = states.iter().any(|state| {
@@ -268,6 +281,27 @@
         self.want(plan.map);
     }
 
+    /// Tells gateways how long passes are while the map doesn't fit demand: they see it
+    /// only some passes later.
+    fn tell_pace(&mut self, ranks: usize) {
+        let now = self.sidecar.clock.now();
+        if now.since(self.paced) < PACE_EVERY {
+            return;
+        }
+        let (Some(demand), Some((_, map))) = (&self.demand, &self.map) else { return };
+        let Some(model) = self.sidecar.model.borrow().clone() else { return };
+        if !demand.is_known(now) {
+            return;
+        }
+        let (demand, pace) = (demand.by_set(), self.ranks.paces(ranks));
+        let skew = mean_skew(map, Work { demand: &demand, pace: &pace });
+        let running = f64::from(self.ranks.load()) / ranks.max(1) as f64;
+        let pass_ms = model.pass.pass_ms(running, skew) as u32;
+        self.paced = now;
+        let pace = Message::Pace(Pace { group: self.group.to_owned(), pass_ms });
+        self.sidecar.gateways.borrow().live().for_each(|ip| self.sidecar.send(ip, &pace));
+    }
+
     /// Passes that orders to all ranks take, with those that have to be given again.
     fn ahead(&self, ranks: usize) -> u64 {
         let time = ORDERS_USUAL + ORDER_AGAIN * self.loss.rounds(ranks);
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -179,7 +179,7 @@
                 // A coordinator that is behind gets the next one.
                 let _ = sidecar.reports.try_send(report);
             }
-            Ok(Message::Report(_)) | Err(_) => (),
+            Ok(Message::Report(_) | Message::Pace(_)) | Err(_) => (),
         }
     }
 }
