Leave a change of map whose demand has shifted before it began

Cause: a change whose loads were under way when demand shifted went on to its end, up to 0.6 s of 0.9, and only then the map for the new demand was loaded. Change: at a shift, a change that has neither paused the group nor scheduled anything is dropped; the next plan's loads take the place of those under way (the servers took all of them).

--- a/crates/mastweir-core/src/switch/hold.rs
+++ b/crates/mastweir-core/src/switch/hold.rs
@@ -82,6 +82,12 @@
 }
 
 impl RankState {
+    /// Whether the change to a version has gone so far that it has to be ended: loads
+    /// alone can be left.
+    pub fn has_begun(&self, version: u64) -> bool {
+        self.paused.is_some() || self.scheduled.is_some() || self.map == version
+    }
+
     /// Whether it has had a newer version, so that it takes this one no more.
     fn is_beyond(&self, version: u64) -> bool {
         let scheduled = self.scheduled.map(|(scheduled, _)| scheduled);
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -68,6 +68,8 @@
     loss: OrderLoss,
     /// Whether a part of the map is a guess.
     guessed: bool,
+    /// Shifts of demand that were seen to.
+    shifts: u32,
     /// When gateways were last told of the pace.
     paced: Uptime,
     /// Where the coordinator with the token before is, if that is known.
@@ -94,6 +96,7 @@
         fenced: false,
         loss: OrderLoss::default(),
         guessed: false,
+        shifts: 0,
         paced: Uptime::default(),
         before: before.filter(|ip| *ip != sidecar.ip),
     };
@@ -205,9 +208,13 @@
         if heard { None } else { states.iter().position(Option::is_none) }
     }
 
-    /// Forgets a change that is in force, or that is too late.
+    /// Forgets a change that is in force, that is too late, or whose loads are for a
+    /// demand that has shifted: those of the next plan take their place.
     fn drop_wanted(&mut self, states: &[&RankState]) {
-        let Some((wanted, since)) = &self.wanted else { return };
+        let Some((wanted, since)) = &self.wanted else {
+            self.shifts = self.demand.as_ref().map_or(0, RecentDemand::shifts);
+            return;
+        };
         let now = self.sidecar.clock.now();
         if states.iter().all(|state| state.map == wanted.version) {
             info!(self.sidecar.log, "map in force"; "group" => self.group, "version" => wanted.version,
@@ -218,12 +225,12 @@
             self.tell_pace(states.len());
             return;
         }
-        let begun = states.iter().any(|state| {
-            state.paused.is_some() || state.scheduled.is_some() || state.map == wanted.version
-        });
-        if !begun && now.since(*since) > CHANGE_LASTS {
+        let shifts = self.demand.as_ref().map_or(0, RecentDemand::shifts);
+        let shifted = std::mem::replace(&mut self.shifts, shifts) != shifts;
+        let begun = states.iter().any(|state| state.has_begun(wanted.version));
+        if !begun && (shifted || now.since(*since) > CHANGE_LASTS) {
             warn!(self.sidecar.log, "change of map dropped"; "group" => self.group,
-                "version" => wanted.version);
+                "version" => wanted.version, "shifted" => shifted);
             self.wanted = None;
         }
     }
--- a/src/mastweir/sidecar/ranks.rs
+++ b/src/mastweir/sidecar/ranks.rs
@@ -150,8 +150,8 @@
         self.loading.insert(rank, Load { version, epoch, at });
     }
 
-    /// The states of all ranks, in order; none where it is not fresh. A rank that
-    /// may still be loading `wanted` is busy: its state does not say so.
+    /// The states of all ranks, in order; none where it is not fresh. Busy is a
+    /// rank that may still be loading `wanted`; what else it loads gives way to that.
     pub fn states(&self, wanted: Option<u64>, now: Uptime) -> Vec<Option<RankState>> {
         let Some(size) = self.seen.values().next().map(|seen| seen.state.size) else {
             return Vec::new();
@@ -159,7 +159,7 @@
         let fresh = |rank: u32| {
             let seen = self.seen.get(&rank).filter(|seen| now.since(seen.at) < STATE_LASTS)?;
             let mut state = seen.state.clone();
-            state.busy |= wanted.is_some_and(|wanted| self.is_loading(&state, wanted, now));
+            state.busy = wanted.is_some_and(|wanted| self.is_loading(&state, wanted, now));
             Some(state)
         };
         (0..size).map(fresh).collect()
--- a/tests/testsuite/hold.rs
+++ b/tests/testsuite/hold.rs
@@ -57,6 +57,16 @@
     ");
 }
 
+/// What is only loaded may be left for another map; a pause or a schedule must end.
+#[test]
+fn a_change_can_be_left_until_it_pauses_the_group() {
+    let loads = RankState { busy: true, loaded: Some(THEIRS), ..rank(0) };
+    assert!(!loads.has_begun(OURS));
+    assert!(RankState { paused: Some(72), ..rank(0) }.has_begun(OURS));
+    assert!(RankState { scheduled: Some((THEIRS, 72)), ..rank(0) }.has_begun(OURS));
+    assert!(RankState { map: OURS, ..rank(0) }.has_begun(OURS));
+}
+
 #[test]
 fn a_pause_is_kept_at_another_rank_than_ones_own() {
     let ranks = group(|state| state.loaded = Some(OURS));
