Pause a group one pass ahead where its passes are long

Cause: with a rank twelve times slower passes took 0.9 to 1.4 s, and each change of map paused two passes ahead: 2.0, 2.3, 1.5, 1.3 and 1.0 s a change, with demand shifting each 3.2 s. Change: where orders to all ranks take less than a quarter of a pass, the pause is set before the next one.

--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -45,6 +45,10 @@
 /// twice. A group that stands for a tenth of a second has made all its streams
 /// late.
 const ORDERS_USUAL: Duration = Duration::from_millis(40);
+/// Part of a pass up to which orders to all ranks fit into the rest of the one under
+/// way, mostly: such passes are far too long already, and one more of them costs more
+/// than a group that stands for the rest of some orders.
+const ORDERS_PART: f64 = 0.25;
 /// Giving an order again that got no answer: the wait for it, and the next look.
 const ORDER_AGAIN: Duration = Duration::from_millis(55);
 /// The pass under way when a pause is asked for. Another may have begun since the last
@@ -313,6 +317,9 @@
     fn ahead(&self, ranks: usize) -> u64 {
         let time = ORDERS_USUAL + ORDER_AGAIN * self.loss.rounds(ranks);
         let pass_ms = self.sidecar.pass_ms.get().max(PASS_MS_LEAST);
+        if time.as_secs_f64() * 1_000.0 < pass_ms * ORDERS_PART {
+            return PASSES_LEAST;
+        }
         PASSES_LEAST + (time.as_secs_f64() * 1_000.0 / pass_ms).ceil() as u64
     }
 
