--- a/crates/mastweir-core/src/experts/recent.rs
+++ b/crates/mastweir-core/src/experts/recent.rs
@@ -15,10 +15,10 @@
 const QUICK_S: f64 = 0.12;
 /// Choices a set that a plan needs.
 const CHOICES_LEAST: f64 = 300.0;
-/// What is counted so soon after a shift was noticed does not decide: the reports that
-/// show it are partly from before it, and the next round comes within this time. A plan
-/// from them left a skew of 2 where one from the next round leaves 1.5.
-const MIXED: Duration = Duration::from_millis(80);
+/// Part of the time between two rounds of reports behind a shift in which what is counted
+/// does not decide: the reports that show it are partly from before it. A plan from
+/// them left a skew of 2 where one from the next round leaves 1.5.
+const MIXED_PART: f64 = 0.8;
 /// Distance of the two distributions, 0 to 2, beyond which popularity has
 /// shifted: this, and as much as chance gives.
 const SHIFT_LEAST: f64 = 0.25;
@@ -55,13 +55,15 @@
     slow: Fading,
     quick: Fading,
     shifts: u32,
+    /// Time between two rounds of reports.
+    every: Duration,
     /// Until then, what is counted is partly from before the last shift.
     mixed_until: Uptime,
 }
 
 impl RecentDemand {
-    /// Nothing counted yet.
-    pub fn new(sets: usize, experts: usize) -> Self {
+    /// Nothing counted yet, of ranks that report so often.
+    pub fn new(sets: usize, experts: usize, every: Duration) -> Self {
         let len = sets * experts;
         let experts = experts.max(1);
         Self {
@@ -69,6 +71,7 @@
             slow: Fading::new(len, SLOW_S),
             quick: Fading::new(len, QUICK_S),
             shifts: 0,
+            every,
             mixed_until: Uptime::default(),
         }
     }
@@ -81,7 +84,7 @@
             self.slow.weights.fill(0.0);
             self.quick.weights.fill(0.0);
             self.shifts += 1;
-            self.mixed_until = now + MIXED;
+            self.mixed_until = now + self.every.mul_f64(MIXED_PART);
         }
     }
 
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -144,8 +144,9 @@
         let now = self.sidecar.clock.now();
         self.ranks.report(report, now);
         let Some(model) = self.sidecar.model.borrow().clone() else { return };
-        let demand =
-            self.demand.get_or_insert_with(|| RecentDemand::new(model.sets, model.experts));
+        let every = rank::counts_every(model.sets * model.experts);
+        let new = || RecentDemand::new(model.sets, model.experts, every);
+        let demand = self.demand.get_or_insert_with(new);
         demand.add(report.from as usize, &report.counts, now);
     }
 
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -14,7 +14,9 @@
 use std::{net::IpAddr, rc::Rc, time::Duration};
 use tokio::time;
 
-/// The server is looked at this often, and the coordinator told what its requests chose.
+/// The server is looked at this often, and the coordinator told what its requests chose,
+/// where that fits into one datagram; where it doesn't, half as often, since counts of
+/// 16 sets of 96 experts are most of what sidecars send and read.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Gateways are told of it this often.
 const TELL_EVERY: Duration = Duration::from_millis(200);
@@ -27,11 +29,17 @@
 /// Counts in one datagram: they take one to three bytes each.
 const COUNTS_SENT: usize = 400;
 
+/// Time between two reports of what was chosen, by the number of counts.
+pub fn counts_every(counts: usize) -> Duration {
+    if counts > COUNTS_SENT { LOOK_EVERY * 2 } else { LOOK_EVERY }
+}
+
 /// Looks at the server, for ever, and tells the others.
 pub async fn watch(sidecar: Rc<Sidecar>) {
     let mut before: Option<Choices> = None;
     let mut passes = Passes::default();
     let mut lost = false;
+    let mut every = LOOK_EVERY;
     let mut told_at: Option<Uptime> = None;
     let mut counted_at: Option<Uptime> = None;
     loop {
@@ -48,11 +56,12 @@
                     told_at = Some(now);
                     tell_gateways(&sidecar, &state, &passes);
                 }
-                if counted_at.is_none_or(|at| now.since(at) + LOOK_SLACK >= LOOK_EVERY) {
+                if counted_at.is_none_or(|at| now.since(at) + LOOK_SLACK >= every) {
                     counted_at = Some(now);
                     let choices = sidecar.engine.choices().await.ok();
                     tell_coordinator(&sidecar, &state, choices.as_ref(), before.as_ref());
                     before = choices.or(before);
+                    every = before.as_ref().map_or(every, |seen| counts_every(seen.counts.len()));
                 } else {
                     tell_coordinator(&sidecar, &state, None, None);
                 }
@@ -63,7 +72,7 @@
                 }
                 let changing = is_changing(&sidecar, &state);
                 *sidecar.state.borrow_mut() = Some(state);
-                if changing { LOOK_BUSY } else { LOOK_EVERY }
+                if changing { LOOK_BUSY } else { every }
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
--- a/tests/testsuite/plans.rs
+++ b/tests/testsuite/plans.rs
@@ -101,7 +101,7 @@
         one.iter().map(|mean| (mean / 20.0 * second.random_range(0.7..1.3)) as u32).collect()
     };
     let mut rng = SmallRng::seed_from_u64(11);
-    let mut demand = RecentDemand::new(1, 64);
+    let mut demand = RecentDemand::new(1, 64, Duration::from_millis(100));
     let mut now = Uptime::from_secs(1);
     for _ in 0..30 {
         demand.add(0, &counts(0, &mut rng), now);
@@ -126,7 +126,7 @@
 fn what_was_counted_about_a_shift_decides_nothing() {
     let popular = |expert: usize| (0..64).map(|at| if at == expert { 4_000 } else { 60 }).collect();
     let (old, new): (Vec<u32>, Vec<u32>) = (popular(3), popular(40));
-    let mut demand = RecentDemand::new(1, 64);
+    let mut demand = RecentDemand::new(1, 64, Duration::from_millis(100));
     let mut now = Uptime::from_secs(1);
     for _ in 0..30 {
         (0..2).for_each(|_| demand.add(0, &old, now));
