Decide how far ahead a pause is set beside what decides it

Cause: the rule by which pauses are set one pass ahead stood in the coordinator's task, where no test reaches it, apart from the lost orders that it rests on. Change: OrderLoss::ahead holds it with its constants; code moved, none changed. A test for idle, usual, long passes, with and without lost orders. Measured: the test; 12 ranks, a third of the orders lost: 4, 2 and 1 passes ahead at 60, 170 and 1,400 ms. Conclusion: kept.

--- a/crates/mastweir-core/src/switch/loss.rs
+++ b/crates/mastweir-core/src/switch/loss.rs
@@ -17,6 +17,21 @@
 /// Rounds after which a change is not put off further.
 const ROUNDS_MAX: u32 = 6;
 
+/// Time that orders to all ranks take: through sidecars in other halls and back,
+/// twice. A group that stands for a tenth of a second has made all its streams
+/// late.
+const ORDERS_USUAL: Duration = Duration::from_millis(40);
+/// Part of a pass up to which orders to all ranks fit into the rest of the one under
+/// way, mostly: such passes are far too long already, and one more of them costs more
+/// than a group that stands for the rest of some orders.
+const ORDERS_PART: f64 = 0.25;
+/// Giving an order again that got no answer: the wait for it, and the next look.
+const ORDER_AGAIN: Duration = Duration::from_millis(55);
+/// The pass under way when a pause is asked for. Another may have begun since the last
+/// state; then the order finds its pass begun, and the next look names a later one.
+const PASSES_LEAST: u64 = 1;
+/// Passes that seem quicker than this come from a group that was idle.
+const PASS_MS_LEAST: f64 = 20.0;
 /// What became of the last orders.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OrderLoss {
@@ -41,4 +56,12 @@
         let lacking = |round: &u32| ranks as f64 * part.powi(*round as i32 + 1);
         (0..ROUNDS_MAX).find(|round| lacking(round) <= LACKING).unwrap_or(ROUNDS_MAX)
     }
+
+    /// Passes by which a group is paused ahead: as many as the orders to its ranks take,
+    /// with those that have to be given again, at the time of a pass.
+    pub fn ahead(&self, ranks: usize, pass_ms: f64) -> u64 {
+        let time = ORDERS_USUAL + ORDER_AGAIN * self.rounds(ranks);
+        let passes = time.as_secs_f64() * 1_000.0 / pass_ms.max(PASS_MS_LEAST);
+        if passes < ORDERS_PART { PASSES_LEAST } else { PASSES_LEAST + passes.ceil() as u64 }
+    }
 }
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -41,23 +41,9 @@
 /// A change that has not begun to pause the group after this time is dropped:
 /// demand has moved on.
 const CHANGE_LASTS: Duration = Duration::from_secs(4);
-/// Time that orders to all ranks take: through sidecars in other halls and back,
-/// twice. A group that stands for a tenth of a second has made all its streams
-/// late.
-const ORDERS_USUAL: Duration = Duration::from_millis(40);
-/// Part of a pass up to which orders to all ranks fit into the rest of the one under
-/// way, mostly: such passes are far too long already, and one more of them costs more
-/// than a group that stands for the rest of some orders.
-const ORDERS_PART: f64 = 0.25;
-/// Giving an order again that got no answer: the wait for it, and the next look.
-const ORDER_AGAIN: Duration = Duration::from_millis(55);
-/// The pass under way when a pause is asked for. Another may have begun since the last
-/// state; then the order finds its pass begun, and the next look names a later one.
-const PASSES_LEAST: u64 = 1;
 /// How often gateways are told of the pace meanwhile: one pass.
 const PACE_EVERY: Duration = Duration::from_millis(80);
-/// Passes that seem quicker than this come from a group that was idle.
-const PASS_MS_LEAST: f64 = 20.0;
+
 struct Coordinator<'a> {
     sidecar: &'a Sidecar,
     group: &'a str,
@@ -185,7 +171,7 @@
             own: self.own_rank(),
             token: self.token,
             predecessor: self.predecessor(&states),
-            ahead: self.ahead(states.len()),
+            ahead: self.loss.ahead(states.len(), self.sidecar.pass_ms.get()),
         };
         let act = decide(view, self.wanted.as_ref().map(|(wanted, _)| wanted));
         match act {
@@ -314,16 +300,6 @@
         self.sidecar.gateways.borrow().live().for_each(|ip| self.sidecar.send(ip, &pace));
     }
 
-    /// Passes that orders to all ranks take, with those that have to be given again.
-    fn ahead(&self, ranks: usize) -> u64 {
-        let time = ORDERS_USUAL + ORDER_AGAIN * self.loss.rounds(ranks);
-        let pass_ms = self.sidecar.pass_ms.get().max(PASS_MS_LEAST);
-        if time.as_secs_f64() * 1_000.0 < pass_ms * ORDERS_PART {
-            return PASSES_LEAST;
-        }
-        PASSES_LEAST + (time.as_secs_f64() * 1_000.0 / pass_ms).ceil() as u64
-    }
-
     fn want(&mut self, map: GroupMap) {
         self.versions += 1;
         let version = version(self.token, self.versions);
--- a/tests/testsuite/hold.rs
+++ b/tests/testsuite/hold.rs
@@ -205,3 +205,17 @@
     (0..50).for_each(|_| loss.note(true, Uptime::from_secs(60)));
     assert_eq!(loss.rounds(32), 0);
 }
+
+/// One more pass of a group whose passes are far too long costs more than one that
+/// stands for the rest of some orders.
+#[test]
+fn a_pause_is_as_far_ahead_as_orders_take_and_at_the_next_pass_where_passes_are_long() {
+    let sound = OrderLoss::default();
+    let of = |pass_ms| sound.ahead(12, pass_ms);
+    // An idle group seems to make quicker passes than any.
+    assert_eq!([0.0, 20.0, 39.0, 60.0, 150.0].map(of), [3, 3, 3, 2, 2]);
+    assert_eq!([170.0, 1_400.0].map(of), [1, 1]);
+    let mut lossy = OrderLoss::default();
+    (0..40_u32).for_each(|number| lossy.note(number % 3 > 0, Uptime::from_secs(1)));
+    assert_eq!([60.0, 170.0, 1_400.0].map(|pass_ms| lossy.ahead(12, pass_ms)), [4, 2, 1]);
+}
