Follow configuration and servers in one way

Cause: the loop that lists, watches and waits after failures stood twice, so what an outage does to one follower had to be thought of twice. Change: gateway/follow has the loop, gateway/watch the two kinds; behaviour as before.

--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -2,13 +2,15 @@
 //!
 //! One process an instance, one thread. The way of a request: `listen` accepts
 //! its connection, `forward` finds route, customer and server and carries the
-//! `call` to its end in one `attempt` or more, `stream` passes events on and has another server take a
-//! stream up. `watch` follows the platform's store, `peers` the other gateways and
-//! the sidecars; each alone is enough to stay up to date. What is decided from
-//! it all is in [`mastweir_core::gateway`].
+//! `call` to its end in one `attempt` or more, `stream` passes events on and has
+//! another server take a stream up. `watch` says what is followed in the platform's
+//! store, `follow` how; `peers` are the other gateways and the sidecars. Each of the
+//! two alone is enough to stay up to date. What is decided from it all is in
+//! [`mastweir_core::gateway`].
 
 mod attempt;
 mod call;
+pub mod follow;
 mod forward;
 mod held;
 mod listen;
