Say which call to the store was lost, and when it was sent

Cause: 'store lost' named an error, not the call; that a watch had been sent into an outage had to be reckoned from other lines. Change: the line carries the call, its revision and its age, 'store regained' how long the store was away.

--- a/src/mastweir/gateway/follow.rs
+++ b/src/mastweir/gateway/follow.rs
@@ -7,7 +7,7 @@
 use crate::{platform::store::StoreError, util::tally::Tally};
 use slog::{Logger, info, warn};
 use std::{cell::Cell, time::Duration};
-use tokio::time;
+use tokio::time::{self, Instant};
 
 /// A watch waits this long for a change. Each is a call that is paid for; but one
 /// that hangs after a cut is noticed only at its end.
@@ -58,44 +58,63 @@
     kind: &'static str,
     log: &'a Logger,
     tally: &'a Tally,
-    lost: Cell<bool>,
+    lost: Cell<Option<Instant>>,
     pause: Cell<Duration>,
 }
 
 impl Link<'_> {
     fn up(&self) {
         self.pause.set(RETRY_FIRST);
-        if self.lost.replace(false) {
-            info!(self.log, "store regained"; "kind" => self.kind);
+        if let Some(since) = self.lost.take() {
+            info!(self.log, "store regained"; "kind" => self.kind,
+                "away_ms" => since.elapsed().as_millis() as u64);
         }
     }
 
-    async fn down(&self, error: &StoreError) {
+    async fn down(&self, asked: Asked, error: &StoreError) {
         self.tally.count("store_errors_total", self.kind);
-        if !self.lost.replace(true) {
-            warn!(self.log, "store lost"; "kind" => self.kind, "error" => %error);
+        if self.lost.get().is_none() {
+            self.lost.set(Some(Instant::now()));
+            warn!(self.log, "store lost"; "kind" => self.kind, "call" => asked.call,
+                "since" => asked.since, "asked_ms" => asked.at.elapsed().as_millis() as u64,
+                "error" => %error);
         }
         time::sleep(self.pause.get()).await;
         self.pause.set((self.pause.get() * 2).min(RETRY_LAST));
     }
 }
 
+/// A call to the store, for the line that says that it failed.
+struct Asked {
+    call: &'static str,
+    since: u64,
+    at: Instant,
+}
+
+impl Asked {
+    fn now(call: &'static str, since: u64) -> Self {
+        Self { call, since, at: Instant::now() }
+    }
+}
+
 /// Follows a kind of object, for ever.
 pub async fn follow<S: Source>(source: &S, log: &Logger, tally: &Tally) {
     let pause = Cell::new(RETRY_FIRST);
-    let link = Link { kind: S::KIND, log, tally, lost: Cell::new(false), pause };
+    let link = Link { kind: S::KIND, log, tally, lost: Cell::new(None), pause };
     let mut after_outage = false;
     loop {
+        let asked = Asked::now("list", 0);
         let mut revision = match source.list(after_outage).await {
             Ok(revision) => revision,
             Err(error) => {
                 after_outage = true;
-                link.down(&error).await;
+                link.down(asked, &error).await;
                 continue;
             }
         };
         link.up();
         loop {
+            let asked = Asked::now("watch", revision);
             match source.watch(revision, WATCH_WAITS).await {
                 Ok(watched) => {
                     link.up();
@@ -107,7 +126,7 @@
                 Err(StoreError::HistoryGone) => break,
                 Err(error) => {
                     after_outage = true;
-                    link.down(&error).await;
+                    link.down(asked, &error).await;
                     break;
                 }
             }
