--- a/crates/mastweir-test-support/src/doors.rs
+++ b/crates/mastweir-test-support/src/doors.rs
@@ -1,9 +1,9 @@
 //! The users' way of speaking to the store, over the same objects as the platform's.
 //!
 //! Each [`Door`] is an address of its own at which the one store is reached; it can
-//! be shut for those who use it, while the others are served.
+//! be shut for those who use it, while the others are served, or fall silent.
 
-use crate::{Served, platform::Platform, serve};
+use crate::{Served, lock, platform::Platform, serve};
 use rocket::{
     Shutdown, State,
     http::{ContentType, Status},
@@ -12,13 +12,15 @@
 use serde_json::{Value, json};
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
 use tokio::time;
 
+/// Longer than any client waits.
+const NEVER: Duration = Duration::from_secs(120);
 /// Items on a page of a list: few, so that lists have several.
 const PAGE: usize = 3;
 
@@ -28,6 +30,19 @@
     platform: Arc<Platform>,
     /// Whether those who come here are turned away.
     pub shut: AtomicBool,
+    /// Whether calls that come are lost: they are never answered, whatever comes
+    /// after. Watches that already wait here go on.
+    pub silent: AtomicBool,
+    lost: Mutex<Vec<Lost>>,
+}
+
+/// A call that is never answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lost {
+    /// The kind of object.
+    pub kind: String,
+    /// How long it was to wait for a change; none if it is no watch.
+    pub wait: Option<Duration>,
 }
 
 impl Door {
@@ -37,13 +52,31 @@
     ///
     /// No port is free.
     pub async fn open(platform: &Arc<Platform>) -> eyre::Result<(Arc<Self>, Served)> {
-        let door = Arc::new(Self { platform: platform.clone(), shut: AtomicBool::new(false) });
+        let door = Arc::new(Self {
+            platform: platform.clone(),
+            shut: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
+            lost: Mutex::default(),
+        });
         let managed = door.clone();
         let routes = rocket::routes![list, get, create, update];
         let served = serve(0, move |rocket| rocket.mount("/objects", routes).manage(managed));
         Ok((door, served.await?))
     }
 
+    /// Calls lost so far.
+    pub fn lost(&self) -> Vec<Lost> {
+        lock(&self.lost).clone()
+    }
+
+    /// Loses a call if the door is silent.
+    async fn hear(&self, kind: &str, wait: Option<Duration>) {
+        if self.silent.load(Ordering::SeqCst) {
+            lock(&self.lost).push(Lost { kind: kind.to_owned(), wait });
+            time::sleep(NEVER).await;
+        }
+    }
+
     async fn enter(&self, kind: usize) -> Result<(), Status> {
         if self.shut.load(Ordering::SeqCst) {
             return Err(Status::ServiceUnavailable);
@@ -83,14 +116,13 @@
     after_rev: Option<&str>,
     shutdown: Shutdown,
 ) -> Reply {
+    let wait = watch.map(|_| Duration::from_millis(wait_ms.unwrap_or_default()));
+    door.hear(kind, wait).await;
     if let Err(status) = door.enter(if watch.is_some() { 2 } else { 0 }).await {
         return no(status);
     }
     match watch {
-        Some(since) => {
-            let wait = Duration::from_millis(wait_ms.unwrap_or_default());
-            changes(door, kind, since, wait, shutdown).await
-        }
+        Some(since) => changes(door, kind, since, wait.unwrap_or_default(), shutdown).await,
         None => page(door, kind, after_rev),
     }
 }
@@ -145,6 +177,7 @@
 
 #[rocket::get("/<kind>/<name>")]
 async fn get(door: &State<Arc<Door>>, kind: &str, name: &str) -> Reply {
+    door.hear(kind, None).await;
     if let Err(status) = door.enter(0).await {
         return no(status);
     }
@@ -154,6 +187,7 @@
 
 #[rocket::post("/<kind>", data = "<object>")]
 async fn create(door: &State<Arc<Door>>, kind: &str, object: Json<Value>) -> Reply {
+    door.hear(kind, None).await;
     if let Err(status) = door.enter(1).await {
         return no(status);
     }
@@ -166,6 +200,7 @@
 
 #[rocket::put("/<kind>/<name>", data = "<object>")]
 async fn update(door: &State<Arc<Door>>, kind: &str, name: &str, object: Json<Value>) -> Reply {
+    door.hear(kind, None).await;
     if let Err(status) = door.enter(1).await {
         return no(status);
     }
--- /dev/null
+++ b/tests/testsuite/deaf_watch.rs
@@ -0,0 +1,68 @@
+//! A gateway goes on with an old configuration behind an outage of the store.
+//!
+//! Symptom: a change that the store had acknowledged was not in force 2 s later. All
+//! eight gateways handled requests by version 15 until 14.7 s; the store had
+//! acknowledged versions 18 to 28 from 11.66 to 12.12 s.
+//!
+//! Sequence: version 15 came at 4.92 s, and each gateway placed its next watch 0.2 s
+//! later, all within 3 ms. The store had just fallen silent. It was back before
+//! 11.66 s, but those watches were lost, and the gateways waited for them to the end.
+//!
+//! Cause: that the store can be reached was judged by the watch alone, and a watch that
+//! is lost looks like one that waits. Its own end, 8 s and 1.5 s for the answer, was the
+//! only sign. The other gateways could not tell either: the change before had made
+//! them all place their watches at one moment.
+//!
+//! Settled by `configuration adopted` at 4.922 s and `store lost`, `no answer in time`,
+//! at 14.624 s: 0.2 s and 9.5 s lie between. No line of any gateway says that the store
+//! answered or failed in between, and the store counted one call a gateway without an
+//! answer.
+
+use eyre::Result;
+use googletest::prelude::*;
+use mastweir_test_support::{
+    scripted::{Act, Scripted},
+    site::{Site, exchange, request, route, wait_for},
+};
+use std::{sync::atomic::Ordering, time::Instant};
+
+/// What the store acknowledges behind an outage is in force long before the watch that
+/// the outage took would have ended by itself.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_watch_that_an_outage_took_is_placed_anew() -> Result<()> {
+    let site = Site::new(1)?;
+    let server = Scripted::start(|_| {
+        let bytes = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Signature: sig\r\n\
+                     Content-Length: 0\r\n\r\n";
+        vec![Act::Send(bytes.into())]
+    })
+    .await?;
+    site.list("i-0", &server, "ready");
+    site.configure(1, &[route("/first/", "safe")]);
+    let (door, served) = site.door().await?;
+    let gateway = site.gateway(0, served.addr)?;
+    gateway.wait_ready().await?;
+    let serves = async |path: &str| {
+        let bytes = request("GET", path, "r-1", "", "");
+        exchange(gateway.callers, &bytes).await.is_ok_and(|reply| reply.status == 200)
+    };
+    let lost_watch = || {
+        let lost = door.lost();
+        lost.iter().filter(|lost| lost.kind == "config").filter_map(|lost| lost.wait).max()
+    };
+
+    // The watch that waits brings the second version; the next one is lost.
+    door.silent.store(true, Ordering::SeqCst);
+    site.configure(2, &[route("/second/", "safe")]);
+    wait_for(async || serves("/second/a").await && lost_watch().is_some()).await?;
+    let lost_for = lost_watch().unwrap_or_default();
+    door.silent.store(false, Ordering::SeqCst);
+
+    let back = Instant::now();
+    site.configure(3, &[route("/third/", "safe")]);
+    wait_for(async || serves("/third/a").await).await?;
+    // A waiting watch asks for seconds; one that is placed anew takes none.
+    expect_that!(back.elapsed(), lt(lost_for));
+    Ok(())
+}
