Tell of an outage of the store on all connections that it may have taken

One kind's probe missed and its watch was placed anew 1.7 s later; the other kind's probe went over a connection that had opened since, and its watch stayed deaf for 10 s. And a call that met a silent idle connection left the other idle ones for the next calls, each of which waits in vain for 0.8 to 1.5 s. Change: who notices an outage tells all that follow the same store; a call that gets no answer closes the idle connections to its address.

--- a/src/mastweir/gateway/follow.rs
+++ b/src/mastweir/gateway/follow.rs
@@ -14,7 +14,10 @@
 use mastweir_core::gateway::{Doubt, Liveness, Probe};
 use slog::{Logger, info, warn};
 use std::{cell::Cell, time::Duration};
-use tokio::time::{self, Instant};
+use tokio::{
+    sync::Notify,
+    time::{self, Instant},
+};
 
 /// A watch waits this long for a change; each is a call that is paid for.
 const WATCH_WAITS: Duration = Duration::from_secs(20);
@@ -135,8 +138,10 @@
     Doubt(Doubt),
 }
 
-/// Follows a kind of object, for ever.
-pub async fn follow<S: Source>(source: &S, log: &Logger, tally: &Tally) {
+/// Follows a kind of object, for ever. `outages` is shared by all that follow the same
+/// store: one that notices an outage tells the others, whose probes may have gone
+/// round it on other connections.
+pub async fn follow<S: Source>(source: &S, outages: &Notify, log: &Logger, tally: &Tally) {
     let pause = Cell::new(RETRY_FIRST);
     let link = Link { kind: S::KIND, log, tally, lost: Cell::new(None), pause };
     let mut after_outage = false;
@@ -154,7 +159,7 @@
         after_outage = loop {
             let asked = Asked::now("watch", revision);
             let liveness = Cell::default();
-            match watch(source, revision, &liveness, tally).await {
+            match watch(source, revision, &liveness, outages, tally).await {
                 Ended::Watch(Ok(changes)) => {
                     link.up();
                     revision = changes.revision;
@@ -183,13 +188,20 @@
     source: &S,
     since: u64,
     liveness: &Cell<Liveness>,
+    outages: &Notify,
     tally: &Tally,
 ) -> Ended<S::Item> {
     tokio::select! {
         // What it brings makes a probe that has just seen the same needless.
         biased;
         changes = source.watch(since, WATCH_WAITS) => Ended::Watch(changes),
-        doubt = doubted(source, since, liveness, tally) => Ended::Doubt(doubt),
+        doubt = doubted(source, since, liveness, tally) => {
+            if doubt == Doubt::Outage {
+                outages.notify_waiters();
+            }
+            Ended::Doubt(doubt)
+        }
+        () = outages.notified() => Ended::Doubt(Doubt::Outage),
     }
 }
 
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -17,7 +17,7 @@
     net::{IpAddr, SocketAddr},
     rc::Rc,
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// What a gateway is made from.
 #[derive(Clone, Debug)]
@@ -65,6 +65,8 @@
     pub tally: Tally,
     /// The platform's store.
     pub store: Store,
+    /// Tells those who follow the store that it was away.
+    pub outages: Notify,
     /// Connections to servers.
     pub servers: Pool,
     /// Connections to other processes of mastweir.
@@ -95,6 +97,7 @@
             log: options.log.new(slog::o!("instance" => settings.name.clone())),
             tally: Tally::default(),
             store: Store::new(settings.store, Rc::new(Pool::default())),
+            outages: Notify::new(),
             servers: Pool::default(),
             internal: Pool::default(),
             fleet: RefCell::new(Fleet::new(&settings.hall)),
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -10,13 +10,13 @@
 
 /// Follows the configuration, for ever.
 pub async fn config(gateway: Rc<Gateway>) {
-    follow(&Configs(&gateway), &gateway.log, &gateway.tally).await;
+    follow(&Configs(&gateway), &gateway.outages, &gateway.log, &gateway.tally).await;
 }
 
 /// Follows the servers, for ever.
 pub async fn servers(gateway: Rc<Gateway>) {
     let source = Servers { gateway: &gateway, listed: RefCell::default() };
-    follow(&source, &gateway.log, &gateway.tally).await;
+    follow(&source, &gateway.outages, &gateway.log, &gateway.tally).await;
 }
 
 struct Configs<'a>(&'a Rc<Gateway>);
--- a/src/mastweir/net/http.rs
+++ b/src/mastweir/net/http.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Closes idle connections to an address.
+    fn forget(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
     /// Closes idle connections that are past their time, and forgets addresses
     /// that have none.
     pub fn sweep(&self) {
@@ -192,6 +197,22 @@
         request: Request<Full<Bytes>>,
         wait: Duration,
         limit: usize,
+    ) -> Result<(u16, Bytes), CallError> {
+        let called = self.exchange(addr, request, wait, limit).await;
+        if matches!(called, Err(CallError::Late(_))) {
+            // What silenced this connection may have silenced the idle ones beside it;
+            // each would cost another call its whole wait.
+            self.forget(addr);
+        }
+        called
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+        limit: usize,
     ) -> Result<(u16, Bytes), CallError> {
         let deadline = time::Instant::now() + wait;
         let mut exchange = match self.reuse(addr) {
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -16,7 +16,10 @@
     ops::Range,
     time::Duration,
 };
-use tokio::time::{self, Instant};
+use tokio::{
+    sync::Notify,
+    time::{self, Instant},
+};
 
 /// A change has to be in force this long behind its acknowledgement.
 const IN_FORCE: Duration = Duration::from_secs(2);
@@ -97,13 +100,17 @@
 
     /// Follows it for half a minute; gives what was heard, and when.
     async fn followed(self) -> Self {
+        self.follow(&Notify::new()).await;
+        self
+    }
+
+    async fn follow(&self, outages: &Notify) {
         let (log, tally) = (Logger::root(slog::Discard, o!()), Tally::default());
         let Err(_) = time::timeout(ms(30_000), async {
-            follow(&self, &log, &tally).await;
+            follow(self, outages, &log, &tally).await;
             pending::<Infallible>().await
         })
         .await;
-        self
     }
 
     fn heard_at(&self, change: usize) -> Duration {
@@ -211,6 +218,23 @@
     }
 }
 
+/// Connections die without a word, and the probes of one kind go over another that does
+/// not: its watch is placed anew when the other kind's probes miss.
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn an_outage_that_one_kind_notices_is_told_to_the_other() {
+    let lost = ms(5_000);
+    let change = lost + ms(3_000);
+    let mut deaf = Store::new(&[change]);
+    deaf.takes_one = Some(lost);
+    deaf.lag = ms(4_000);
+    let mut other = Store::new(&[]);
+    other.outage = lost..lost + ms(1_300);
+    let outages = Notify::new();
+    tokio::join!(deaf.follow(&outages), other.follow(&outages));
+    expect_that!(deaf.heard_at(0), lt(change + ms(100)));
+}
+
 /// Each call is paid for, a probe a tenth: half a minute without a change.
 #[googletest::test]
 #[tokio::test(start_paused = true)]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of mastweir, a file a feature.
 
 mod cli;
+mod connections;
 mod deaf_watch;
 mod faults;
 mod fleet;
