Soak gateways under a store that takes calls and answers none

Cause: the soak could not find lost watches: its store refuses, is slow, forgets and loses the answers of writes, but always answers what it takes, and a gateway had 30 s to follow a configuration behind the faults.

--- a/crates/mastweir-soak/src/faults.rs
+++ b/crates/mastweir-soak/src/faults.rs
@@ -241,6 +241,7 @@
         Fault::StoreSlow => {
             store.slow_ms.store(if on { STORE_SLOW_MS } else { 0 }, Ordering::Relaxed);
         }
+        Fault::StoreSilent => set(&store.silent, on),
         Fault::StoreLoses => set(&store.lose_replies, on),
         _ => (),
     }
--- a/crates/mastweir-soak/src/lib.rs
+++ b/crates/mastweir-soak/src/lib.rs
@@ -20,7 +20,7 @@
     world::{RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW_S, SIZES, World},
 };
 use eyre::WrapErr;
-use mastweir_test_support::site::wait_for;
+use mastweir_test_support::site::{wait_for, wait_within};
 use std::{
     fmt,
     net::SocketAddr,
@@ -34,6 +34,9 @@
 
 /// Passes that a group has to begin once all is well again.
 const PASSES_AFTER: u64 = 20;
+/// A configuration has to be in force by then once all is well: half of what a gateway
+/// takes that goes by the end of its watch alone.
+const IN_FORCE_LASTS: Duration = Duration::from_secs(10);
 
 /// What to run.
 #[derive(Clone, Copy, Debug)]
@@ -152,7 +155,7 @@
         callers::ask_at(callers, Kind::Probe, &path, &fresh_id(), None, ledger).await
             == Outcome::Served
     };
-    let held = wait_for(async || all_of(&doors, in_force).await);
+    let held = wait_within(IN_FORCE_LASTS, async || all_of(&doors, in_force).await);
     note("a gateway does not follow the configuration", held.await);
     for (number, (callers, _)) in doors.iter().enumerate() {
         for kind in [Kind::Stream, Kind::Once, Kind::Safe] {
--- a/crates/mastweir-soak/src/plan.rs
+++ b/crates/mastweir-soak/src/plan.rs
@@ -6,6 +6,9 @@
 /// Longest fault of one run, and shortest.
 const LASTS_MS: [u64; 2] = [300, 3_500];
 
+/// Makes the draw of silences another than that of the other faults.
+const SILENCE_SEED: u64 = 0x5117;
+
 /// Sizes of the world that a plan is for.
 #[derive(Clone, Copy, Debug)]
 pub struct Sizes {
@@ -71,6 +74,8 @@
     LateOrders(usize),
     /// The store is down.
     StoreDown,
+    /// It takes calls, and never answers them.
+    StoreSilent,
     /// It is slow.
     StoreSlow,
     /// Its writes land, and their answers are lost.
@@ -113,10 +118,24 @@
             fault: fault(&mut rng, sizes),
         })
         .collect();
+    plan.extend(silence(seed, whole));
     plan.sort_by_key(|entry| entry.at);
     plan
 }
 
+/// In a third of the runs the store falls silent, and a configuration comes right before,
+/// so that all gateways ask it again at that moment. Drawn apart from the other faults.
+fn silence(seed: u64, whole: u64) -> Vec<Entry> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ SILENCE_SEED);
+    if !rng.random_bool(1.0 / 3.0) {
+        return Vec::new();
+    }
+    let at = rng.random_range(0..whole.max(1));
+    let lasts = Duration::from_millis(rng.random_range(LASTS_MS[0]..LASTS_MS[1]));
+    let entry = |ms, fault| Entry { at: Duration::from_millis(ms), lasts, fault };
+    vec![entry(at, Fault::Configure), entry(at + rng.random_range(0..300), Fault::StoreSilent)]
+}
+
 fn fault(rng: &mut SmallRng, sizes: Sizes) -> Fault {
     let gateway = rng.random_range(0..sizes.gateways);
     let model = rng.random_range(0..sizes.models);
--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -331,9 +331,18 @@
 ///
 /// It does not for half a minute.
 pub async fn wait_for(holds: impl AsyncFn() -> bool) -> eyre::Result<()> {
-    let end = time::Instant::now() + WAIT_MAX;
+    wait_within(WAIT_MAX, holds).await
+}
+
+/// Waits until something holds, for so long.
+///
+/// # Errors
+///
+/// It does not.
+pub async fn wait_within(longest: Duration, holds: impl AsyncFn() -> bool) -> eyre::Result<()> {
+    let end = time::Instant::now() + longest;
     while !holds().await {
-        ensure!(time::Instant::now() < end, "it did not come to hold in {WAIT_MAX:?}");
+        ensure!(time::Instant::now() < end, "it did not come to hold in {longest:?}");
         time::sleep(LOOK_AGAIN).await;
     }
     Ok(())
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -72,6 +72,23 @@
     Ok(())
 }
 
+/// All gateways ask the store anew behind a configuration, and are never answered; one of
+/// them is cut off from it besides.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_promised_holds_behind_a_silence_of_the_store() -> Result<()> {
+    let plan = [
+        at(900, Fault::Configure),
+        at(1_000, Fault::StoreSilent),
+        at(1_200, Fault::CutFromStore(0)),
+        at(2_700, Fault::Configure),
+        at(3_000, Fault::StoreSilent),
+    ];
+    let report = soak(105, Some(&plan)).await?;
+    expect_that!(report.broken, is_empty());
+    Ok(())
+}
+
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drawn_plan_breaks_no_promise() -> Result<()> {
