--- a/crates/mastweir-core/src/route/budget.rs
+++ b/crates/mastweir-core/src/route/budget.rs
@@ -3,6 +3,13 @@
 //! Each request pays a part of a retry in. When everything fails, retries stop
 //! at that part of the load, whatever each request would like, so the fleet's
 //! own retries can't keep it down.
+//!
+//! [`RetryWindow`] keeps a bound over all gateways in every window, since their platform
+//! promises one. Nothing of the kind is promised here, and a call's decisions
+//! ([`Call`]) take no time in, so a level is enough.
+//!
+//! [`RetryWindow`]: crate::gateway::RetryWindow
+//! [`Call`]: crate::outcome::Call
 
 /// Retries that one request pays for, in thousandths.
 const DEPOSIT_MILLI: u64 = 100;
--- a/crates/mastweir-core/src/route/health.rs
+++ b/crates/mastweir-core/src/route/health.rs
@@ -4,6 +4,10 @@
 //! progress, for a time that doubles with each ejection. It comes back as a
 //! trial: one call at a time until some have ended well. Own signals only: a
 //! report says that the agent is well, not that the engine makes progress.
+//!
+//! A gateway leaves servers out by other signs (`gateway::seen`): its sidecars do say
+//! whether a group makes passes, so silence and refusals are what counts, and it has no
+//! trials, since a stream's caller leaves after two seconds without an event.
 
 use crate::time::Uptime;
 use std::time::Duration;
--- a/crates/mastweir-core/src/route/router.rs
+++ b/crates/mastweir-core/src/route/router.rs
@@ -1,4 +1,10 @@
 //! An entry's view of the servers of one service, and the choice among them.
+//!
+//! An agent queues requests and reports the time that they take, so a choice is by what
+//! a request would wait, and by its prefix. A gateway's servers batch all they have
+//! ([`Fleet`]): there places, and the pass of a whole group, are what counts.
+//!
+//! [`Fleet`]: crate::gateway::Fleet
 
 use super::{Health, Ring, Signal};
 use crate::{id::Incarnation, time::Uptime, wire::Load};
--- a/crates/mastweir-core/src/switch/coordinator.rs
+++ b/crates/mastweir-core/src/switch/coordinator.rs
@@ -4,6 +4,10 @@
 //! what to send to which rank now (again, if no reply came), and
 //! [`Coordinator::on`]. It never waits for a rank that is not there: without all
 //! ranks a switch can't begin, and the group is not fit to serve anyway.
+//!
+//! These ranks are ours: they keep the promise of a cap, and refuse earlier epochs and
+//! rounds. Ranks that take plain orders, perhaps late, and check no token, are changed by
+//! [`hold`](super::hold), which may rest on none of that.
 
 use super::{MapVersion, Order, RankReply, RankStatus, Step, Verb};
 
