Fetch from another gateway only what does not come by itself

Cause: how long a gateway had been behind was counted from the first time it ever was; the store had brought that long ago, so the next hello that outran the store's answer made a fetch between halls. Change: what another is ahead by is forgotten once it has come (core, gateway/lag), and a fetch that did not help is made again after 0.35 s, not at each second hello.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod directory;
 mod events;
 mod fleet;
+mod lag;
 mod liveness;
 mod pace;
 mod passes;
@@ -26,6 +27,7 @@
 pub use directory::{Directory, Server, ServerState};
 pub use events::Events;
 pub use fleet::{Candidate, Fleet, Needs, Refusal};
+pub use lag::{Lag, Versions};
 pub use liveness::{Doubt, Liveness, Probe};
 pub use pace::held;
 pub use passes::Passes;
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -10,7 +10,7 @@
     state::Gateway,
 };
 use crate::net::internal;
-use mastweir_core::gateway::{Config, Directory};
+use mastweir_core::gateway::{Config, Directory, Lag, Versions};
 use slog::{info, warn};
 use std::{
     cell::RefCell,
@@ -26,24 +26,15 @@
 /// And this much less often for each gateway, so that the traffic of one gateway
 /// does not grow with their number.
 const HELLO_PER_GATEWAY: Duration = Duration::from_millis(15);
-/// How long another's newer state has to last before it is fetched: the store
-/// usually brings it by itself, a little later while changes are gathered.
-const BEHIND_LASTS: Duration = Duration::from_millis(350);
 /// A fetch of some hundred KB between halls.
 const FETCH_LASTS: Duration = Duration::from_millis(800);
 
-/// Since when another is known to have a newer state.
-#[derive(Clone, Copy, Debug)]
-struct Behind {
-    since: time::Instant,
-}
-
 /// Talks to the others, for ever.
 pub async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     let ranks: Rc<RefCell<HashMap<SocketAddr, String>>> = Rc::default();
     task::spawn_local(send_hellos(gateway.clone(), socket.clone(), ranks.clone()));
-    let mut behind: Option<Behind> = None;
+    let mut lag = Lag::default();
     let mut buffer = vec![0; DATAGRAM_MAX * 2];
     loop {
         let received = match socket.recv_from(&mut buffer).await {
@@ -53,7 +44,7 @@
         };
         let message = postcard::from_bytes(&buffer[..received.0]);
         match message {
-            Ok(Message::Hello(hello)) => heard(&gateway, &hello, received.1, &mut behind),
+            Ok(Message::Hello(hello)) => heard(&gateway, &hello, received.1, &mut lag),
             Ok(Message::Report(report)) => reported(&gateway, report, &ranks),
             Ok(Message::Pace(pace)) => {
                 let now = gateway.clock.now();
@@ -77,7 +68,7 @@
     fleet.told(&id, report.told, gateway.clock.now());
 }
 
-fn heard(gateway: &Rc<Gateway>, hello: &Hello, from: IpAddr, behind: &mut Option<Behind>) {
+fn heard(gateway: &Rc<Gateway>, hello: &Hello, from: IpAddr, lag: &mut Lag) {
     let own = gateway.settings.borrow().ip;
     let now = gateway.clock.now();
     {
@@ -91,20 +82,13 @@
             gateways.named(*other, now);
         }
     }
-    let newer = hello.config > gateway.version()
-        || hello.directory > gateway.fleet.borrow().directory().revision;
-    if !newer {
-        return;
-    }
-    let at = time::Instant::now();
-    match behind {
-        None => *behind = Some(Behind { since: at }),
-        // A fresh start has nothing to wait for.
-        Some(first) if at - first.since < BEHIND_LASTS && gateway.is_ready() => (),
-        Some(_) => {
-            *behind = None;
-            task::spawn_local(fetch(gateway.clone(), from));
-        }
+    let own = Versions {
+        config: gateway.version(),
+        directory: gateway.fleet.borrow().directory().revision,
+    };
+    let other = Versions { config: hello.config, directory: hello.directory };
+    if lag.heard(own, other, !gateway.is_ready(), now) {
+        task::spawn_local(fetch(gateway.clone(), from));
     }
 }
 
--- a/tests/testsuite/gateway_core.rs
+++ b/tests/testsuite/gateway_core.rs
@@ -3,8 +3,8 @@
 use googletest::prelude::*;
 use mastweir_core::{
     gateway::{
-        Answer, Config, Events, Kind, Limits, Next, PassCost, Passes, Pauses, Peers, Proof,
-        RetryWindow, Route, RouteIndex, Step, Target, held, next,
+        Answer, Config, Events, Kind, Lag, Limits, Next, PassCost, Passes, Pauses, Peers, Proof,
+        RetryWindow, Route, RouteIndex, Step, Target, Versions, held, next,
     },
     time::Uptime,
 };
@@ -240,3 +240,29 @@
     let plain = mastweir_core::gateway::held(400.0, 0.0, Duration::from_millis(500));
     expect_that!(plain, eq(Duration::ZERO));
 }
+
+/// What the store is about to bring is not fetched from another gateway, however long ago
+/// the last such moment was; what it does not bring is.
+#[googletest::test]
+fn only_what_does_not_come_by_itself_is_fetched() {
+    let at = |config, directory| Versions { config, directory };
+    let ms = Uptime::from_millis;
+    let mut lag = Lag::default();
+    // The store brings version 2 a moment later than another gateway tells of it.
+    expect_that!(lag.heard(at(1, 5), at(2, 5), false, ms(0)), eq(false));
+    expect_that!(lag.heard(at(2, 5), at(2, 5), false, ms(250)), eq(false));
+    expect_that!(lag.heard(at(2, 5), at(3, 5), false, ms(9_000)), eq(false));
+    // Others that are no further, and newer ones all the while, don't begin it anew.
+    expect_that!(lag.heard(at(2, 5), at(2, 5), false, ms(9_100)), eq(false));
+    expect_that!(lag.heard(at(2, 5), at(4, 6), false, ms(9_200)), eq(false));
+    expect_that!(lag.heard(at(2, 5), at(4, 6), false, ms(9_350)), eq(true));
+    // It is fetched once, and again if that did not help.
+    expect_that!(lag.heard(at(2, 5), at(4, 6), false, ms(9_400)), eq(false));
+    expect_that!(lag.heard(at(2, 5), at(4, 6), false, ms(9_750)), eq(true));
+    // A list of servers counts like a configuration; one who knows nothing does not wait.
+    expect_that!(lag.heard(at(4, 5), at(4, 6), false, ms(9_800)), eq(false));
+    let mut lag = Lag::default();
+    expect_that!(lag.heard(at(0, 0), at(4, 6), true, ms(9_900)), eq(true));
+    expect_that!(lag.heard(at(0, 0), at(4, 6), true, ms(9_910)), eq(false));
+    expect_that!(lag.heard(at(0, 0), at(4, 6), true, ms(10_250)), eq(true));
+}
