Take what is gone for lapsed only behind an outage in which entries can lapse

Cause: found in reading: any failed call to the store, a reset or a watch that the store cut, counted as an outage, so a server that had left in that moment was used for 2.2 s more; and an outage was written to the log at its end only, since probes that missed wrote no line. Change: follow says how long the store had not answered, to any call, before each list and change; entries may have lapsed from two heartbeats on (three of silence, one of them before; from the settings file). The first call that misses, a probe too, writes 'store lost', and 'store regained' tells since when it had not answered. Measured: how_long_the_store_was_away_is_told: outages of 0 to 9 s are told with at most 2.3 s more, whether the watch outlives them or not.

--- a/src/mastweir/gateway/follow.rs
+++ b/src/mastweir/gateway/follow.rs
@@ -46,12 +46,13 @@
     /// Its name, in log lines and metrics.
     const KIND: &'static str;
 
-    /// Takes in all that there is; gives the revision to watch from.
+    /// Takes in all that there is; gives the revision to watch from. `away` is how long
+    /// the store had not answered before.
     ///
     /// # Errors
     ///
     /// See [`StoreError`].
-    fn list(&self, after_outage: bool) -> impl Future<Output = Result<u64, StoreError>>;
+    fn list(&self, away: Duration) -> impl Future<Output = Result<u64, StoreError>>;
 
     /// Waits for changes since a revision.
     ///
@@ -64,8 +65,8 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes<Self::Item>, StoreError>>;
 
-    /// Takes in what a watch brought.
-    fn take(&self, changes: Changes<Self::Item>, after_outage: bool);
+    /// Takes in what a watch brought, after the store had not answered for `away`.
+    fn take(&self, changes: Changes<Self::Item>, away: Duration);
 
     /// Whether there are changes since a revision: answered at once, and cheap. The
     /// answer may be old.
@@ -81,27 +82,44 @@
     kind: &'static str,
     log: &'a Logger,
     tally: &'a Tally,
-    lost: Cell<Option<Instant>>,
+    /// When it answered last, to a watch, a list or a probe.
+    answered: Cell<Instant>,
+    lost: Cell<bool>,
     pause: Cell<Duration>,
 }
 
 impl Link<'_> {
+    /// How long the store has not answered.
+    fn away(&self) -> Duration {
+        self.answered.get().elapsed()
+    }
+
+    /// The store has answered. That it is regained is said once news can come again, so
+    /// not for a probe.
+    fn answered(&self) {
+        self.answered.set(Instant::now());
+    }
+
     fn up(&self) {
         self.pause.set(RETRY_FIRST);
-        if let Some(since) = self.lost.take() {
+        if self.lost.take() {
             info!(self.log, "store regained"; "kind" => self.kind,
-                "away_ms" => since.elapsed().as_millis() as u64);
+                "away_ms" => self.away().as_millis() as u64);
         }
+        self.answered();
     }
 
-    async fn down(&self, asked: Asked, error: &StoreError) {
-        self.tally.count("store_errors_total", self.kind);
-        if self.lost.get().is_none() {
-            self.lost.set(Some(Instant::now()));
+    fn lost(&self, asked: &Asked, error: &StoreError) {
+        if !self.lost.replace(true) {
             warn!(self.log, "store lost"; "kind" => self.kind, "call" => asked.call,
                 "since" => asked.since, "asked_ms" => asked.at.elapsed().as_millis() as u64,
                 "error" => %error);
         }
+    }
+
+    async fn down(&self, asked: &Asked, error: &StoreError) {
+        self.tally.count("store_errors_total", self.kind);
+        self.lost(asked, error);
         time::sleep(self.pause.get()).await;
         self.pause.set((self.pause.get() * 2).min(RETRY_LAST));
     }
@@ -142,44 +160,47 @@
 /// store: one that notices an outage tells the others, whose probes may have gone
 /// round it on other connections.
 pub async fn follow<S: Source>(source: &S, outages: &Notify, log: &Logger, tally: &Tally) {
-    let pause = Cell::new(RETRY_FIRST);
-    let link = Link { kind: S::KIND, log, tally, lost: Cell::new(None), pause };
-    let mut after_outage = false;
+    let link = Link {
+        kind: S::KIND,
+        log,
+        tally,
+        answered: Cell::new(Instant::now()),
+        lost: Cell::new(false),
+        pause: Cell::new(RETRY_FIRST),
+    };
     loop {
         let asked = Asked::now("list", 0);
-        let mut revision = match source.list(after_outage).await {
+        let mut revision = match source.list(link.away()).await {
             Ok(revision) => revision,
             Err(error) => {
-                after_outage = true;
-                link.down(asked, &error).await;
+                link.down(&asked, &error).await;
                 continue;
             }
         };
         link.up();
-        after_outage = loop {
+        loop {
             let asked = Asked::now("watch", revision);
-            let liveness = Cell::default();
-            match watch(source, revision, &liveness, outages, tally).await {
+            match watch(source, revision, outages, &link).await {
                 Ended::Watch(Ok(changes)) => {
-                    link.up();
                     revision = changes.revision;
                     let changed = !changes.changes.is_empty();
-                    source.take(changes, liveness.get().is_silent());
+                    source.take(changes, link.away());
+                    link.up();
                     if changed {
                         time::sleep(GATHER).await;
                     }
                 }
-                Ended::Watch(Err(StoreError::HistoryGone)) => break false,
+                Ended::Watch(Err(StoreError::HistoryGone)) => break,
                 Ended::Watch(Err(error)) => {
-                    link.down(asked, &error).await;
-                    break true;
+                    link.down(&asked, &error).await;
+                    break;
                 }
                 Ended::Doubt(doubt) => {
                     link.doubted(&asked, doubt);
-                    break doubt == Doubt::Outage;
+                    break;
                 }
             }
-        };
+        }
     }
 }
 
@@ -187,15 +208,14 @@
 async fn watch<S: Source>(
     source: &S,
     since: u64,
-    liveness: &Cell<Liveness>,
     outages: &Notify,
-    tally: &Tally,
+    link: &Link<'_>,
 ) -> Ended<S::Item> {
     tokio::select! {
         // What it brings makes a probe that has just seen the same needless.
         biased;
         changes = source.watch(since, WATCH_WAITS) => Ended::Watch(changes),
-        doubt = doubted(source, since, liveness, tally) => {
+        doubt = doubted(source, since, link) => {
             if doubt == Doubt::Outage {
                 outages.notify_waiters();
             }
@@ -206,28 +226,26 @@
 }
 
 /// Ends when the watch beside can't be trusted any more.
-async fn doubted<S: Source>(
-    source: &S,
-    since: u64,
-    liveness: &Cell<Liveness>,
-    tally: &Tally,
-) -> Doubt {
+async fn doubted<S: Source>(source: &S, since: u64, link: &Link<'_>) -> Doubt {
+    let mut liveness = Liveness::default();
     time::sleep(PROBE_FIRST).await;
     loop {
+        let asked = Asked::now("probe", since);
         let probe = match source.probe(since).await {
             Ok(false) => Probe::Same,
             Ok(true) | Err(StoreError::HistoryGone) => Probe::Newer,
-            Err(_) => {
-                tally.count("store_probes_missed_total", S::KIND);
+            Err(error) => {
+                link.tally.count("store_probes_missed_total", S::KIND);
+                link.lost(&asked, &error);
                 Probe::Missed
             }
         };
-        let mut live = liveness.get();
-        let doubt = live.probed(probe);
-        liveness.set(live);
-        if let Some(doubt) = doubt {
+        if let Some(doubt) = liveness.probed(probe) {
             return doubt;
         }
-        time::sleep(if live.is_silent() { PROBE_AGAIN } else { PROBE_EVERY }).await;
+        if !liveness.is_silent() {
+            link.answered();
+        }
+        time::sleep(if liveness.is_silent() { PROBE_AGAIN } else { PROBE_EVERY }).await;
     }
 }
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -26,7 +26,7 @@
 
     const KIND: &'static str = "config";
 
-    async fn list(&self, _after_outage: bool) -> Result<u64, StoreError> {
+    async fn list(&self, _away: Duration) -> Result<u64, StoreError> {
         let (config, revision) = self.0.store.config().await?;
         config.into_iter().for_each(|config| self.0.adopt_config(config, "store"));
         Ok(revision)
@@ -36,7 +36,7 @@
         self.0.store.watch_config(since, wait).await
     }
 
-    fn take(&self, changes: Changes<Config>, _after_outage: bool) {
+    fn take(&self, changes: Changes<Config>, _away: Duration) {
         for change in changes.changes {
             if let Change::Is(config) = change {
                 self.0.adopt_config(config, "store");
@@ -56,16 +56,24 @@
     listed: RefCell<Directory>,
 }
 
+impl Servers<'_> {
+    /// Whether entries of servers that live may have lapsed while the store was away. In
+    /// shorter outages what is gone has left, and must get nothing more.
+    fn may_lapse(&self, away: Duration) -> bool {
+        away >= self.gateway.settings.borrow().bounds.lapse
+    }
+}
+
 impl Source for Servers<'_> {
     type Item = Server;
 
     const KIND: &'static str = "servers";
 
-    async fn list(&self, after_outage: bool) -> Result<u64, StoreError> {
+    async fn list(&self, away: Duration) -> Result<u64, StoreError> {
         let directory = self.gateway.store.servers().await?;
         let revision = directory.revision;
         *self.listed.borrow_mut() = directory.clone();
-        self.gateway.adopt_directory(directory, after_outage, "store");
+        self.gateway.adopt_directory(directory, self.may_lapse(away), "store");
         Ok(revision)
     }
 
@@ -73,7 +81,7 @@
         self.gateway.store.watch_servers(since, wait).await
     }
 
-    fn take(&self, changes: Changes<Server>, after_outage: bool) {
+    fn take(&self, changes: Changes<Server>, away: Duration) {
         let mut listed = self.listed.borrow_mut();
         listed.revision = changes.revision;
         if changes.changes.is_empty() {
@@ -85,7 +93,7 @@
                 Change::Gone(id) => listed.servers.remove(&id),
             };
         }
-        self.gateway.adopt_directory(listed.clone(), after_outage, "store");
+        self.gateway.adopt_directory(listed.clone(), self.may_lapse(away), "store");
     }
 
     async fn probe(&self, since: u64) -> Result<bool, StoreError> {
--- a/src/mastweir/platform/settings.rs
+++ b/src/mastweir/platform/settings.rs
@@ -25,10 +25,17 @@
     #[serde(default)]
     listen: Listen,
     app: Option<SocketAddr>,
+    #[serde(default = "usual_heartbeat")]
+    heartbeat_ms: u64,
     bounds: FileBounds,
     platform: Store,
 }
 
+/// Heartbeats of the servers, where the file does not say: what the pages show.
+const fn usual_heartbeat() -> u64 {
+    1_200
+}
+
 #[derive(Debug, Default, Deserialize)]
 struct Listen {
     front: Option<SocketAddr>,
@@ -107,6 +114,9 @@
         store: file.platform.address,
         bounds: Bounds {
             drain: Duration::from_millis(file.bounds.drain_ms),
+            // An entry goes after three heartbeats of silence, the first of which may lie
+            // before the outage.
+            lapse: Duration::from_millis(file.heartbeat_ms.saturating_mul(2)),
             grace: Duration::from_secs_f64(file.bounds.grace_s.clamp(0.0, 3_600.0)),
             retry_ratio: ratio,
             retry_window: Duration::from_secs_f64(file.bounds.budget_window_s.clamp(0.1, 3_600.0)),
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -52,6 +52,8 @@
     heard: RefCell<Vec<Duration>>,
     watches: Cell<u32>,
     probes: Cell<u32>,
+    /// The longest time away that was told with a list or a change.
+    away: Cell<Duration>,
 }
 
 impl Store {
@@ -66,6 +68,7 @@
             heard: RefCell::default(),
             watches: Cell::new(0),
             probes: Cell::new(0),
+            away: Cell::new(ms(0)),
         }
     }
 
@@ -128,8 +131,9 @@
 
     const KIND: &'static str = "test";
 
-    async fn list(&self, _after_outage: bool) -> std::result::Result<u64, StoreError> {
+    async fn list(&self, away: Duration) -> std::result::Result<u64, StoreError> {
         self.answer(CALL_LASTS).await?;
+        self.away.set(self.away.get().max(away));
         let revision = self.revision(self.now());
         self.take_in(revision);
         Ok(revision)
@@ -154,7 +158,8 @@
         Ok(Changes { changes, revision })
     }
 
-    fn take(&self, changes: Changes<u64>, _after_outage: bool) {
+    fn take(&self, changes: Changes<u64>, away: Duration) {
+        self.away.set(self.away.get().max(away));
         self.take_in(changes.revision);
     }
 
@@ -235,6 +240,26 @@
     expect_that!(deaf.heard_at(0), lt(change + ms(100)));
 }
 
+/// Entries of servers lapse in an outage of seconds, not in a moment: what is gone behind
+/// a moment has left. Whether a watch outlives the outage makes no difference.
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn how_long_the_store_was_away_is_told() {
+    for takes_waiting in [false, true] {
+        for lasts in [0, 300, 900, 2_400, 3_600, 9_000].map(ms) {
+            let from = ms(2_900);
+            let mut store = Store::new(&[ms(1_850), from + lasts]);
+            store.outage = from..from + lasts;
+            store.takes_waiting = takes_waiting;
+            let away = store.followed().await.away.get();
+            // The last answer before lies up to a probe's pause before the outage, the
+            // first behind it up to a missed probe and its pause.
+            let bounds = all!(ge(lasts), le(lasts + ms(2_300)));
+            expect_that!(away, bounds, "lasts {lasts:?}, watch lost: {takes_waiting}");
+        }
+    }
+}
+
 /// Each call is paid for, a probe a tenth: half a minute without a change.
 #[googletest::test]
 #[tokio::test(start_paused = true)]
--- a/tests/testsuite/platform_file.rs
+++ b/tests/testsuite/platform_file.rs
@@ -27,7 +27,7 @@
 
 #[googletest::test]
 fn what_a_gateway_needs_is_read_and_the_rest_ignored() -> eyre::Result<()> {
-    let settings = parse(GATEWAY)?;
+    let settings = parse(&GATEWAY.replace("[listen]", "heartbeat_ms = 1000\n[listen]"))?;
     insta::assert_debug_snapshot!(settings);
     expect_that!(listeners(&settings)?.0.port(), eq(8000));
     Ok(())
