--- a/tests/testsuite/gateway.rs
+++ b/tests/testsuite/gateway.rs
@@ -12,12 +12,12 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 /// A whole answer of a server.
-fn answer(got: &Got, status: &str, body: &str) -> Act {
+pub fn answer(got: &Got, status: &str, body: &str) -> Act {
     let id = got.header("request-id").unwrap_or_default();
     Act::Send(
         format!(
@@ -54,10 +54,10 @@
 }
 
 /// What a server does for a request.
-type Script = Box<dyn Fn(&Got) -> Vec<Act> + Send + Sync>;
+pub type Script = Box<dyn Fn(&Got) -> Vec<Act> + Send + Sync>;
 
 /// A site with one gateway, ready, before servers with these scripts.
-async fn site_of(scripts: Vec<Script>) -> Result<World> {
+pub async fn site_of(scripts: Vec<Script>) -> Result<World> {
     let site = Site::new(1)?;
     let mut servers = Vec::new();
     for (number, script) in scripts.into_iter().enumerate() {
@@ -75,10 +75,10 @@
     Ok(World { site, servers, gateway })
 }
 
-struct World {
-    site: Site,
-    servers: Vec<Scripted>,
-    gateway: Running,
+pub struct World {
+    pub site: Site,
+    pub servers: Vec<Scripted>,
+    pub gateway: Running,
 }
 
 impl World {
@@ -383,88 +383,6 @@
     .await
 }
 
-#[googletest::test]
-#[tokio::test(flavor = "multi_thread")]
-async fn a_gateway_that_the_store_turns_away_hears_from_another() -> Result<()> {
-    let site = Site::new(2)?;
-    let server = Scripted::start(|got| vec![answer(got, "200 OK", "")]).await?;
-    site.list("i-0", &server, "ready");
-    site.configure(1, &[route("/old/", "safe")]);
-    let (_, first) = site.door().await?;
-    let (door, second) = site.door().await?;
-    let told = site.gateway(0, first.addr)?;
-    let refused = site.gateway(1, second.addr)?;
-    told.wait_ready().await?;
-    refused.wait_ready().await?;
-    door.shut.store(true, Ordering::SeqCst);
-    site.configure_with_keys(2, &[route("/new/", "safe")], &["another"]);
-    let status = async |path: &str| {
-        let bytes = request("GET", path, "r-1", "", "");
-        exchange(refused.callers, &bytes).await.map_or(0, |reply| reply.status)
-    };
-    // The route is new there, and the key was taken away.
-    wait_for(async || status("/new/a").await == 401).await?;
-    expect_that!(status("/old/a").await, eq(404));
-    // One that starts while it is turned away starts from the other.
-    drop(refused);
-    Ok(())
-}
-
-#[googletest::test]
-#[tokio::test(flavor = "multi_thread")]
-async fn a_gateway_that_starts_without_the_store_starts_from_another() -> Result<()> {
-    let site = Site::new(2)?;
-    let server = Scripted::start(|got| vec![answer(got, "200 OK", "")]).await?;
-    site.list("i-0", &server, "ready");
-    site.configure(1, &[route("/safe/", "safe")]);
-    let (_, first) = site.door().await?;
-    let (door, second) = site.door().await?;
-    door.shut.store(true, Ordering::SeqCst);
-    let told = site.gateway(0, first.addr)?;
-    told.wait_ready().await?;
-    let late = site.gateway(1, second.addr)?;
-    late.wait_ready().await?;
-    let reply = exchange(late.callers, &request("GET", "/safe/a", "r-1", "", "")).await?;
-    expect_that!(reply.status, eq(200));
-    Ok(())
-}
-
-#[googletest::test]
-#[tokio::test(flavor = "multi_thread")]
-async fn a_store_that_forgets_its_history_is_listed_again() -> Result<()> {
-    let world = site_of(vec![Box::new(|got| vec![answer(got, "200 OK", "")])]).await?;
-    world.site.platform.set_down(true);
-    world.site.configure(2, &[route("/second/", "safe")]);
-    world.site.platform.forget_history();
-    world.site.platform.set_down(false);
-    let bytes = request("GET", "/second/a", "r-1", "", "");
-    wait_for(async || exchange(world.gateway.callers, &bytes).await.is_ok_and(|r| r.status == 200))
-        .await
-}
-
-/// Each call to the store is paid for, by every gateway.
-#[googletest::test]
-#[tokio::test(flavor = "multi_thread")]
-async fn servers_that_start_together_cost_a_few_calls() -> Result<()> {
-    const STARTED: u64 = 40;
-    let world = site_of(vec![Box::new(|got| vec![answer(got, "200 OK", "")])]).await?;
-    let (before, began) = (world.site.platform.calls(), Instant::now());
-    for number in 0..STARTED {
-        world.site.list(&format!("j-{number}"), &world.servers[0], "ready");
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    world.site.configure(2, &[route("/second/", "safe")]);
-    let bytes = request("GET", "/second/a", "r-1", "", "");
-    let served =
-        async || exchange(world.gateway.callers, &bytes).await.is_ok_and(|r| r.status == 200);
-    wait_for(served).await?;
-    let calls = u128::from(world.site.platform.calls() - before);
-    // However long it took: a call in the time for which changes are gathered, and
-    // those for the configuration.
-    expect_that!(calls, le(5 + began.elapsed().as_millis() / 200));
-    Ok(())
-}
-
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_cuts_nothing() -> Result<()> {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod fuzz_table;
 mod gateway;
 mod gateway_core;
+mod gateway_store;
 mod harness;
 mod hold;
 mod path;
