Catch two mutants of map changes that the script missed

Cause: the mutation script had not been run since its new lines: one line no longer applied, and one mutant was missed, since the rule that cancels only what a rank has gone on from holds what the guard 'all others have it scheduled' held before; what is left of it is that no map is looked for in vain.

--- a/tests/testsuite/hold.rs
+++ b/tests/testsuite/hold.rs
@@ -168,6 +168,8 @@
     ranks[1] = Some(RankState { scheduled: Some((THEIRS, 72)), paused: Some(72), ..rank(1) });
     ranks[0] = None;
     insta::assert_snapshot!(act(&ranks, Some(0), true), @"Wait");
+    // Nor is a map looked for that could not be loaded anywhere.
+    insta::assert_snapshot!(act(&ranks, Some(0), false), @"Wait");
     // Nor where another rank than the coordinator's is missing.
     let mut ranks = group(|state| state.loaded = Some(THEIRS));
     ranks[1] = Some(RankState { loaded: Some(THEIRS), paused: Some(72), ..rank(1) });
