Decide in the gateway when entries can lapse, and pace probes in one place

Cause: found in reading the change: platform/ decided how many heartbeats an outage has to last, the pause and the wait of probes stood at gateways and entries, and the stand-in store could fall silent in two ways. Change: the settings carry the heartbeat, gateway/watch the two heartbeats; core Liveness paces probes for both; the door to the stand-in store only notes what its store has lost. Behaviour stays.

--- a/crates/mastweir-core/src/gateway/liveness.rs
+++ b/crates/mastweir-core/src/gateway/liveness.rs
@@ -6,6 +6,16 @@
 //! and one that answers after it mean an outage, which the watch may not have outlived;
 //! one that brings what the watch did not means that the watch is deaf.
 
+use std::time::Duration;
+
+/// A probe without an answer has missed after this time: four times the answer of a store
+/// that is fifty times slower than usual.
+pub const PROBE_LASTS: Duration = Duration::from_millis(800);
+/// Pause after a probe that missed: with the wait for its answer, a watch lost in an outage
+/// is placed anew within 1.2 s of the store's return. By its own end alone it took 9.5 s at
+/// a gateway and up to 310 s at an entry, and changes were in force as much later.
+const PROBE_AGAIN: Duration = Duration::from_millis(400);
+
 /// What came of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Probe {
@@ -46,6 +56,12 @@
         }
     }
 
+    /// Pause until the next probe, of which one is sent each `every` while they are
+    /// answered.
+    pub const fn pause(&self, every: Duration) -> Duration {
+        if self.silent { PROBE_AGAIN } else { every }
+    }
+
     /// Whether the last probe missed.
     pub const fn is_silent(&self) -> bool {
         self.silent
--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -28,7 +28,7 @@
 pub use events::Events;
 pub use fleet::{Candidate, Fleet, Needs, Refusal};
 pub use lag::{Lag, Versions};
-pub use liveness::{Doubt, Liveness, Probe};
+pub use liveness::{Doubt, Liveness, PROBE_LASTS, Probe};
 pub use pace::held;
 pub use passes::Passes;
 pub use pauses::Pauses;
--- a/crates/mastweir-test-support/src/doors.rs
+++ b/crates/mastweir-test-support/src/doors.rs
@@ -1,7 +1,8 @@
 //! The users' way of speaking to the store, over the same objects as the platform's.
 //!
 //! Each [`Door`] is an address of its own at which the one store is reached; it can
-//! be shut for those who use it, while the others are served, or fall silent.
+//! be shut for those who use it, while the others are served, and notes which calls a
+//! silent store has lost.
 
 use crate::{Served, lock, platform::Platform, serve};
 use rocket::{
@@ -19,8 +20,6 @@
 };
 use tokio::time;
 
-/// Longer than any client waits.
-const NEVER: Duration = Duration::from_secs(120);
 /// Items on a page of a list: few, so that lists have several.
 const PAGE: usize = 3;
 
@@ -30,9 +29,6 @@
     platform: Arc<Platform>,
     /// Whether those who come here are turned away.
     pub shut: AtomicBool,
-    /// Whether calls that come are lost: they are never answered, whatever comes
-    /// after. Watches that already wait here go on.
-    pub silent: AtomicBool,
     lost: Mutex<Vec<Lost>>,
 }
 
@@ -55,7 +51,6 @@
         let door = Arc::new(Self {
             platform: platform.clone(),
             shut: AtomicBool::new(false),
-            silent: AtomicBool::new(false),
             lost: Mutex::default(),
         });
         let managed = door.clone();
@@ -69,11 +64,10 @@
         lock(&self.lost).clone()
     }
 
-    /// Loses a call if the door is silent.
-    async fn hear(&self, kind: &str, wait: Option<Duration>) {
-        if self.silent.load(Ordering::SeqCst) {
+    /// Notes a call that the store is about to lose.
+    fn hear(&self, kind: &str, wait: Option<Duration>) {
+        if self.platform.faults.silent.load(Ordering::SeqCst) {
             lock(&self.lost).push(Lost { kind: kind.to_owned(), wait });
-            time::sleep(NEVER).await;
         }
     }
 
@@ -117,7 +111,7 @@
     shutdown: Shutdown,
 ) -> Reply {
     let wait = watch.map(|_| Duration::from_millis(wait_ms.unwrap_or_default()));
-    door.hear(kind, wait).await;
+    door.hear(kind, wait);
     if let Err(status) = door.enter(if watch.is_some() { 2 } else { 0 }).await {
         return no(status);
     }
@@ -177,7 +171,7 @@
 
 #[rocket::get("/<kind>/<name>")]
 async fn get(door: &State<Arc<Door>>, kind: &str, name: &str) -> Reply {
-    door.hear(kind, None).await;
+    door.hear(kind, None);
     if let Err(status) = door.enter(0).await {
         return no(status);
     }
@@ -187,7 +181,7 @@
 
 #[rocket::post("/<kind>", data = "<object>")]
 async fn create(door: &State<Arc<Door>>, kind: &str, object: Json<Value>) -> Reply {
-    door.hear(kind, None).await;
+    door.hear(kind, None);
     if let Err(status) = door.enter(1).await {
         return no(status);
     }
@@ -200,7 +194,7 @@
 
 #[rocket::put("/<kind>/<name>", data = "<object>")]
 async fn update(door: &State<Arc<Door>>, kind: &str, name: &str, object: Json<Value>) -> Reply {
-    door.hear(kind, None).await;
+    door.hear(kind, None);
     if let Err(status) = door.enter(1).await {
         return no(status);
     }
--- a/crates/mastweir-test-support/src/platform.rs
+++ b/crates/mastweir-test-support/src/platform.rs
@@ -35,7 +35,8 @@
     pub stale_lists: AtomicBool,
     /// Watches stay open and say nothing.
     pub mute_watches: AtomicBool,
-    /// Calls get no answer.
+    /// Calls that come get no answer, whatever comes after. Watches that already wait
+    /// go on.
     pub silent: AtomicBool,
     /// Watches that were opened while this had another value are open for ever, and
     /// never say anything again.
--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -177,7 +177,7 @@
             store,
             bounds: Bounds {
                 drain: Duration::from_secs(2),
-                lapse: Duration::from_millis(2_400),
+                heartbeat: Duration::from_millis(1_200),
                 grace: Duration::from_secs(8),
                 retry_ratio: 0.2,
                 retry_window: Duration::from_secs(10),
--- a/src/mastweir/gateway/follow.rs
+++ b/src/mastweir/gateway/follow.rs
@@ -26,10 +26,6 @@
 const PROBE_FIRST: Duration = Duration::from_millis(250);
 /// Pause between two probes. A probe costs a tenth of a call.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
-/// The same after one that missed: with it and the longest wait for an answer, 0.8 s,
-/// a watch lost in an outage is placed anew within 1.2 s of the store's return. By its
-/// own end alone it took 9.5 s, and changes were in force as much later.
-const PROBE_AGAIN: Duration = Duration::from_millis(400);
 /// Pause between a change and the next watch. Servers start, and configurations are
 /// written, many at a time; without it each of them would cost every gateway a call.
 const GATHER: Duration = Duration::from_millis(200);
@@ -246,6 +242,6 @@
         if !liveness.is_silent() {
             link.answered();
         }
-        time::sleep(if liveness.is_silent() { PROBE_AGAIN } else { PROBE_EVERY }).await;
+        time::sleep(liveness.pause(PROBE_EVERY)).await;
     }
 }
--- a/src/mastweir/gateway/settings.rs
+++ b/src/mastweir/gateway/settings.rs
@@ -37,8 +37,8 @@
 pub struct Bounds {
     /// Time after which a leaving server gets nothing more.
     pub drain: Duration,
-    /// Shortest outage of the store in which entries of servers that live may lapse.
-    pub lapse: Duration,
+    /// Time between a server's heartbeats; its entry lapses after three of silence.
+    pub heartbeat: Duration,
     /// Time between the request to stop and the end by force.
     pub grace: Duration,
     /// Retries a request, over the fleet.
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -8,6 +8,10 @@
 use mastweir_core::gateway::{Config, Directory, Server};
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
+/// Heartbeats that an outage of the store lasts at least if entries of servers that live
+/// lapse in it: three are missing then, the first of which may lie before the outage.
+const LAPSE_HEARTBEATS: u32 = 2;
+
 /// Follows the configuration, for ever.
 pub async fn config(gateway: Rc<Gateway>) {
     follow(&Configs(&gateway), &gateway.outages, &gateway.log, &gateway.tally).await;
@@ -60,7 +64,7 @@
     /// Whether entries of servers that live may have lapsed while the store was away. In
     /// shorter outages what is gone has left, and must get nothing more.
     fn may_lapse(&self, away: Duration) -> bool {
-        away >= self.gateway.settings.borrow().bounds.lapse
+        away >= self.gateway.settings.borrow().bounds.heartbeat * LAPSE_HEARTBEATS
     }
 }
 
--- a/src/mastweir/platform/settings.rs
+++ b/src/mastweir/platform/settings.rs
@@ -114,9 +114,7 @@
         store: file.platform.address,
         bounds: Bounds {
             drain: Duration::from_millis(file.bounds.drain_ms),
-            // An entry goes after three heartbeats of silence, the first of which may lie
-            // before the outage.
-            lapse: Duration::from_millis(file.heartbeat_ms.saturating_mul(2)),
+            heartbeat: Duration::from_millis(file.heartbeat_ms),
             grace: Duration::from_secs_f64(file.bounds.grace_s.clamp(0.0, 3_600.0)),
             retry_ratio: ratio,
             retry_window: Duration::from_secs_f64(file.bounds.budget_window_s.clamp(0.1, 3_600.0)),
--- a/src/mastweir/platform/store.rs
+++ b/src/mastweir/platform/store.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, header};
-use mastweir_core::gateway::{Config, Directory, Server};
+use mastweir_core::gateway::{Config, Directory, PROBE_LASTS, Server};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -19,8 +19,6 @@
 /// A plain call: the store answers in milliseconds, and a slow one in half a
 /// second.
 const CALL_LASTS: Duration = Duration::from_millis(1_500);
-/// A probe: four times the answer of a store that is fifty times slower than usual.
-const PROBE_LASTS: Duration = Duration::from_millis(800);
 /// On top of the time that a watch waits.
 const WATCH_SLACK: Duration = Duration::from_millis(1_500);
 /// A list's page is at most a megabyte, a value as well; their JSON may escape.
--- a/tests/testsuite/deaf_watch.rs
+++ b/tests/testsuite/deaf_watch.rs
@@ -58,11 +58,12 @@
     };
 
     // The watch that waits brings the second version; the next one is lost.
-    door.silent.store(true, Ordering::SeqCst);
+    let silent = &site.platform.faults.silent;
+    silent.store(true, Ordering::SeqCst);
     site.configure(2, &[route("/second/", "safe")]);
     wait_for(async || serves("/second/a").await && lost_watch().is_some()).await?;
     let lost_for = lost_watch().unwrap_or_default();
-    door.silent.store(false, Ordering::SeqCst);
+    silent.store(false, Ordering::SeqCst);
 
     let back = Instant::now();
     site.configure(3, &[route("/third/", "safe")]);
