--- a/crates/mastweir-core/src/experts/layers.rs
+++ b/crates/mastweir-core/src/experts/layers.rs
@@ -33,6 +33,8 @@
     pub horizon_s: f64,
     /// What loading one expert costs, in seconds of a pass at its mean load.
     pub load_cost: f64,
+    /// What a change of map costs besides, in the same.
+    pub change_cost: f64,
     /// Part by which passes are slower while a rank loads.
     pub load_slows: f64,
 }
@@ -219,8 +221,7 @@
         let late = loads as f64 * self.planner.load_s;
         let saved = (self.skew_now - skew) * (self.planner.horizon_s - late).max(0.0);
         let slowed = self.planner.load_slows * self.skew_now * late;
-        // A plan without loads costs its orders.
-        let cost = self.planner.load_cost * (self.moved + 1) as f64;
+        let cost = self.planner.load_cost * self.moved as f64 + self.planner.change_cost;
         let worth = self.pressure * (saved - slowed) - cost;
         if worth > self.kept.map_or(0.0, |kept| kept.worth) {
             let (steps, moved) = (self.steps.len(), self.moved);
--- a/crates/mastweir-core/src/gateway/directory.rs
+++ b/crates/mastweir-core/src/gateway/directory.rs
@@ -45,3 +45,31 @@
     /// they may be about to write themselves again.
     pub lapsed: BTreeSet<String>,
 }
+
+/// What changed in a list of servers since a revision, or all of it: 60 bytes a server
+/// that changed, where 3,100 servers are 200 KB.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectoryChange {
+    /// Revision up to which it goes.
+    pub revision: u64,
+    /// Whether these are all servers.
+    pub whole: bool,
+    /// Servers that are new or have changed.
+    pub servers: Vec<Server>,
+    /// Ids of those that are gone.
+    pub gone: Vec<String>,
+    /// Ids of those that lapsed.
+    pub lapsed: BTreeSet<String>,
+}
+
+impl Directory {
+    /// This list with a change of it.
+    #[must_use]
+    pub fn changed(&self, change: DirectoryChange) -> Self {
+        let DirectoryChange { revision, whole, servers, gone, lapsed } = change;
+        let mut all = if whole { BTreeMap::new() } else { self.servers.clone() };
+        gone.iter().for_each(|id| drop(all.remove(id)));
+        all.extend(servers.into_iter().map(|server| (server.id.clone(), server)));
+        Self { revision, servers: all, lapsed }
+    }
+}
--- /dev/null
+++ b/crates/mastweir-core/src/gateway/fit.rs
@@ -0,0 +1,34 @@
+//! How well a server would serve a request: what a choice compares.
+
+/// What a pass counts beside load, for each part by which it is longer than streams
+/// may pause: passes grow with the load, so the next requests go elsewhere before all
+/// that are there come late.
+const SLOW_WEIGHT: f64 = 4.0;
+/// Load of a server whose group stands still, over that of one whose group runs.
+const STANDING: f64 = 100.0;
+
+/// How well a server would serve a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Fit {
+    /// Requests over its slots.
+    pub(super) load: f64,
+    /// Time of a pass over what is in time, less one.
+    pub(super) slow: f64,
+    /// Milliseconds of a pass.
+    pub(super) pass_ms: f64,
+    /// Whether its group stands still.
+    pub(super) stands: bool,
+}
+
+impl Fit {
+    /// The lower the better.
+    pub(super) fn score(self) -> f64 {
+        let standing = if self.stands { STANDING } else { 0.0 };
+        self.load + self.slow * SLOW_WEIGHT + standing
+    }
+
+    /// Whether it has room for another request.
+    pub(super) fn has_room(self, room: f64) -> bool {
+        !self.stands && self.load <= room
+    }
+}
--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -7,7 +7,8 @@
 //! top of it.
 
 use super::{
-    directory::{Directory, Server},
+    directory::{Directory, DirectoryChange, Server},
+    fit::Fit,
     roster::Roster,
     seen::{SILENT_FROM, Seen, Told},
 };
@@ -43,13 +44,14 @@
 
 /// A report older than this is not used; four of them are missing by then.
 const REPORT_LASTS: Duration = Duration::from_millis(1_000);
+/// What a sidecar said is told on for this long: by then its silence counts no more.
+const TOLD_ON: Duration = Duration::from_secs(10);
+/// A gateway that sidecars are to report to hears them by then: they are greeted twice a
+/// second.
+const HEARS_FROM: Duration = Duration::from_secs(2);
 /// What a coordinator said of its group's passes is not used longer than this; it
 /// says so again each 80 ms while it changes the map.
 const PACE_LASTS: Duration = Duration::from_millis(300);
-/// What a pass counts beside load, for each part by which it is longer than streams
-/// may pause: passes grow with the load, so the next requests go elsewhere before all
-/// that are there come late.
-const SLOW_WEIGHT: f64 = 4.0;
 /// Servers drawn for a choice.
 const DRAWN: usize = 4;
 /// Failures in a row after which a server is left out for a while.
@@ -59,33 +61,6 @@
 const REFUSED_ROOM: f64 = 0.8;
 /// Load of another hall's server, over that of one's own: a tenth of a place.
 const OTHER_HALL: f64 = 0.1;
-/// Load of a server whose group stands still, over that of one whose group runs.
-const STANDING: f64 = 100.0;
-
-/// How well a server would serve a request.
-#[derive(Clone, Copy, Debug, Default)]
-struct Fit {
-    /// Requests over its slots.
-    load: f64,
-    /// Time of a pass over what is in time, less one.
-    slow: f64,
-    /// Milliseconds of a pass.
-    pass_ms: f64,
-    /// Whether its group stands still.
-    stands: bool,
-}
-
-impl Fit {
-    fn score(self) -> f64 {
-        let standing = if self.stands { STANDING } else { 0.0 };
-        self.load + self.slow * SLOW_WEIGHT + standing
-    }
-
-    /// Whether it has room for another request.
-    fn has_room(self, room: f64) -> bool {
-        !self.stands && self.load <= room
-    }
-}
 
 /// Servers with what is known of each.
 #[derive(Clone, Debug, Default)]
@@ -95,6 +70,8 @@
     seen: HashMap<String, Seen>,
     /// Milliseconds of a group's passes, as its coordinator said, and when.
     paces: HashMap<String, (Uptime, f64)>,
+    /// Since when sidecars report here, if they do.
+    hears: Option<Uptime>,
 }
 
 /// What a request needs of a server.
@@ -147,17 +124,52 @@
         self.seen.retain(|id, seen| roster.server(id).is_some() || seen.in_flight > 0);
     }
 
-    /// Takes a sidecar's report in.
+    /// Takes in what a server's sidecar says.
     pub fn told(&mut self, id: &str, told: Told, now: Uptime) {
-        if self.roster.server(id).is_none() {
-            return;
+        self.told_before(id, told, Duration::ZERO, now);
+    }
+
+    /// Takes in what a server's sidecar said `age` ago, as another gateway tells it on.
+    pub fn told_before(&mut self, id: &str, told: Told, age: Duration, now: Uptime) {
+        if self.roster.server(id).is_some() {
+            let seen = self.seen.entry(id.to_owned()).or_default();
+            seen.told_by_sidecar(told, now - age, now);
         }
-        let seen = self.seen.entry(id.to_owned()).or_default();
-        seen.told = Some((now, told));
-        seen.reported = true;
-        seen.unopened = seen.unopened.min(1);
-        seen.sent_since = 0;
-        seen.ended_since = 0;
+    }
+
+    /// The newest life of a server at an address.
+    pub fn id_at(&self, addr: SocketAddr) -> Option<&str> {
+        self.roster.at(addr)
+    }
+
+    /// From now on sidecars report here, or, with none, only others tell of them.
+    pub fn hears_sidecars(&mut self, since: Option<Uptime>) {
+        self.hears = since;
+    }
+
+    /// What sidecars said, with the time since then, and where: as far as it still tells
+    /// something.
+    pub fn loads(&self, now: Uptime) -> impl Iterator<Item = (&Server, Duration, &Told)> {
+        self.roster.directory().servers.values().filter_map(move |server| {
+            let seen = self.seen.get(&server.id).filter(|seen| seen.reported)?;
+            let (at, told) = seen.told.as_ref()?;
+            let age = now.since(*at);
+            let is_newest = self.roster.at(server.addr) == Some(&server.id);
+            (is_newest && age < TOLD_ON).then_some((server, age, told))
+        })
+    }
+
+    /// What changed in the list since a revision.
+    pub fn changes_since(&self, revision: u64) -> DirectoryChange {
+        self.roster.changes_since(revision)
+    }
+
+    /// Until when the age of what a sidecar said counts: now where sidecars report here,
+    /// else when another gateway last told of it. One that hears neither must not take all
+    /// servers for silent.
+    fn heard_until(&self, seen: &Seen, now: Uptime) -> Uptime {
+        let hears = self.hears.is_some_and(|since| now.since(since) >= HEARS_FROM);
+        if hears { now } else { seen.mentioned }
     }
 
     /// A group's coordinator expects its passes to take so long.
@@ -178,8 +190,7 @@
         let told = Told { running, waiting, group_open: true, ..Told::default() };
         seen.told = Some((now, told));
         seen.reported = false;
-        seen.sent_since = 0;
-        seen.ended_since = 0;
+        seen.forget_before(now);
     }
 
     /// Chooses a server for a request.
@@ -202,8 +213,11 @@
         let usual = self.sidecars_usual(ready, now);
         let is_closed = |id: &&String| self.seen.get(*id).is_some_and(|seen| seen.is_closed(now));
         let open: Vec<&String> = untried.iter().copied().filter(|id| !is_closed(id)).collect();
-        let is_silent =
-            |id: &&String| self.seen.get(*id).is_some_and(|seen| seen.is_silent(usual, now));
+        let is_silent = |id: &&String| {
+            self.seen
+                .get(*id)
+                .is_some_and(|seen| seen.is_silent(usual, self.heard_until(seen, now), now))
+        };
         let (silent, heard): (Vec<&String>, Vec<&String>) =
             open.iter().copied().partition(is_silent);
         // When none is left the fault is more likely on this side.
@@ -253,17 +267,17 @@
     }
 
     /// A request was sent to a server.
-    pub fn sent(&mut self, id: &str) {
+    pub fn sent(&mut self, id: &str, now: Uptime) {
         let seen = self.seen.entry(id.to_owned()).or_default();
         seen.in_flight += 1;
-        seen.sent_since += 1;
+        seen.note_sent(now);
     }
 
     /// A request ended there; `failed` if it got no whole answer.
     pub fn ended(&mut self, id: &str, failed: bool, now: Uptime) {
         let Some(seen) = self.seen.get_mut(id) else { return };
         seen.in_flight = seen.in_flight.saturating_sub(1);
-        seen.ended_since += 1;
+        seen.note_ended(now);
         seen.failures = if failed { seen.failures + 1 } else { 0 };
         if seen.failures >= FAILURES_MAX {
             seen.left_out = Some(now);
@@ -319,7 +333,7 @@
         let Some(seen) = self.seen.get(id) else { return false };
         let ready = self.roster.server(id).map(|server| self.roster.ready(&server.service));
         let usual = ready.is_some_and(|ready| self.sidecars_usual(ready, now));
-        seen.is_silent(usual, now)
+        seen.is_silent(usual, self.heard_until(seen, now), now)
     }
 
     /// Time until a server counts as stuck if nothing is heard of it meanwhile; none
@@ -350,8 +364,8 @@
         let Some((_, told)) = told else {
             return Fit { load: (f64::from(own) + away) / places, ..Fit::default() };
         };
-        let since = seen.map_or(0, |seen| seen.sent_since);
-        let ended = seen.map_or(0, |seen| seen.ended_since);
+        let since = seen.map_or(0, |seen| seen.sent.len() as u32);
+        let ended = seen.map_or(0, |seen| seen.ended.len() as u32);
         let load = (told.running + told.waiting + since).saturating_sub(ended).max(own);
         let pass_ms = self.pass_ms(told, now);
         let slow = if gap_ms > 0.0 { (pass_ms / gap_ms - 1.0).max(0.0) } else { 0.0 };
--- a/crates/mastweir-core/src/gateway/peers.rs
+++ b/crates/mastweir-core/src/gateway/peers.rs
@@ -1,70 +1,302 @@
-//! Which other gateways live.
+//! Which other gateways live, and which of them speak for their hall.
 //!
-//! One that was heard itself lives for a while. One that another named is greeted,
-//! but neither counted nor named on: otherwise the dead would be named in a circle
-//! for ever.
+//! The first few gateways of each hall, by what their instances can carry, are its
+//! speakers: they hear the hall's sidecars, talk to the other halls' speakers, and tell
+//! the other gateways of their hall, which talk to nobody else. The first two of them
+//! watch the platform's store. So the traffic of a process grows with its hall and the
+//! number of halls, not with the fleet. Nobody is elected: each gateway ranks those that
+//! it knows, passes over those that do not answer, and talks to the first; one that
+//! finds itself among the first is a speaker, and whoever asks one that is not is told
+//! what that knows. Cut off from all others a gateway is a speaker, and finds out all by
+//! itself.
+//!
+//! One that was heard itself lives for a while. One that another named is greeted, but
+//! not named on: otherwise the dead would be named in a circle for ever.
 
 use crate::time::Uptime;
-use std::{collections::HashMap, net::IpAddr, time::Duration};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::IpAddr,
+    time::Duration,
+};
 
-/// A gateway that was not heard for this long is gone; one that was named and did
-/// not answer is no longer greeted.
+/// Speakers of a hall: with a sixth of all instances lost at once, the chance that all of
+/// a hall's are is one in 200.
+const SPEAKERS: usize = 3;
+/// Those of them that watch the store; the others hear of changes from these, or from
+/// other halls.
+const WATCHERS: usize = 2;
+/// One that was greeted and not heard for this long is passed over: three hellos.
+const ANSWER_LASTS: Duration = Duration::from_millis(900);
+/// A gateway that was neither heard nor named for this long is gone.
 const PEER_LASTS: Duration = Duration::from_secs(4);
+/// The same for one of another hall: a hall that was cut off for seconds is greeted until
+/// it is back.
+const FAR_LASTS: Duration = Duration::from_secs(30);
+/// One that said that it follows is told for this long.
+const FOLLOWER_LASTS: Duration = Duration::from_secs(2);
+/// A gateway that has just started waits this long to hear of its hall's speakers, before
+/// it takes itself for one: 149 that start at once, within 0.3 s, would each list the
+/// store. With 1.2 s, 88 requests were refused behind a loss of all power, for want of a
+/// configuration.
+const SETTLES: Duration = Duration::from_millis(500);
+/// Gateways of a hall that are named: its speakers, and who comes next.
+const NAMED_A_HALL: usize = 6;
+/// Rounds of hellos between two to a speaker, to one that does not answer, and to the
+/// seeds, in case that halls know of different ones.
+const FOLLOW_ROUNDS: u32 = 2;
+const SILENT_ROUNDS: u32 = 4;
+const SEED_ROUNDS: u32 = 8;
+
+/// A gateway, as others name it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Named {
+    /// Its address.
+    pub ip: IpAddr,
+    /// Its hall.
+    pub hall: String,
+    /// How much its instance can carry: those that can carry most speak first.
+    pub power: u32,
+}
 
+/// What a gateway says of itself and of what it hears.
 #[derive(Clone, Copy, Debug)]
+pub struct Said {
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether it wants to be told what speakers tell.
+    pub follows: bool,
+    /// Gateways of its hall that it hears, itself included.
+    pub in_hall: u32,
+    /// Most gateways that it knew of at once.
+    pub in_all: u32,
+}
+
+#[derive(Clone, Debug)]
 struct Peer {
-    at: Uptime,
-    heard: bool,
+    is: Named,
+    named: Uptime,
+    heard: Option<Uptime>,
+    /// Since when it was greeted without an answer.
+    unanswered: Option<Uptime>,
+    leaving: bool,
+}
+
+impl Peer {
+    fn new(is: Named, named: Uptime) -> Self {
+        Self { is, named, heard: None, unanswered: None, leaving: false }
+    }
+
+    /// Whether it may be talked to as a speaker.
+    fn is_eligible(&self, now: Uptime) -> bool {
+        let silent = self.unanswered.is_some_and(|at| now.since(at) >= ANSWER_LASTS);
+        !silent && !self.leaving
+    }
+
+    fn is_heard(&self, now: Uptime) -> bool {
+        self.heard.is_some_and(|at| now.since(at) < PEER_LASTS)
+    }
 }
 
 /// Other gateways.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Peers {
+    own: Named,
     peers: HashMap<IpAddr, Peer>,
-    /// Most that lived at once so far.
-    most: usize,
+    followers: BTreeMap<IpAddr, Uptime>,
+    /// Gateways of other halls, as their speakers count them.
+    in_halls: HashMap<String, u32>,
+    /// Most that were known of at once, this one included.
+    most: u32,
+    /// Whether a speaker of the hall was heard, or there was time for it.
+    settled: bool,
 }
 
 impl Peers {
+    /// A gateway that knows no other.
+    pub fn new(own: Named) -> Self {
+        Self {
+            own,
+            peers: HashMap::new(),
+            followers: BTreeMap::new(),
+            in_halls: HashMap::new(),
+            most: 1,
+            settled: false,
+        }
+    }
+
     /// One was heard. True if it was not known to live.
-    pub fn heard(&mut self, ip: IpAddr, now: Uptime) -> bool {
-        let before = self.peers.insert(ip, Peer { at: now, heard: true });
-        self.most = self.most.max(self.live().count());
-        before.is_none_or(|before| !before.heard)
+    pub fn heard(&mut self, is: Named, said: Said, now: Uptime) -> bool {
+        let ip = is.ip;
+        if said.follows || said.leaving {
+            // One that leaves still serves: told no more, it would take all servers for
+            // lost, and cut its last streams.
+            self.followers.insert(ip, now);
+        } else if is.hall == self.own.hall {
+            self.settled = true;
+        } else {
+            self.in_halls.insert(is.hall.clone(), said.in_hall);
+        }
+        let peer = self.peers.entry(ip).or_insert_with(|| Peer::new(is.clone(), now));
+        let is_new = !peer.is_heard(now);
+        peer.is = is;
+        peer.heard = Some(now);
+        peer.unanswered = None;
+        peer.leaving = said.leaving;
+        let others: u32 = self.in_halls.values().sum();
+        self.most = self.most.max(said.in_all).max(others + self.in_hall(now));
+        is_new
     }
 
     /// One was named by another.
-    pub fn named(&mut self, ip: IpAddr, now: Uptime) {
-        self.peers.entry(ip).or_insert(Peer { at: now, heard: false });
+    pub fn named(&mut self, is: Named, now: Uptime) {
+        if is.ip == self.own.ip {
+            return;
+        }
+        let peer = self.peers.entry(is.ip).or_insert_with(|| Peer::new(is, now));
+        peer.named = now;
     }
 
-    /// One said that it leaves.
-    pub fn left(&mut self, ip: IpAddr) {
-        self.peers.remove(&ip);
+    /// Whether an address is a gateway's.
+    pub fn knows(&self, ip: IpAddr) -> bool {
+        self.peers.contains_key(&ip)
     }
 
     /// Forgets those that are gone; gives those that had lived.
     pub fn expire(&mut self, now: Uptime) -> Vec<IpAddr> {
-        let gone = |peer: &Peer| now.since(peer.at) >= PEER_LASTS;
-        let lost = self.peers.iter().filter(|(_, peer)| peer.heard && gone(peer));
-        let lost = lost.map(|(ip, _)| *ip).collect();
+        let hall = self.own.hall.clone();
+        let gone = |peer: &Peer| {
+            let last = peer.heard.unwrap_or_default().max(peer.named);
+            now.since(last) >= if peer.is.hall == hall { PEER_LASTS } else { FAR_LASTS }
+        };
+        let lost = self.peers.values().filter(|peer| peer.heard.is_some() && gone(peer));
+        let lost = lost.map(|peer| peer.is.ip).collect();
         self.peers.retain(|_, peer| !gone(peer));
+        self.followers.retain(|_, at| now.since(*at) < FOLLOWER_LASTS);
         lost
     }
 
-    /// Those that live.
-    pub fn live(&self) -> impl Iterator<Item = IpAddr> {
-        self.peers.iter().filter(|(_, peer)| peer.heard).map(|(ip, _)| *ip)
+    /// Gateways of a hall in their order, this one included.
+    fn ranked(&self, hall: &str, fits: impl Fn(&Peer) -> bool) -> Vec<&Named> {
+        let others = self.peers.values().filter(|peer| peer.is.hall == hall && fits(peer));
+        let own = Some(&self.own).filter(|own| own.hall == hall);
+        let mut ranked: Vec<&Named> = others.map(|peer| &peer.is).chain(own).collect();
+        ranked.sort_by(|a, b| b.power.cmp(&a.power).then(a.ip.cmp(&b.ip)));
+        ranked
     }
 
-    /// Most that lived at once since this gateway started: those that fell silent may
-    /// only be cut off from it, and go on.
-    pub const fn most(&self) -> usize {
-        self.most
+    /// Speakers of a hall, as far as they answer.
+    pub fn speakers(&self, hall: &str, now: Uptime) -> Vec<IpAddr> {
+        let ranked = self.ranked(hall, |peer| peer.is_eligible(now));
+        ranked.iter().map(|named| named.ip).take(SPEAKERS).collect()
+    }
+
+    fn place(&self, now: Uptime) -> usize {
+        let ranked = self.ranked(&self.own.hall, |peer| peer.is_eligible(now));
+        ranked.iter().position(|named| named.ip == self.own.ip).unwrap_or(usize::MAX)
+    }
+
+    /// Whether this gateway waits to hear of its hall's speakers no longer. `is_seed`:
+    /// others come to it to hear of them.
+    fn is_settled(&self, is_seed: bool, now: Uptime) -> bool {
+        self.settled || is_seed || now.since(Uptime::default()) >= SETTLES
+    }
+
+    /// Whether this gateway speaks for its hall.
+    pub fn is_speaker(&self, is_seed: bool, now: Uptime) -> bool {
+        self.is_settled(is_seed, now) && self.place(now) < SPEAKERS
+    }
+
+    /// Whether it watches the store.
+    pub fn is_watcher(&self, is_seed: bool, now: Uptime) -> bool {
+        self.is_settled(is_seed, now) && self.place(now) < WATCHERS
+    }
+
+    /// Those that want to be told what speakers tell.
+    pub fn followers(&self) -> impl Iterator<Item = IpAddr> {
+        self.followers.keys().copied()
+    }
+
+    /// Speakers of the other halls.
+    pub fn far_speakers(&self, now: Uptime) -> Vec<IpAddr> {
+        let halls = self.halls();
+        let far = halls.iter().filter(|hall| **hall != self.own.hall);
+        far.flat_map(|hall| self.speakers(hall, now)).collect()
+    }
+
+    /// Whether a hall has speakers enough of its own: where it has fewer, those of other
+    /// halls hear its sidecars, too, or its servers would be silent for seconds when they
+    /// are killed.
+    pub fn is_spoken_for(&self, hall: &str, now: Uptime) -> bool {
+        let speaks = |peer: &Peer| peer.is_eligible(now) && peer.is_heard(now);
+        self.ranked(hall, speaks).len() >= SPEAKERS
+    }
+
+    fn halls(&self) -> Vec<&str> {
+        let mut halls: Vec<&str> = self.peers.values().map(|peer| peer.is.hall.as_str()).collect();
+        halls.push(&self.own.hall);
+        halls.sort_unstable();
+        halls.dedup();
+        halls
+    }
+
+    /// The first gateways of each hall, as far as they are heard here.
+    pub fn known(&self, now: Uptime) -> Vec<Named> {
+        let halls = self.halls();
+        let first = halls.iter().flat_map(|hall| {
+            let ranked = self.ranked(hall, |peer| peer.is_heard(now) && peer.is_eligible(now));
+            ranked.into_iter().take(NAMED_A_HALL).cloned()
+        });
+        first.collect()
+    }
+
+    /// Whom to greet in a round of hellos. Those that do not answer are noted.
+    pub fn greeted(&mut self, round: u32, seeds: &[IpAddr], now: Uptime) -> Vec<IpAddr> {
+        let is_seed = seeds.contains(&self.own.ip);
+        let speaks = self.is_speaker(is_seed, now);
+        let mut greeted: Vec<IpAddr> = Vec::new();
+        if speaks {
+            greeted.extend(self.followers());
+            greeted.extend(self.far_speakers(now));
+        }
+        if speaks || round.is_multiple_of(FOLLOW_ROUNDS) {
+            greeted.extend(self.speakers(&self.own.hall, now));
+        }
+        let silent = self.peers.values().filter(|peer| !peer.is_eligible(now));
+        if round.is_multiple_of(SILENT_ROUNDS) {
+            greeted.extend(silent.map(|peer| peer.is.ip));
+        }
+        if self.asks(now) || (speaks && round.is_multiple_of(SEED_ROUNDS)) {
+            greeted.extend(seeds);
+        }
+        greeted.sort_unstable();
+        greeted.dedup();
+        greeted.retain(|ip| *ip != self.own.ip);
+        for ip in &greeted {
+            if let Some(peer) = self.peers.get_mut(ip) {
+                peer.unanswered.get_or_insert(now);
+            }
+        }
+        greeted
     }
 
-    /// Those that are greeted: that live, or may.
-    pub fn greeted(&self) -> impl Iterator<Item = IpAddr> {
-        self.peers.keys().copied()
+    /// Whether no other gateway of the hall is heard: the seeds may know of some.
+    pub fn asks(&self, now: Uptime) -> bool {
+        let hall = &self.own.hall;
+        !self.peers.values().any(|peer| peer.is.hall == *hall && peer.is_heard(now))
+    }
+
+    /// Gateways of the own hall that are heard, this one included.
+    pub fn in_hall(&self, now: Uptime) -> u32 {
+        let hall = &self.own.hall;
+        let others = self.peers.values().filter(|peer| peer.is.hall == *hall && peer.is_heard(now));
+        u32::try_from(others.count()).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
+    /// Most gateways that were known of at once since this one started, itself included:
+    /// those that fell silent may only be cut off from it, and go on.
+    pub const fn most(&self) -> u32 {
+        self.most
     }
 }
--- a/crates/mastweir-core/src/gateway/roster.rs
+++ b/crates/mastweir-core/src/gateway/roster.rs
@@ -1,8 +1,12 @@
 //! Which servers there are: the list in force, and what it lacks but may live.
 
-use super::directory::{Directory, Server, ServerState};
+use super::directory::{Directory, DirectoryChange, Server, ServerState};
 use crate::time::Uptime;
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
 
 /// A missing server is kept this long as a last resort.
 const MISSING_LASTS: Duration = Duration::from_millis(1_500);
@@ -12,11 +16,20 @@
 /// outage of 6.2 s were late, none with it.
 const LAPSED_LASTS: Duration = Duration::from_millis(2_200);
 
+/// Servers that left and are remembered, for gateways that lack just what changed since.
+const GONE_KEPT: usize = 512;
+
 /// The servers that there are.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Roster {
     directory: Directory,
     by_service: HashMap<String, Vec<String>>,
+    /// The newest life at each address.
+    by_addr: HashMap<SocketAddr, String>,
+    /// Servers that left, with the revision of the list that lacked them first.
+    gone: VecDeque<(u64, String)>,
+    /// Revision since which all that left are remembered.
+    gone_since: u64,
     /// Those that took requests and are listed no more, and since when.
     missing: HashMap<String, (Server, Uptime)>,
     /// Until when servers that lapsed are used.
@@ -51,6 +64,7 @@
             return false;
         }
         let old = std::mem::replace(&mut self.directory, directory);
+        self.note_gone(&old);
         let until = now + LAPSED_LASTS;
         for id in &self.directory.lapsed {
             self.lapsed.entry(id.clone()).or_insert(until);
@@ -66,6 +80,38 @@
         true
     }
 
+    /// The newest life at an address.
+    pub(super) fn at(&self, addr: SocketAddr) -> Option<&str> {
+        self.by_addr.get(&addr).map(String::as_str)
+    }
+
+    /// What changed since a revision.
+    pub(super) fn changes_since(&self, revision: u64) -> DirectoryChange {
+        let Directory { servers, lapsed, revision: now } = &self.directory;
+        let whole = revision < self.gone_since || revision == 0;
+        let changed = servers.values().filter(|server| whole || server.changed > revision);
+        let gone = self.gone.iter().filter(|(at, id)| *at > revision && !servers.contains_key(id));
+        DirectoryChange {
+            revision: *now,
+            whole,
+            servers: changed.cloned().collect(),
+            gone: gone.map(|(_, id)| id.clone()).collect(),
+            lapsed: lapsed.clone(),
+        }
+    }
+
+    fn note_gone(&mut self, old: &Directory) {
+        let Directory { revision, servers, .. } = &self.directory;
+        if old.revision == 0 {
+            self.gone_since = *revision;
+        }
+        let gone = old.servers.keys().filter(|id| !servers.contains_key(*id));
+        self.gone.extend(gone.map(|id| (*revision, id.clone())));
+        while self.gone.len() > GONE_KEPT {
+            self.gone_since = self.gone.pop_front().map_or(self.gone_since, |(at, _)| at);
+        }
+    }
+
     /// A server that the list lost a moment ago: better than none.
     pub(super) fn last_resort(
         &self,
@@ -86,6 +132,7 @@
         let is_gone = |id: &&String| self.has_lapsed(id, now);
         let gone: Vec<String> = self.directory.lapsed.iter().filter(is_gone).cloned().collect();
         for id in &gone {
+            self.gone.push_back((self.directory.revision, id.clone()));
             self.lapsed.remove(id);
             self.directory.lapsed.remove(id);
             self.directory.servers.remove(id);
@@ -126,8 +173,12 @@
             let at = newest.entry(server.addr).or_default();
             *at = server.changed.max(*at);
         }
+        self.by_addr.clear();
         for server in self.directory.servers.values() {
             let is_newest = newest[&server.addr] == server.changed;
+            if is_newest {
+                self.by_addr.insert(server.addr, server.id.clone());
+            }
             if server.state == ServerState::Ready && is_newest {
                 self.by_service.entry(server.service.clone()).or_default().push(server.id.clone());
             }
--- a/crates/mastweir-core/src/gateway/seen.rs
+++ b/crates/mastweir-core/src/gateway/seen.rs
@@ -20,6 +20,9 @@
 /// The longest: a hall that was cut off is back in use soon after.
 const LEFT_OUT_MAX: Duration = Duration::from_secs(4);
 
+/// Times that are kept: more requests than a server has places, since a report of it.
+const TIMES_KEPT: usize = 64;
+
 /// What a server's sidecar reports.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Told {
@@ -49,12 +52,14 @@
     pub(super) listed: Option<Uptime>,
     /// Requests of this gateway there.
     pub(super) in_flight: u32,
-    /// Requests sent there since the last report.
-    pub(super) sent_since: u32,
-    /// Requests that ended there since.
-    pub(super) ended_since: u32,
+    /// When requests were sent there that the last report can't have counted.
+    pub(super) sent: Vec<Uptime>,
+    /// When requests ended there that it still counted.
+    pub(super) ended: Vec<Uptime>,
     /// What it said last, and when.
     pub(super) told: Option<(Uptime, Told)>,
+    /// When another gateway, or its sidecar, last told of it.
+    pub(super) mentioned: Uptime,
     /// Whether that came from a sidecar, which goes on reporting.
     pub(super) reported: bool,
     /// Requests in a row that got no whole answer.
@@ -67,12 +72,39 @@
 }
 
 impl Seen {
-    /// Whether its sidecar fell silent, or, where sidecars are `usual`, was never
-    /// heard.
-    pub(super) fn is_silent(&self, usual: bool, now: Uptime) -> bool {
+    /// Takes in what its sidecar said at a time, unless something newer is known.
+    pub(super) fn told_by_sidecar(&mut self, told: Told, at: Uptime, now: Uptime) {
+        self.mentioned = now;
+        let older = |(known, _): &(Uptime, Told)| self.reported && *known > at;
+        if self.told.as_ref().is_some_and(older) {
+            return;
+        }
+        self.told = Some((at, told));
+        self.reported = true;
+        self.unopened = self.unopened.min(1);
+        self.forget_before(at);
+    }
+
+    pub(super) fn note_sent(&mut self, now: Uptime) {
+        note(&mut self.sent, now);
+    }
+
+    pub(super) fn note_ended(&mut self, now: Uptime) {
+        note(&mut self.ended, now);
+    }
+
+    /// Forgets what was sent and what ended before the last report: it counted that.
+    pub(super) fn forget_before(&mut self, at: Uptime) {
+        self.sent.retain(|sent| *sent > at);
+        self.ended.retain(|ended| *ended > at);
+    }
+
+    /// Whether its sidecar fell silent, as far as was heard `until` then, or, where
+    /// sidecars are `usual`, was never heard.
+    pub(super) fn is_silent(&self, usual: bool, until: Uptime, now: Uptime) -> bool {
         match (&self.told, self.listed) {
             (Some((at, _)), _) if self.reported => {
-                (SILENT_FROM..SILENT_UNTIL).contains(&now.since(*at))
+                (SILENT_FROM..SILENT_UNTIL).contains(&until.since(*at))
             }
             (_, Some(at)) if usual => (SILENT_FROM..UNHEARD_UNTIL).contains(&now.since(at)),
             _ => false,
@@ -97,3 +129,10 @@
         Some(*at + SILENT_FROM)
     }
 }
+
+fn note(times: &mut Vec<Uptime>, now: Uptime) {
+    if times.len() >= TIMES_KEPT {
+        times.remove(0);
+    }
+    times.push(now);
+}
--- a/crates/mastweir-core/src/switch/hold.rs
+++ b/crates/mastweir-core/src/switch/hold.rs
@@ -33,6 +33,7 @@
 //! coordinator never goes on with the change of one that came after it.
 
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// Experts of one rank, by set.
 pub type Layers = Vec<Vec<u16>>;
@@ -108,8 +109,9 @@
     Load {
         /// Its version.
         version: u64,
-        /// The map.
-        map: GroupMap,
+        /// The map, shared by the orders to all ranks: 96 copies of 4,608 places would
+        /// be most of a step's processor time.
+        map: Arc<GroupMap>,
     },
     /// Use a loaded map from a pass on.
     Schedule {
@@ -165,7 +167,7 @@
     /// Its version, above all that the ranks had.
     pub version: u64,
     /// The map.
-    pub map: GroupMap,
+    pub map: Arc<GroupMap>,
 }
 
 /// What to do next.
--- a/crates/mastweir-core/src/switch/mod.rs
+++ b/crates/mastweir-core/src/switch/mod.rs
@@ -15,10 +15,13 @@
 //! [`Rank`] is the rank's side. It belongs beside the engine's step loop.
 
 mod coordinator;
+pub mod election;
 pub mod hold;
 mod lease;
 mod loss;
+pub mod maps;
 mod rank;
+pub mod sections;
 
 pub use coordinator::{Coordinator, Progress};
 pub use lease::{Holding, Lease, LeaseRecord};
--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -175,6 +175,7 @@
             ready: Some(ready),
             engine: None,
             store,
+            power: 250,
             bounds: Bounds {
                 drain: Duration::from_secs(2),
                 heartbeat: Duration::from_millis(1_200),
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -52,7 +52,7 @@
 
 impl Place {
     fn take(gateway: &Rc<Gateway>, server: Candidate) -> Self {
-        gateway.fleet.borrow_mut().sent(&server.id);
+        gateway.fleet.borrow_mut().sent(&server.id, gateway.clock.now());
         Self { gateway: gateway.clone(), server, failed: Cell::new(false) }
     }
 
--- /dev/null
+++ b/src/mastweir/gateway/fetch.rs
@@ -0,0 +1,81 @@
+//! What processes fetch from each other: a configuration, a list of servers, the members
+//! of a group.
+
+use super::{
+    message::{GroupView, LeadSeen},
+    state::Gateway,
+};
+use crate::net::internal;
+use mastweir_core::gateway::{Config, DirectoryChange};
+use slog::warn;
+use std::{net::IpAddr, rc::Rc, time::Duration};
+
+/// A fetch of some hundred KB between halls.
+const FETCH_LASTS: Duration = Duration::from_millis(800);
+
+/// Fetches what another gateway has newer.
+pub async fn fetch(gateway: Rc<Gateway>, from: IpAddr) {
+    let addr = gateway.internal_addr(from);
+    let version = gateway.version();
+    let config = internal::call(&gateway.internal, addr, "/config", &version, FETCH_LASTS).await;
+    match config {
+        Ok(Some(config)) => gateway.adopt_config(config, &from.to_string()),
+        Ok(None) => (),
+        Err(error) => {
+            warn!(gateway.log, "configuration not fetched"; "peer" => %from, "error" => %error);
+        }
+    }
+    let revision = gateway.fleet.borrow().directory().revision;
+    let change: Result<Option<DirectoryChange>, _> =
+        internal::call(&gateway.internal, addr, "/servers", &revision, FETCH_LASTS).await;
+    match change {
+        Ok(Some(change)) => {
+            let directory = gateway.fleet.borrow().directory().changed(change);
+            gateway.adopt_directory(directory, false, &from.to_string());
+        }
+        Ok(None) => (),
+        Err(error) => warn!(gateway.log, "servers not fetched"; "peer" => %from, "error" => %error),
+    }
+}
+
+/// Answers another process's call: what is newer than what it has, or a group's members.
+pub fn answer(gateway: &Gateway, path: &str, body: &[u8]) -> Option<Vec<u8>> {
+    let bytes = match path {
+        "/config" => {
+            let has: u64 = postcard::from_bytes(body).ok()?;
+            let active = gateway.active();
+            let newer = active.as_ref().filter(|active| active.config.version > has);
+            let newer: Option<&Config> = newer.map(|active| &active.config);
+            postcard::to_stdvec(&newer)
+        }
+        "/servers" => {
+            let has: u64 = postcard::from_bytes(body).ok()?;
+            let fleet = gateway.fleet.borrow();
+            let is_newer = fleet.directory().revision > has;
+            postcard::to_stdvec(&is_newer.then(|| fleet.changes_since(has)))
+        }
+        "/group" => {
+            let group: String = postcard::from_bytes(body).ok()?;
+            postcard::to_stdvec(&view(gateway, &group))
+        }
+        _ => return None,
+    };
+    bytes.ok()
+}
+
+/// A group as far as its servers' sidecars have told of it.
+fn view(gateway: &Gateway, group: &str) -> GroupView {
+    let now = gateway.clock.now();
+    let fleet = gateway.fleet.borrow();
+    let of_group = fleet.loads(now).filter(|(_, _, told)| told.group.as_deref() == Some(group));
+    let servers = of_group.map(|(server, ..)| (server.addr, server.hall.clone())).collect();
+    GroupView { servers, lead: lead(gateway, group) }
+}
+
+/// A group's coordinator, if one was heard of, with its age now.
+pub fn lead(gateway: &Gateway, group: &str) -> Option<LeadSeen> {
+    let leads = gateway.leads.borrow();
+    let (seen, at) = leads.get(group)?;
+    let age = gateway.clock.now().since(*at).as_millis();
+    Some(LeadSeen { age_ms: u32::try_from(age).unwrap_or(u32::MAX), ..seen.clone() })
+}
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -1,7 +1,7 @@
 //! The gateway's listeners, its start and its stop.
 
 use super::{
-    forward, peers,
+    fetch, forward, peers,
     state::{Gateway, GatewayOptions},
     watch,
 };
@@ -68,7 +68,7 @@
     }
     let answering = gateway.clone();
     task::spawn_local(internal::serve(internal, move |path, body| {
-        let reply = peers::answer(&answering, &path, &body);
+        let reply = fetch::answer(&answering, &path, &body);
         async move { reply }
     }));
     task::spawn_local(accept(gateway.clone(), callers, closed));
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -1,10 +1,16 @@
-//! Datagrams between gateways and sidecars.
+//! Datagrams between gateways and sidecars, and what they fetch from each other.
 //!
-//! All of them are soft state: each is sent again soon, and none has to arrive.
+//! All datagrams are soft state: each is sent again soon, and none has to arrive. What
+//! grows with the fleet goes through a few speakers a hall, and what grows with a group
+//! through a few heads of its sections, so that no process sends or hears in proportion
+//! to either (docs/design/large.md).
 
 use mastweir_core::{
-    gateway::{Model, Told},
-    switch::hold::{Order, RankState, Taken},
+    gateway::{Model, Named, Told},
+    switch::{
+        hold::{RankState, Taken},
+        maps::MapChange,
+    },
     time::Uptime,
 };
 use serde::{Deserialize, Serialize};
@@ -12,42 +18,83 @@
 
 /// Largest datagram that is sent: below the usual path limit.
 pub const DATAGRAM_MAX: usize = 1_400;
-/// Other gateways named in one hello.
-pub const GATEWAYS_NAMED: usize = 12;
-/// Ranks named in one hello; the largest groups have 32.
-pub const RANKS_NAMED: usize = 32;
+/// Counts in one datagram: they take one to three bytes each, beside a rank's state.
+pub const COUNTS_SENT: usize = 400;
+/// Servers' loads in one datagram: some 25 bytes each.
+pub const LOADS_SENT: usize = 40;
+/// Ranks' states in one datagram: some 50 bytes each.
+pub const RANKS_SENT: usize = 20;
 
 /// What processes tell each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// A gateway to gateways and sidecars.
+    /// A gateway to gateways.
     Hello(Hello),
-    /// A sidecar to gateways.
+    /// A speaker to sidecars.
+    Greeting(Greeting),
+    /// A sidecar to its hall's speakers.
     Report(Report),
-    /// A sidecar to its group's coordinator.
+    /// A speaker to gateways.
+    Loads(Loads),
+    /// A coordinator to the heads of its group, and they to their sections.
+    Poll(Poll),
+    /// A sidecar to the head of its section, or to its coordinator.
     Rank(RankReport),
-    /// A coordinator to its group's sidecars.
-    Lead(Lead),
-    /// A coordinator to gateways.
+    /// A head to its coordinator.
+    Section(SectionReport),
+    /// A coordinator to its hall's speakers, and they to gateways.
     Pace(Pace),
 }
 
 /// A gateway is here, and has got so far.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Hello {
+    /// Its hall.
+    pub hall: String,
+    /// How much its instance can carry.
+    pub power: u32,
     /// Version of its configuration.
     pub config: u64,
     /// Revision of its list of servers.
     pub directory: u64,
     /// Whether it is leaving.
     pub leaving: bool,
-    /// Some gateways that it knows.
-    pub gateways: Vec<IpAddr>,
-    /// To a sidecar: the model servers of its group; each has a sidecar on its
-    /// own instance.
-    pub ranks: Vec<SocketAddr>,
-    /// To a sidecar: its server's engine.
+    /// Whether it knows no speaker yet, and wants to be told of some.
+    pub asks: bool,
+    /// Whether it wants what speakers tell their hall.
+    pub follows: bool,
+    /// Gateways of its hall that it hears, itself included.
+    pub in_hall: u32,
+    /// Most gateways that it knew of at once.
+    pub in_all: u32,
+    /// The first gateways of each hall, as far as it hears them.
+    pub known: Vec<Named>,
+}
+
+/// A speaker is here: a sidecar reports to it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Greeting {
+    /// The server's engine.
     pub model: Option<Model>,
+    /// The coordinator of its group, if one was heard of.
+    pub lead: Option<LeadSeen>,
+}
+
+/// A group's coordinator, as it was heard of.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeadSeen {
+    /// Its group.
+    pub group: String,
+    /// Its token.
+    pub token: u64,
+    /// Number of its last poll that was heard of. Only a higher one is news: were it the
+    /// age alone, each that tells it on would add the time on the way, and a dead
+    /// coordinator was heard of for two seconds more.
+    pub round: u64,
+    /// Where it is.
+    pub ip: IpAddr,
+    /// Milliseconds since that poll was heard of.
+    pub age_ms: u32,
 }
 
 /// A server's load.
@@ -57,6 +104,32 @@
     pub server: SocketAddr,
     /// What its sidecar saw.
     pub told: Told,
+    /// The coordinator that it heard last.
+    pub lead: Option<LeadSeen>,
+}
+
+/// Loads of many servers, each with its age.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Loads {
+    /// Names of groups; the loads give the place in this list.
+    pub groups: Vec<String>,
+    /// The loads.
+    pub loads: Vec<Load>,
+    /// Coordinators of groups.
+    pub leads: Vec<LeadSeen>,
+}
+
+/// A server's load, as a speaker tells it on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Where the server listens.
+    pub server: SocketAddr,
+    /// Milliseconds since its sidecar told it.
+    pub age_ms: u32,
+    /// Place of its group's name in the list, if it has one.
+    pub group: Option<u8>,
+    /// What its sidecar saw, without the group's name.
+    pub told: Told,
 }
 
 /// How long a group's passes are expected to be: sooner known than seen.
@@ -68,11 +141,28 @@
     pub pass_ms: u32,
 }
 
-/// A rank's state, and what its requests chose since the last report.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RankReport {
+/// A coordinator asks for the states of its ranks, and what their requests chose.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Poll {
     /// Its group.
     pub group: String,
+    /// Its token.
+    pub token: u64,
+    /// Where it is.
+    pub lead: IpAddr,
+    /// Number of the poll; rises.
+    pub round: u64,
+    /// The poll since which it wants to know what was chosen.
+    pub since: u64,
+    /// First of the sets that it asks for, and how many; wraps at the last.
+    pub sets: Option<(u16, u16)>,
+    /// Sidecars to whom the receiver passes it on, and for whom it answers.
+    pub section: Vec<IpAddr>,
+}
+
+/// A rank, as its sidecar sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RankBrief {
     /// Where its server listens.
     pub server: SocketAddr,
     /// Its state.
@@ -83,19 +173,97 @@
     pub pace_milli: u32,
     /// When it was read, on the sidecar's clock: datagrams overtake each other.
     pub read_at: Uptime,
-    /// First of the counts, where they do not fit into one datagram.
+}
+
+/// A sidecar's answer to a poll, or, with round 0, a word to a coordinator that does not
+/// poll it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RankReport {
+    /// Its group.
+    pub group: String,
+    /// Number of the poll.
+    pub round: u64,
+    /// Its rank; in the first of the datagrams that answer one poll.
+    pub rank: Option<RankBrief>,
+    /// What was chosen.
+    pub counts: Counts,
+}
+
+/// What requests chose, by set and expert, one set behind the other; a part of it where
+/// it does not fit into one datagram.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Place of the first of these among all that were asked for.
     pub from: u32,
-    /// Choices by set and expert, one set behind the other.
+    /// The counts.
     pub counts: Vec<u32>,
+    /// Whether no other part follows.
+    pub last: bool,
 }
 
-/// A coordinator is here.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Lead {
+/// A head's answer to a poll: the ranks that answered it, and the sum of their counts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SectionReport {
     /// Its group.
     pub group: String,
-    /// Its token.
+    /// Number of the poll.
+    pub round: u64,
+    /// The ranks, in parts where they do not fit into one datagram.
+    pub ranks: Vec<RankBrief>,
+    /// The sums.
+    pub counts: Counts,
+}
+
+/// The servers of a group, fetched from a gateway.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct GroupView {
+    /// Where they listen, and in which hall.
+    pub servers: Vec<(SocketAddr, String)>,
+    /// Its coordinator, if one was heard of.
+    pub lead: Option<LeadSeen>,
+}
+
+/// What a rank is to do; what a load brings stands beside the orders.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Brief {
+    /// Load the map.
+    Load,
+    /// Use a loaded map from a pass on.
+    Schedule {
+        /// Its version.
+        version: u64,
+        /// The pass.
+        pass: u64,
+    },
+    /// Don't, after all.
+    Cancel {
+        /// The version.
+        version: u64,
+    },
+}
+
+/// An order on its way to a server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Directed {
+    /// Where the server listens.
+    pub server: SocketAddr,
+    /// Token of the coordinator.
     pub token: u64,
+    /// Orders that the rank had taken.
+    pub taken: u64,
+    /// Life of the group.
+    pub epoch: u64,
+    /// What to do.
+    pub brief: Brief,
+}
+
+/// Orders for a section, passed on by its head.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Batch {
+    /// The map that is to be loaded, if one is.
+    pub map: Option<MapChange>,
+    /// The orders.
+    pub orders: Vec<Directed>,
 }
 
 /// What a sidecar answers to an order.
@@ -107,7 +275,9 @@
     pub state: Option<RankState>,
     /// When that was read, on the sidecar's clock.
     pub read_at: Uptime,
+    /// Whether its sidecar needs all of the map.
+    pub lacks: bool,
 }
 
-/// A call to a sidecar over TCP.
-pub type OrderCall = Order;
+/// What became of a batch, by server.
+pub type Carried = Vec<(SocketAddr, OrderReply)>;
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -4,18 +4,21 @@
 //! its connection, `forward` finds route, customer and server and carries the
 //! `call` to its end in one `attempt` or more, `stream` passes events on and has
 //! another server take a stream up. `watch` says what is followed in the platform's
-//! store, `follow` how; `peers` are the other gateways and the sidecars. Each of the
-//! two alone is enough to stay up to date. What is decided from it all is in
-//! [`mastweir_core::gateway`].
+//! store, `follow` how; `peers` are the other gateways, `fetch` is what they have newer,
+//! and `relay` what sidecars say and who tells it on. Store or peers alone are enough to
+//! stay up to date. What is decided from it all is in [`mastweir_core::gateway`].
 
 mod attempt;
 mod call;
+mod datagrams;
+mod fetch;
 pub mod follow;
 mod forward;
 mod held;
 mod listen;
 pub mod message;
 mod peers;
+mod relay;
 pub mod settings;
 mod state;
 mod stream;
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -1,39 +1,32 @@
-//! The other gateways and the sidecars, over UDP, and what is fetched from them.
+//! The other gateways, over UDP.
 //!
-//! Each gateway says hello to the gateways and sidecars that it knows of, and
-//! names others, so a few seeds are enough to find all. A hello tells how far its
-//! sender's configuration and list of servers are; whoever is behind fetches them
-//! from it. That is how a gateway that the store turns away keeps up.
+//! Which of them a gateway talks to is [`mastweir_core::gateway::Peers`]; a few seeds are
+//! enough to find all. A hello tells how far its sender's configuration and list of
+//! servers are; whoever is behind fetches them from it. That is how a gateway that does
+//! not watch the store, or that the store turns away, keeps up.
 
 use super::{
-    message::{DATAGRAM_MAX, GATEWAYS_NAMED, Hello, Message, RANKS_NAMED, Report},
+    datagrams::send,
+    fetch::fetch,
+    message::{DATAGRAM_MAX, Hello, Message},
+    relay,
     state::Gateway,
 };
-use crate::net::internal;
-use mastweir_core::gateway::{Config, Directory, Lag, Versions};
-use slog::{info, warn};
-use std::{
-    cell::RefCell,
-    collections::{HashMap, HashSet},
-    net::{IpAddr, SocketAddr},
-    rc::Rc,
-    time::Duration,
-};
+use mastweir_core::gateway::{Lag, Named, Said, Versions};
+use slog::info;
+use std::{net::IpAddr, rc::Rc, time::Duration};
 use tokio::{net::UdpSocket, task, time};
 
-/// Hellos go out this often while there are few gateways.
+/// Hellos go out this often: a change is in force that much later where it is fetched.
 const HELLO_EVERY: Duration = Duration::from_millis(250);
-/// And this much less often for each gateway, so that the traffic of one gateway
-/// does not grow with their number.
-const HELLO_PER_GATEWAY: Duration = Duration::from_millis(15);
-/// A fetch of some hundred KB between halls.
-const FETCH_LASTS: Duration = Duration::from_millis(800);
+/// And this often from one that knows no configuration yet, and refuses all requests.
+const HELLO_FIRST: Duration = Duration::from_millis(60);
 
 /// Talks to the others, for ever.
 pub async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
     let socket = Rc::new(socket);
-    let ranks: Rc<RefCell<HashMap<SocketAddr, String>>> = Rc::default();
-    task::spawn_local(send_hellos(gateway.clone(), socket.clone(), ranks.clone()));
+    task::spawn_local(send_hellos(gateway.clone(), socket.clone()));
+    task::spawn_local(relay::tell(gateway.clone(), socket.clone()));
     let mut lag = Lag::default();
     let mut buffer = vec![0; DATAGRAM_MAX * 2];
     loop {
@@ -42,44 +35,38 @@
             // An earlier datagram met a closed port.
             Err(_) => continue,
         };
-        let message = postcard::from_bytes(&buffer[..received.0]);
-        match message {
-            Ok(Message::Hello(hello)) => heard(&gateway, &hello, received.1, &mut lag),
-            Ok(Message::Report(report)) => reported(&gateway, report, &ranks),
+        let (len, from) = received;
+        match postcard::from_bytes(&buffer[..len]) {
+            Ok(Message::Hello(hello)) => heard(&gateway, &socket, hello, from, &mut lag),
+            Ok(Message::Report(report)) => relay::reported(&gateway, report),
+            Ok(Message::Loads(loads)) => relay::told(&gateway, loads),
             Ok(Message::Pace(pace)) => {
-                let now = gateway.clock.now();
-                gateway.fleet.borrow_mut().paced(&pace.group, pace.pass_ms, now);
+                let from_sidecar = !gateway.gateways.borrow().knows(from);
+                relay::paced(&gateway, &socket, pace, from_sidecar);
             }
-            Ok(Message::Rank(_) | Message::Lead(_)) | Err(_) => {
+            Ok(
+                Message::Greeting(_) | Message::Poll(_) | Message::Rank(_) | Message::Section(_),
+            )
+            | Err(_) => {
                 gateway.tally.count("datagrams_ignored_total", "unexpected");
             }
         }
     }
 }
 
-fn reported(gateway: &Gateway, report: Report, ranks: &RefCell<HashMap<SocketAddr, String>>) {
-    let mut fleet = gateway.fleet.borrow_mut();
-    let servers = &fleet.directory().servers;
-    let server = servers.values().find(|server| server.addr == report.server);
-    let Some(id) = server.map(|server| server.id.clone()) else { return };
-    if let Some(group) = &report.told.group {
-        ranks.borrow_mut().insert(report.server, group.clone());
-    }
-    fleet.told(&id, report.told, gateway.clock.now());
-}
-
-fn heard(gateway: &Rc<Gateway>, hello: &Hello, from: IpAddr, lag: &mut Lag) {
-    let own = gateway.settings.borrow().ip;
+fn heard(gateway: &Rc<Gateway>, socket: &UdpSocket, hello: Hello, from: IpAddr, lag: &mut Lag) {
     let now = gateway.clock.now();
+    let Hello { hall, power, leaving, asks, follows, in_hall, in_all, known, .. } = hello;
     {
         let mut gateways = gateway.gateways.borrow_mut();
-        if hello.leaving {
-            gateways.left(from);
-        } else if gateways.heard(from, now) {
-            info!(gateway.log, "gateway found"; "peer" => %from, "config" => hello.config);
-        }
-        for other in hello.gateways.iter().filter(|other| **other != own) {
-            gateways.named(*other, now);
+        let is = Named { ip: from, hall, power };
+        gateways.heard(is, Said { leaving, follows, in_hall, in_all }, now);
+        known.into_iter().for_each(|named| gateways.named(named, now));
+    }
+    if asks {
+        let addr = gateway.internal_addr(from);
+        if let Ok(bytes) = postcard::to_stdvec(&Message::Hello(own_hello(gateway))) {
+            send(gateway, socket, addr, &bytes);
         }
     }
     let own = Versions {
@@ -87,111 +74,84 @@
         directory: gateway.fleet.borrow().directory().revision,
     };
     let other = Versions { config: hello.config, directory: hello.directory };
-    if lag.heard(own, other, !gateway.is_ready(), now) {
+    // What the store does not bring here has nothing to wait for.
+    let at_once = !gateway.is_ready() || !*gateway.watches.borrow();
+    if lag.heard(own, other, at_once, now) {
         task::spawn_local(fetch(gateway.clone(), from));
     }
 }
 
-/// Fetches what another gateway has newer.
-async fn fetch(gateway: Rc<Gateway>, from: IpAddr) {
-    let addr = gateway.internal_addr(from);
-    let version = gateway.version();
-    let config = internal::call(&gateway.internal, addr, "/config", &version, FETCH_LASTS).await;
-    match config {
-        Ok(Some(config)) => gateway.adopt_config(config, &from.to_string()),
-        Ok(None) => (),
-        Err(error) => {
-            warn!(gateway.log, "configuration not fetched"; "peer" => %from, "error" => %error);
-        }
-    }
-    let revision = gateway.fleet.borrow().directory().revision;
-    let directory =
-        internal::call(&gateway.internal, addr, "/servers", &revision, FETCH_LASTS).await;
-    match directory {
-        Ok(Some(directory)) => gateway.adopt_directory(directory, false, &from.to_string()),
-        Ok(None) => (),
-        Err(error) => warn!(gateway.log, "servers not fetched"; "peer" => %from, "error" => %error),
+fn own_hello(gateway: &Gateway) -> Hello {
+    let now = gateway.clock.now();
+    let settings = gateway.settings.borrow();
+    let gateways = gateway.gateways.borrow();
+    Hello {
+        hall: settings.hall.clone(),
+        power: settings.power,
+        config: gateway.version(),
+        directory: gateway.fleet.borrow().directory().revision,
+        leaving: gateway.stopping.get(),
+        asks: gateways.asks(now),
+        follows: !gateway.speaks.get(),
+        in_hall: gateways.in_hall(now),
+        in_all: gateways.most(),
+        known: gateways.known(now),
     }
 }
 
-/// Answers another process's call: what is newer than what it has.
-pub fn answer(gateway: &Gateway, path: &str, body: &[u8]) -> Option<Vec<u8>> {
-    let has: u64 = postcard::from_bytes(body).ok()?;
-    let bytes = match path {
-        "/config" => {
-            let active = gateway.active();
-            let newer = active.as_ref().filter(|active| active.config.version > has);
-            let newer: Option<&Config> = newer.map(|active| &active.config);
-            postcard::to_stdvec(&newer)
-        }
-        "/servers" => {
-            let fleet = gateway.fleet.borrow();
-            let newer: Option<&Directory> =
-                Some(fleet.directory()).filter(|directory| directory.revision > has);
-            postcard::to_stdvec(&newer)
-        }
-        _ => return None,
-    };
-    bytes.ok()
-}
-
-async fn send_hellos(
-    gateway: Rc<Gateway>,
-    socket: Rc<UdpSocket>,
-    ranks: Rc<RefCell<HashMap<SocketAddr, String>>>,
-) {
+async fn send_hellos(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut round = 0_u32;
+    let mut heard = 0;
     loop {
-        forget_gone(&gateway, &ranks);
-        let gateways = gateway.gateways.borrow().live().count();
-        let sent = hellos(&gateway, &ranks.borrow());
-        for (addr, hello) in sent {
-            let Ok(bytes) = postcard::to_stdvec(&Message::Hello(hello)) else { continue };
-            // A full buffer drops it; the next hello comes soon.
-            let _ = socket.try_send_to(&bytes, addr);
+        let now = gateway.clock.now();
+        take_place(&gateway);
+        log_found(&gateway, &mut heard);
+        let seeds = gateway.settings.borrow().seeds.clone();
+        let greeted = gateway.gateways.borrow_mut().greeted(round, &seeds, now);
+        if let Ok(bytes) = postcard::to_stdvec(&Message::Hello(own_hello(&gateway))) {
+            greeted.into_iter().for_each(|ip| {
+                send(&gateway, &socket, gateway.internal_addr(ip), &bytes);
+            });
         }
-        let pause = HELLO_EVERY + HELLO_PER_GATEWAY * u32::try_from(gateways).unwrap_or(u32::MAX);
-        time::sleep(pause).await;
+        round = round.wrapping_add(1);
+        time::sleep(if gateway.version() > 0 { HELLO_EVERY } else { HELLO_FIRST }).await;
     }
 }
 
-fn forget_gone(gateway: &Gateway, ranks: &RefCell<HashMap<SocketAddr, String>>) {
+/// Speaks for the hall, and watches the store, or does not: by those that are heard.
+fn take_place(gateway: &Gateway) {
     let now = gateway.clock.now();
     for ip in gateway.gateways.borrow_mut().expire(now) {
         info!(gateway.log, "gateway lost"; "peer" => %ip);
     }
-    let fleet = gateway.fleet.borrow();
-    let known: HashSet<SocketAddr> =
-        fleet.directory().servers.values().map(|server| server.addr).collect();
-    ranks.borrow_mut().retain(|addr, _| known.contains(addr));
+    let is_seed = {
+        let settings = gateway.settings.borrow();
+        settings.seeds.contains(&settings.ip)
+    };
+    let gateways = gateway.gateways.borrow();
+    let (speaks, watches) = (gateways.is_speaker(is_seed, now), gateways.is_watcher(is_seed, now));
+    let spoke = gateway.speaks.replace(speaks);
+    if spoke != speaks {
+        gateway.fleet.borrow_mut().hears_sidecars(speaks.then_some(now));
+    }
+    let watched = gateway.watches.send_if_modified(|before| {
+        let changed = *before != watches;
+        *before = watches;
+        changed
+    });
+    if spoke != speaks || watched {
+        info!(gateway.log, "place in the hall"; "speaks" => speaks, "watches" => watches,
+            "gateways_heard" => gateways.in_hall(now));
+    }
 }
 
-/// Hellos to all gateways and seeds, and to the sidecars of all models' servers.
-fn hellos(gateway: &Gateway, ranks: &HashMap<SocketAddr, String>) -> Vec<(SocketAddr, Hello)> {
-    let settings = gateway.settings.borrow();
+/// One line for all gateways that were found since the last.
+fn log_found(gateway: &Gateway, before: &mut u32) {
+    let now = gateway.clock.now();
     let gateways = gateway.gateways.borrow();
-    let fleet = gateway.fleet.borrow();
-    let hello = Hello {
-        config: gateway.version(),
-        directory: fleet.directory().revision,
-        leaving: gateway.stopping.get(),
-        gateways: gateways.live().take(GATEWAYS_NAMED).collect(),
-        ranks: Vec::new(),
-        model: None,
-    };
-    let to_gateways: HashSet<IpAddr> =
-        gateways.greeted().chain(settings.seeds.clone()).filter(|ip| *ip != settings.ip).collect();
-    let at = |ip| SocketAddr::new(ip, settings.internal_port);
-    let mut sent: Vec<(SocketAddr, Hello)> =
-        to_gateways.into_iter().map(|ip| (at(ip), hello.clone())).collect();
-    let Some(active) = gateway.active() else { return sent };
-    for server in fleet.directory().servers.values() {
-        let service = active.config.services.get(&server.service);
-        let Some(model) = service.and_then(|service| service.model.clone()) else { continue };
-        let group = ranks.get(&server.addr);
-        let same = ranks.iter().filter(|(_, other)| Some(*other) == group);
-        let same = same.map(|(addr, _)| *addr).take(RANKS_NAMED).collect();
-        let hello = Hello { ranks: same, model: Some(model), ..hello.clone() };
-        sent.push((at(server.addr.ip()), hello));
+    let heard = gateways.in_hall(now);
+    if heard > *before {
+        info!(gateway.log, "gateways found"; "in_hall" => heard, "in_all" => gateways.most());
     }
-    sent
+    *before = heard;
 }
--- /dev/null
+++ b/src/mastweir/gateway/relay.rs
@@ -0,0 +1,191 @@
+//! What sidecars say, and who tells it on.
+//!
+//! The speakers of a hall greet its sidecars, hear their reports, and tell the speakers of
+//! the other halls and the other gateways of their own, many servers in a datagram and each
+//! with its age. So a sidecar tells three gateways whatever their number, and a gateway
+//! hears of 192 servers in 15 datagrams a round, not 192. Beside loads go the coordinators
+//! that sidecars heard of, and the paces that coordinators expect.
+
+use super::{
+    datagrams::send,
+    fetch,
+    message::{Greeting, LOADS_SENT, LeadSeen, Load, Loads, Message, Pace, Report},
+    state::Gateway,
+};
+use mastweir_core::{
+    gateway::{Server, Told},
+    time::Uptime,
+};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{net::UdpSocket, time};
+
+/// What is known of servers is told on this often: with the sidecars' own 0.1 s it is
+/// 0.4 s old at most, well below what counts as silence.
+const TELL_EVERY: Duration = Duration::from_millis(150);
+/// Rounds of that between two greetings to a sidecar: one that is lost is made up for
+/// five times before it stops to report.
+const GREETING_ROUNDS: u32 = 3;
+/// Coordinators named in one datagram, those heard last first.
+const LEADS_SENT: usize = 16;
+/// A coordinator that was not heard of for this long is not told of.
+const LEAD_LASTS: Duration = Duration::from_secs(5);
+
+/// Tells others, for ever, while this gateway speaks for its hall or is followed.
+pub async fn tell(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut round = 0_u32;
+    loop {
+        round = round.wrapping_add(1);
+        tell_once(&gateway, &socket);
+        if gateway.speaks.get() && round.is_multiple_of(GREETING_ROUNDS) {
+            greet(&gateway, &socket);
+        }
+        time::sleep(TELL_EVERY).await;
+    }
+}
+
+fn tell_once(gateway: &Gateway, socket: &UdpSocket) {
+    let now = gateway.clock.now();
+    let gateways = gateway.gateways.borrow();
+    let followers: Vec<IpAddr> = gateways.followers().collect();
+    let far = if gateway.speaks.get() { gateways.far_speakers(now) } else { Vec::new() };
+    drop(gateways);
+    let hall = gateway.settings.borrow().hall.clone();
+    if !followers.is_empty() {
+        send_all(gateway, socket, &followers, &messages(gateway, |_| true));
+    }
+    if !far.is_empty() {
+        send_all(gateway, socket, &far, &messages(gateway, |server| server.hall == hall));
+    }
+}
+
+fn send_all(gateway: &Gateway, socket: &UdpSocket, to: &[IpAddr], messages: &[Vec<u8>]) {
+    for ip in to {
+        let addr = gateway.internal_addr(*ip);
+        messages.iter().for_each(|bytes| send(gateway, socket, addr, bytes));
+    }
+}
+
+/// Loads of the servers that fit, as the bytes of datagrams.
+fn messages(gateway: &Gateway, fits: impl Fn(&Server) -> bool) -> Vec<Vec<u8>> {
+    let now = gateway.clock.now();
+    let fleet = gateway.fleet.borrow();
+    let fitting: Vec<(SocketAddr, Duration, &Told)> = fleet
+        .loads(now)
+        .filter(|(server, ..)| fits(server))
+        .map(|(server, age, told)| (server.addr, age, told))
+        .collect();
+    let mut leads = leads(gateway, now);
+    let mut chunks: Vec<Loads> = fitting.chunks(LOADS_SENT).map(chunk).collect();
+    if chunks.is_empty() {
+        chunks.push(Loads::default());
+    }
+    chunks[0].leads.append(&mut leads);
+    let bytes = chunks.into_iter().filter_map(|chunk| {
+        // What can't be encoded can't be told; no message is of that kind.
+        postcard::to_stdvec(&Message::Loads(chunk)).ok()
+    });
+    bytes.collect()
+}
+
+fn chunk(loads: &[(SocketAddr, Duration, &Told)]) -> Loads {
+    let mut groups: Vec<String> = Vec::new();
+    let load = |(server, age, told): &(SocketAddr, Duration, &Told)| {
+        let group = told.group.as_ref().and_then(|name| {
+            let known = groups.iter().position(|other| other == name);
+            let at = known.unwrap_or_else(|| {
+                groups.push(name.clone());
+                groups.len() - 1
+            });
+            u8::try_from(at).ok()
+        });
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        Load { server: *server, age_ms, group, told: Told { group: None, ..(*told).clone() } }
+    };
+    let loads = loads.iter().map(load).collect();
+    Loads { groups, loads, leads: Vec::new() }
+}
+
+fn leads(gateway: &Gateway, now: Uptime) -> Vec<LeadSeen> {
+    gateway.leads.borrow_mut().retain(|_, (_, at)| now.since(*at) < LEAD_LASTS);
+    let names: Vec<String> = gateway.leads.borrow().keys().cloned().collect();
+    let mut leads: Vec<LeadSeen> =
+        names.iter().filter_map(|group| fetch::lead(gateway, group)).collect();
+    leads.sort_by_key(|lead| lead.age_ms);
+    leads.truncate(LEADS_SENT);
+    leads
+}
+
+/// Greets the sidecars of the hall, and those of halls where no gateway lives.
+fn greet(gateway: &Gateway, socket: &UdpSocket) {
+    let now = gateway.clock.now();
+    let Some(active) = gateway.active() else { return };
+    let fleet = gateway.fleet.borrow();
+    let gateways = gateway.gateways.borrow();
+    let own = gateway.settings.borrow().hall.clone();
+    let mut spoken_for: BTreeMap<&str, bool> = BTreeMap::new();
+    for server in fleet.directory().servers.values() {
+        let service = active.config.services.get(&server.service);
+        let Some(model) = service.and_then(|service| service.model.clone()) else { continue };
+        let hall = server.hall.as_str();
+        let is_others = |hall: &str| hall != own && gateways.is_spoken_for(hall, now);
+        if *spoken_for.entry(hall).or_insert_with(|| is_others(hall)) {
+            continue;
+        }
+        let group = fleet.last_told(&server.id).and_then(|told| told.group.clone());
+        let lead = group.and_then(|group| fetch::lead(gateway, &group));
+        let greeting = Message::Greeting(Greeting { model: Some(model), lead });
+        let Ok(bytes) = postcard::to_stdvec(&greeting) else { continue };
+        send(gateway, socket, gateway.internal_addr(server.addr.ip()), &bytes);
+    }
+}
+
+/// Takes a sidecar's report in.
+pub fn reported(gateway: &Gateway, report: Report) {
+    let now = gateway.clock.now();
+    report.lead.into_iter().for_each(|lead| heard_of(gateway, lead, now));
+    let mut fleet = gateway.fleet.borrow_mut();
+    let Some(id) = fleet.id_at(report.server).map(str::to_owned) else { return };
+    fleet.told(&id, report.told, now);
+}
+
+/// Takes in what another gateway tells of servers.
+pub fn told(gateway: &Gateway, loads: Loads) {
+    let now = gateway.clock.now();
+    let Loads { groups, loads, leads } = loads;
+    leads.into_iter().for_each(|lead| heard_of(gateway, lead, now));
+    let mut fleet = gateway.fleet.borrow_mut();
+    for Load { server, age_ms, group, told } in loads {
+        let Some(id) = fleet.id_at(server).map(str::to_owned) else { continue };
+        let group = group.and_then(|at| groups.get(usize::from(at)).cloned());
+        let age = Duration::from_millis(u64::from(age_ms));
+        fleet.told_before(&id, Told { group, ..told }, age, now);
+    }
+}
+
+/// Keeps the coordinator with the highest token, and when its last poll was heard of.
+fn heard_of(gateway: &Gateway, lead: LeadSeen, now: Uptime) {
+    let at = now - Duration::from_millis(u64::from(lead.age_ms));
+    let mut leads = gateway.leads.borrow_mut();
+    let known = leads.get(&lead.group).map(|(known, _)| (known.token, known.round));
+    if known.is_none_or(|known| known < (lead.token, lead.round)) {
+        leads.insert(lead.group.clone(), (lead, at));
+    }
+}
+
+/// Takes a coordinator's pace in, and tells it on: from a sidecar to all that are told
+/// of loads, from another gateway to those who follow.
+pub fn paced(gateway: &Gateway, socket: &UdpSocket, pace: Pace, from_sidecar: bool) {
+    let now = gateway.clock.now();
+    gateway.fleet.borrow_mut().paced(&pace.group, pace.pass_ms, now);
+    let gateways = gateway.gateways.borrow();
+    let far = if from_sidecar { gateways.far_speakers(now) } else { Vec::new() };
+    let to: Vec<IpAddr> = gateways.followers().chain(far).collect();
+    drop(gateways);
+    let Ok(bytes) = postcard::to_stdvec(&Message::Pace(pace)) else { return };
+    send_all(gateway, socket, &to, &[bytes]);
+}
--- a/src/mastweir/gateway/settings.rs
+++ b/src/mastweir/gateway/settings.rs
@@ -28,6 +28,8 @@
     pub engine: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Part of a core that the instance has, in thousandths.
+    pub power: u32,
     /// What is promised.
     pub bounds: Bounds,
 }
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -1,13 +1,17 @@
 //! What a gateway knows, shared by its tasks on one thread.
 
-use super::settings::Settings;
+use super::{message::LeadSeen, settings::Settings};
 use crate::{
     net::http::Pool,
     platform::store::Store,
     util::{clock::Clock, tally::Tally},
 };
-use mastweir_core::gateway::{
-    Candidate, Config, Directory, Fleet, Needs, Peers, Refusal, RetryWindow, Route, RouteIndex,
+use mastweir_core::{
+    gateway::{
+        Candidate, Config, Directory, Fleet, Named, Needs, Peers, Refusal, RetryWindow, Route,
+        RouteIndex,
+    },
+    time::Uptime,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use slog::{Logger, info};
@@ -77,6 +81,12 @@
     pub rng: RefCell<SmallRng>,
     /// The other gateways.
     pub gateways: RefCell<Peers>,
+    /// Coordinators of groups, as they were heard of, and when.
+    pub leads: RefCell<HashMap<String, (LeadSeen, Uptime)>>,
+    /// Whether this gateway speaks for its hall.
+    pub speaks: Cell<bool>,
+    /// Whether it watches the store.
+    pub watches: watch::Sender<bool>,
     /// Requests that are held.
     pub held: Cell<usize>,
     /// Connections of callers.
@@ -102,7 +112,14 @@
             internal: Pool::default(),
             fleet: RefCell::new(Fleet::new(&settings.hall)),
             rng: RefCell::new(seeded.unwrap_or_else(SmallRng::from_os_rng)),
-            gateways: RefCell::default(),
+            gateways: RefCell::new(Peers::new(Named {
+                ip: settings.ip,
+                hall: settings.hall.clone(),
+                power: settings.power,
+            })),
+            leads: RefCell::default(),
+            speaks: Cell::new(false),
+            watches: watch::Sender::new(false),
             held: Cell::new(0),
             connections: Cell::new(0),
             stopping: Cell::new(false),
@@ -177,7 +194,7 @@
     /// Takes a retry out of the service's budget.
     pub fn take_retry(&self, service: &str) -> bool {
         let now = self.clock.now();
-        let others = self.gateways.borrow().most();
+        let others = self.gateways.borrow().most() as usize - 1;
         self.window(service, |window| window.take(now, others))
     }
 
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -12,15 +12,35 @@
 /// lapse in it: three are missing then, the first of which may lie before the outage.
 const LAPSE_HEARTBEATS: u32 = 2;
 
-/// Follows the configuration, for ever.
+/// Follows the configuration, for ever, while this gateway watches the store.
 pub async fn config(gateway: Rc<Gateway>) {
-    follow(&Configs(&gateway), &gateway.outages, &gateway.log, &gateway.tally).await;
+    while_watching(&gateway, async || {
+        follow(&Configs(&gateway), &gateway.outages, &gateway.log, &gateway.tally).await;
+    })
+    .await;
 }
 
-/// Follows the servers, for ever.
+/// Follows the servers, for ever, while this gateway watches the store.
 pub async fn servers(gateway: Rc<Gateway>) {
-    let source = Servers { gateway: &gateway, listed: RefCell::default() };
-    follow(&source, &gateway.outages, &gateway.log, &gateway.tally).await;
+    while_watching(&gateway, async || {
+        let source = Servers { gateway: &gateway, listed: RefCell::default() };
+        follow(&source, &gateway.outages, &gateway.log, &gateway.tally).await;
+    })
+    .await;
+}
+
+/// What others fetch from it, a gateway that does not watch fetches from others: a hall
+/// of thirty costs the store as much as one of two.
+async fn while_watching(gateway: &Gateway, follow: impl AsyncFn()) {
+    let mut watches = gateway.watches.subscribe();
+    loop {
+        // The sender is the gateway's own.
+        let _ = watches.wait_for(|watches| *watches).await;
+        tokio::select! {
+            () = follow() => (),
+            _ = watches.wait_for(|watches| !*watches) => (),
+        }
+    }
 }
 
 struct Configs<'a>(&'a Rc<Gateway>);
--- a/src/mastweir/platform/engine.rs
+++ b/src/mastweir/platform/engine.rs
@@ -4,10 +4,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, header};
-use mastweir_core::switch::hold::{Layers, Order, OrderKind, RankState, Taken};
-use serde::Deserialize;
-use serde_json::{Value, json};
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use mastweir_core::switch::hold::{GroupMap, Layers, Order, OrderKind, RankState, Taken};
+use serde::{
+    Deserialize, Deserializer, Serialize,
+    de::{DeserializeSeed, SeqAccess, Visitor},
+};
+use serde_json::Value;
+use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 
 /// A read on the server's own machine takes a millisecond.
 const CALL_LASTS: Duration = Duration::from_millis(400);
@@ -84,7 +87,48 @@
     step: u64,
     #[serde(default)]
     epoch: u64,
-    counts: Value,
+    counts: Flat,
+}
+
+/// Numbers in lists within lists, one behind the other: read straight into one list, since
+/// 3,072 of them ten times a second took most of a sidecar's time as values of their own.
+#[derive(Debug, Default)]
+struct Flat(Vec<u64>);
+
+impl<'de> Deserialize<'de> for Flat {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let mut flat = Self::default();
+        FlatInto(&mut flat.0).deserialize(from)?;
+        Ok(flat)
+    }
+}
+
+struct FlatInto<'a>(&'a mut Vec<u64>);
+
+impl<'de> DeserializeSeed<'de> for FlatInto<'_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'de>>(self, from: D) -> Result<(), D::Error> {
+        from.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for FlatInto<'_> {
+    type Value = ();
+
+    fn expecting(&self, into: &mut fmt::Formatter<'_>) -> fmt::Result {
+        into.write_str("a number, or a list of them")
+    }
+
+    fn visit_u64<E>(self, number: u64) -> Result<(), E> {
+        self.0.push(number);
+        Ok(())
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut items: A) -> Result<(), A::Error> {
+        while items.next_element_seed(FlatInto(self.0))?.is_some() {}
+        Ok(())
+    }
 }
 
 #[derive(Debug, Deserialize)]
@@ -158,9 +202,7 @@
     pub async fn choices(&self) -> Result<Choices, EngineError> {
         let body = self.get("/picked").await?;
         let read: Counts = serde_json::from_slice(&body)?;
-        let mut counts = Vec::new();
-        flatten(&read.counts, &mut counts);
-        Ok(Choices { epoch: read.epoch, pass: read.step, counts })
+        Ok(Choices { epoch: read.epoch, pass: read.step, counts: read.counts.0 })
     }
 
     /// The map in force at its rank: version, and experts by set.
@@ -213,28 +255,39 @@
     }
 }
 
-fn body(order: &Order) -> Value {
-    let mut body = json!({
-        "fencing_token": order.token,
-        // The number of orders that the rank has taken.
-        "expected_rev": order.taken,
-        "epoch": order.epoch,
-    });
-    let kind = match &order.kind {
-        OrderKind::Load { version, map } => {
-            json!({ "op": "prepare", "version": version, "map": map })
-        }
-        OrderKind::Schedule { version, pass } => {
-            json!({ "op": "arm", "version": version, "step": pass })
-        }
-        OrderKind::Cancel { version } => json!({ "op": "disarm", "version": version }),
-        OrderKind::Pause { pass } => json!({ "op": "hold", "step": pass }),
-        OrderKind::Resume { pass } => json!({ "op": "go", "step": pass }),
+/// An order as the pages have it.
+#[derive(Debug, Serialize)]
+struct FileOrder<'a> {
+    op: &'static str,
+    fencing_token: u64,
+    /// The number of orders that the rank has taken.
+    expected_rev: u64,
+    epoch: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    version: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    step: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    map: Option<&'a GroupMap>,
+}
+
+fn body(order: &Order) -> FileOrder<'_> {
+    let (op, version, step, map) = match &order.kind {
+        OrderKind::Load { version, map } => ("prepare", Some(*version), None, Some(&**map)),
+        OrderKind::Schedule { version, pass } => ("arm", Some(*version), Some(*pass), None),
+        OrderKind::Cancel { version } => ("disarm", Some(*version), None, None),
+        OrderKind::Pause { pass } => ("hold", None, Some(*pass), None),
+        OrderKind::Resume { pass } => ("go", None, Some(*pass), None),
     };
-    if let (Value::Object(body), Value::Object(kind)) = (&mut body, kind) {
-        body.extend(kind);
+    FileOrder {
+        op,
+        fencing_token: order.token,
+        expected_rev: order.taken,
+        epoch: order.epoch,
+        version,
+        step,
+        map,
     }
-    body
 }
 
 fn state(report: FileReport) -> EngineState {
@@ -277,10 +330,3 @@
     let pass = value.get("step").and_then(Value::as_u64)?;
     Some((version, pass))
 }
-
-fn flatten(value: &Value, into: &mut Vec<u64>) {
-    match value {
-        Value::Array(items) => items.iter().for_each(|item| flatten(item, into)),
-        other => into.extend(other.as_u64()),
-    }
-}
--- a/src/mastweir/platform/settings.rs
+++ b/src/mastweir/platform/settings.rs
@@ -29,6 +29,14 @@
     heartbeat_ms: u64,
     bounds: FileBounds,
     platform: Store,
+    #[serde(default)]
+    limits: FileLimits,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct FileLimits {
+    #[serde(default)]
+    cpu_share: f64,
 }
 
 /// Heartbeats of the servers, where the file does not say: what the pages show.
@@ -112,6 +120,7 @@
         ready: file.listen.ready,
         engine: file.app,
         store: file.platform.address,
+        power: (file.limits.cpu_share.clamp(0.0, 1_000.0) * 1_000.0) as u32,
         bounds: Bounds {
             drain: Duration::from_millis(file.bounds.drain_ms),
             heartbeat: Duration::from_millis(file.heartbeat_ms),
--- a/src/mastweir/sidecar/lead.rs
+++ b/src/mastweir/sidecar/lead.rs
@@ -3,99 +3,161 @@
 //! The store gives out tokens, one higher each time, in the group's lease; ranks
 //! refuse orders under a lower token than they have seen. So the token makes a
 //! coordinator safe, and the lease need not be renewed: that a coordinator lives
-//! is heard from itself, and the store is asked only when one is missing.
+//! is heard from its polls, or from gateways that heard of it, and the store is asked
+//! only when one is missing ([`Election`]).
 
-use super::{coordinate, state::Sidecar};
+use super::{
+    coordinate,
+    known::Known,
+    polling::{self, Shared},
+    state::Sidecar,
+};
 use crate::{
-    gateway::message::{Lead, Message},
+    gateway::message::{GroupView, Message},
     platform::store::StoreError,
 };
+use mastweir_core::switch::election::{Election, LEAD_LASTS};
 use slog::{info, warn};
-use std::{net::SocketAddr, rc::Rc, time::Duration};
-use tokio::time;
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    sync::{Notify, mpsc},
+    time,
+};
 
-/// A coordinator that was not heard for this long is missing: four of its
-/// messages. A group may stand still for as long.
-const LEAD_LASTS: Duration = Duration::from_millis(450);
-/// Each rank waits this much longer than the one before, so that they do not all
-/// ask the store.
-const RANK_WAITS: Duration = Duration::from_millis(80);
 /// How often it is looked for.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// Pause after the store gave no lease.
 const STORE_PAUSE: Duration = Duration::from_millis(700);
-/// How often a coordinator says that it is there.
-const LEAD_EVERY: Duration = Duration::from_millis(110);
+
+/// Group, number and size of the group of the server beside.
+type Seat = (String, u32, u32);
 
 /// Looks for a coordinator, and becomes it if there is none, for ever.
 pub async fn elect(sidecar: Rc<Sidecar>) {
     let Some(mut reports) = sidecar.received.borrow_mut().take() else { return };
-    let mut silent_since = sidecar.clock.now();
+    let mut election = Election::new(sidecar.clock.now());
+    let mut in_group = String::new();
     loop {
         time::sleep(LOOK_EVERY).await;
         let now = sidecar.clock.now();
-        let seat = seat(&sidecar);
-        let Some((group, rank)) = seat else {
-            silent_since = now;
+        let Some((group, rank, size)) = seat(&sidecar) else {
+            election.restart(now);
             continue;
         };
-        let heard = sidecar
-            .heard
-            .borrow()
-            .as_ref()
-            .filter(|heard| heard.lead.group == group)
-            .map(|heard| heard.at);
-        silent_since = silent_since.max(heard.unwrap_or_default());
-        if now.since(silent_since) < LEAD_LASTS + RANK_WAITS * rank {
+        if in_group != group {
+            in_group.clone_from(&group);
+            election = Election::new(now);
+        }
+        note_heard(&sidecar, &group, &mut election);
+        if !election.is_due(rank, size, now) {
             continue;
         }
-        let held = sidecar.heard.borrow().as_ref().map_or(0, |heard| heard.lead.token);
-        match take(&sidecar, &group, held).await {
-            Ok(token) => {
-                info!(sidecar.log, "coordinator now"; "group" => &group, "token" => token);
-                sidecar.token.set(token);
-                while reports.try_recv().is_ok() {}
-                // One that came between was not heard, and where it is isn't known.
-                let heard = sidecar.heard.borrow().clone();
-                let before = heard.filter(|heard| heard.lead.token + 1 == token);
-                let before = before.map(|heard| heard.from);
-                tokio::select! {
-                    () = coordinate::run(&sidecar, &group, token, before, &mut reports) => (),
-                    // Also while it waits for the answer to an order.
-                    () = announce(&sidecar, &group, token) => (),
-                }
-                sidecar.token.set(0);
-                info!(sidecar.log, "coordinator no more"; "group" => &group, "token" => token);
-            }
+        let view = polling::fetch(&sidecar, &group).await.unwrap_or_default();
+        if is_led(&sidecar, &view) {
+            continue;
+        }
+        note_heard(&sidecar, &group, &mut election);
+        // It may have been heard while the gateway was asked.
+        if !election.is_due(rank, size, sidecar.clock.now()) {
+            continue;
+        }
+        match take(&sidecar, &group, &mut election).await {
+            Ok(Some(token)) => lead(&sidecar, &group, token, &view, &mut reports).await,
+            Ok(None) => continue,
             Err(error) => {
                 warn!(sidecar.log, "lease not taken"; "group" => &group, "error" => %error);
                 time::sleep(STORE_PAUSE).await;
             }
         }
-        silent_since = sidecar.clock.now();
+        election.restart(sidecar.clock.now());
     }
 }
 
+fn note_heard(sidecar: &Sidecar, group: &str, election: &mut Election) {
+    let heard = sidecar.heard.borrow();
+    if let Some(heard) = heard.as_ref().filter(|heard| heard.leads(group)) {
+        election.heard(heard.token, heard.at);
+    }
+}
+
+/// Whether a gateway has heard of another coordinator just now.
+fn is_led(sidecar: &Sidecar, view: &GroupView) -> bool {
+    let Some(lead) = view.lead.clone() else { return false };
+    let is_fresh = u128::from(lead.age_ms) < LEAD_LASTS.as_millis();
+    let is_other = lead.ip != sidecar.ip;
+    sidecar.hear_of(lead);
+    is_fresh && is_other
+}
+
+/// Coordinates until another takes over.
+async fn lead(
+    sidecar: &Rc<Sidecar>,
+    group: &str,
+    token: u64,
+    view: &GroupView,
+    reports: &mut mpsc::Receiver<Message>,
+) {
+    info!(sidecar.log, "coordinator now"; "group" => group, "token" => token);
+    while reports.try_recv().is_ok() {}
+    // One that came between was not heard, and where it is isn't known.
+    let heard = sidecar.heard.borrow().clone();
+    let before = heard.filter(|heard| heard.leads(group) && heard.token + 1 == token);
+    let before = before.map(|heard| heard.lead);
+    let shared = Shared {
+        group: group.to_owned(),
+        token,
+        known: RefCell::new(Known::new()),
+        busy: Cell::new(false),
+        heard: Notify::new(),
+    };
+    // The first poll tells all of them at once: one that is not heard in time is followed
+    // by another, and what stands still with the one before is then not known to be its.
+    shared.known.borrow_mut().listed(view, sidecar.clock.now());
+    tokio::select! {
+        () = coordinate::run(sidecar, &shared, before) => (),
+        // Also while it waits for the answer to an order.
+        () = polling::poll_all(sidecar, &shared) => (),
+        () = polling::listen(sidecar, &shared, reports) => (),
+        () = polling::list_all(sidecar, &shared) => (),
+    }
+    info!(sidecar.log, "coordinator no more"; "group" => group, "token" => token);
+}
+
 /// Group and rank of the server beside.
-fn seat(sidecar: &Sidecar) -> Option<(String, u32)> {
+fn seat(sidecar: &Sidecar) -> Option<Seat> {
     let state = sidecar.state.borrow();
     let state = state.as_ref()?;
-    Some((state.group.clone()?, state.rank.as_ref()?.rank))
+    let rank = state.rank.as_ref()?;
+    Some((state.group.clone()?, rank.rank, rank.size))
 }
 
-/// Takes the group's lease, with a token above the last one.
-async fn take(sidecar: &Sidecar, group: &str, heard: u64) -> Result<u64, StoreError> {
+/// Takes the group's lease, with a token above the last one. Not if another has taken it
+/// since one was last heard: that one is about to be heard.
+async fn take(
+    sidecar: &Sidecar,
+    group: &str,
+    election: &mut Election,
+) -> Result<Option<u64>, StoreError> {
     let name = lease_name(group);
     let was = sidecar.store.lease(&name).await?;
-    let token = was.as_ref().map_or(0, |lease| lease.epoch).max(heard) + 1;
+    let last = was.as_ref().map_or(0, |lease| lease.epoch);
+    if election.defers_to(last, sidecar.clock.now()) {
+        info!(sidecar.log, "another coordinator awaited"; "group" => group, "token" => last);
+        return Ok(None);
+    }
+    let token = last.max(election.token()) + 1;
     let taken = sidecar.store.take_lease(&name, token, &sidecar.name, was.as_ref()).await;
     match taken {
-        Ok(()) => Ok(token),
+        Ok(()) => Ok(Some(token)),
         Err(StoreError::Call(error)) => {
             // It may have landed all the same.
             let now = sidecar.store.lease(&name).await?;
             let ours = now.is_some_and(|now| now.epoch == token && now.holder == sidecar.name);
-            if ours { Ok(token) } else { Err(error.into()) }
+            if ours { Ok(Some(token)) } else { Err(error.into()) }
         }
         Err(error) => Err(error),
     }
@@ -105,14 +167,3 @@
     let safe = |char: char| if char.is_ascii_alphanumeric() || char == '-' { char } else { '-' };
     group.chars().map(safe).collect()
 }
-
-/// Tells the group's sidecars that this one is the coordinator, for ever.
-async fn announce(sidecar: &Sidecar, group: &str, token: u64) {
-    let lead = Message::Lead(Lead { group: group.to_owned(), token });
-    loop {
-        let ranks = sidecar.ranks.borrow().clone();
-        let others = ranks.iter().map(SocketAddr::ip).filter(|ip| *ip != sidecar.ip);
-        others.for_each(|ip| sidecar.send(ip, &lead));
-        time::sleep(LEAD_EVERY).await;
-    }
-}
--- a/src/mastweir/sidecar/mod.rs
+++ b/src/mastweir/sidecar/mod.rs
@@ -1,14 +1,22 @@
 //! The sidecar: beside a model server, on its instance.
 //!
 //! It reads the server's state and what its requests chose, which is free and
-//! fresh only there, and tells gateways and the group's coordinator. It carries
-//! out orders for the coordinator. One sidecar of each group is the coordinator
-//! (`coordinate`, which knows its ranks by `ranks`); what it decides is in [`mastweir_core::switch::hold`] and
-//! [`mastweir_core::experts::layers`].
+//! fresh only there; it tells its hall's speakers (`rank`), answers its coordinator's polls
+//! (`poll`), and carries out orders (`carry`). One sidecar of each group is the
+//! coordinator (`lead`): `polling` asks the ranks, `known` and `ranks` are what they said,
+//! `coordinate` goes step by step, `orders` gives orders. What it decides is in
+//! [`mastweir_core::switch`] and [`mastweir_core::experts::layers`].
 
+mod answers;
+mod carry;
 mod coordinate;
+mod find_map;
+mod known;
 mod lead;
+mod orders;
 mod plan;
+mod poll;
+mod polling;
 mod rank;
 mod ranks;
 mod state;
@@ -51,7 +59,7 @@
     let answering = sidecar.clone();
     task::spawn_local(internal::serve(listener, move |path, body| {
         let sidecar = answering.clone();
-        async move { rank::answer(&sidecar, &path, &body).await }
+        async move { carry::answer(&sidecar, &path, &body).await }
     }));
     stop.await;
     info!(sidecar.log, "sidecar stopped");
--- a/src/mastweir/sidecar/plan.rs
+++ b/src/mastweir/sidecar/plan.rs
@@ -13,6 +13,9 @@
 /// 1,700 MB of an expert; between 0.002 and 0.01 streams kept pace best there
 /// (docs/benchmarks/platform.md).
 const MB_COST: f64 = 0.007 / 1_700.0;
+/// What a change of map costs besides, in the same: its orders, and a group that now and
+/// then stands for some of them.
+const CHANGE_COST: f64 = 0.06;
 /// Passes take 15 in 100 longer while a rank loads, says the users' page.
 const LOAD_SLOWS: f64 = 0.15;
 /// Part of a group's places in use at which quicker passes begin to count, and at
@@ -58,6 +61,7 @@
         load_s: model.load_s,
         horizon_s: HORIZON_S,
         load_cost: MB_COST * model.load_mb,
+        change_cost: CHANGE_COST,
         load_slows: LOAD_SLOWS,
     }
 }
--- /dev/null
+++ b/src/mastweir/sidecar/poll.rs
@@ -0,0 +1,186 @@
+//! Answering a coordinator's polls: as a rank, and as the head of a section.
+//!
+//! A rank reads its server's state, and what requests chose, when it is asked, so the
+//! counts of all ranks end at nearly one moment: what was chosen since the poll before
+//! tells a shift of demand from before it. A head asks the others of its section at the
+//! same time and sends their states on, with the sum of their counts.
+
+use super::{
+    answers::Gathering,
+    state::{Heard, Sidecar},
+};
+use crate::{
+    gateway::message::{
+        COUNTS_SENT, Counts, Message, Poll, RANKS_SENT, RankBrief, RankReport, SectionReport,
+    },
+    platform::engine::EngineState,
+};
+use mastweir_core::time::Uptime;
+use std::{
+    collections::{HashSet, VecDeque},
+    net::IpAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{task, time};
+
+/// A head answers without those that have not by then: the reports of ten ranks on 16
+/// sets of 192 experts take 40 ms of its link, and a coordinator's next poll comes after
+/// 100 ms.
+const HEAD_WAITS: Duration = Duration::from_millis(70);
+/// Takes a poll in, and answers it.
+pub fn polled(sidecar: &Rc<Sidecar>, poll: Poll, from: IpAddr) {
+    if !sidecar.heed(&poll) {
+        return;
+    }
+    let now = sidecar.clock.now();
+    let Poll { lead, token, round, .. } = poll;
+    let heard = Heard { lead, group: poll.group.clone(), token, round, at: now };
+    *sidecar.heard.borrow_mut() = Some(heard);
+    sidecar.polled.set(now);
+    if poll.section.is_empty() {
+        task::spawn_local(answer(sidecar.clone(), poll, from));
+    } else {
+        task::spawn_local(answer_for_section(sidecar.clone(), poll));
+    }
+}
+
+/// Answers for this rank alone.
+async fn answer(sidecar: Rc<Sidecar>, poll: Poll, to: IpAddr) {
+    for report in read(&sidecar, &poll).await {
+        if to == sidecar.ip {
+            sidecar.take_report(report, to);
+        } else {
+            sidecar.send(to, &Message::Rank(report));
+        }
+    }
+}
+
+/// Asks the others, and answers once they have, or have had their time.
+pub async fn answer_for_section(sidecar: Rc<Sidecar>, poll: Poll) {
+    let round = poll.round;
+    let waiting: HashSet<IpAddr> = poll.section.iter().copied().chain([sidecar.ip]).collect();
+    let mut passed_on = poll.clone();
+    passed_on.section.clear();
+    let message = Message::Poll(passed_on.clone());
+    poll.section.iter().for_each(|ip| sidecar.send(*ip, &message));
+    *sidecar.gathering.borrow_mut() = Some(Gathering::new(poll, waiting));
+    let own = read(&sidecar, &passed_on).await;
+    own.into_iter().for_each(|report| sidecar.take_report(report, sidecar.ip));
+    time::sleep(HEAD_WAITS).await;
+    let is_open = sidecar.gathering.borrow().as_ref().is_some_and(|open| open.is_for(round));
+    if is_open {
+        finish(&sidecar);
+    }
+}
+
+impl Sidecar {
+    /// A rank's answer to a poll: as the head of its section, or as its coordinator.
+    pub fn take_report(&self, report: RankReport, from: IpAddr) {
+        let is_gathered = self
+            .gathering
+            .borrow()
+            .as_ref()
+            .is_some_and(|open| open.is_for(report.round) && open.poll.group == report.group);
+        if !is_gathered {
+            // A coordinator that is behind gets the next one.
+            let _ = self.reports.try_send(Message::Rank(report));
+            return;
+        }
+        let mut gathering = self.gathering.borrow_mut();
+        let Some(open) = gathering.as_mut() else { return };
+        open.add(from, report);
+        let is_complete = open.is_complete();
+        drop(gathering);
+        if is_complete {
+            finish(self);
+        }
+    }
+}
+
+/// Sends a section's answers to the coordinator.
+fn finish(sidecar: &Sidecar) {
+    let Some(open) = sidecar.gathering.borrow_mut().take() else { return };
+    let Gathering { poll, ranks, sums, .. } = open;
+    let report = |ranks: &[RankBrief], counts: Counts| {
+        Message::Section(SectionReport {
+            group: poll.group.clone(),
+            round: poll.round,
+            ranks: ranks.to_vec(),
+            counts,
+        })
+    };
+    // States and sums have datagrams of their own: together they may not fit.
+    let states = ranks.chunks(RANKS_SENT).map(|ranks| report(ranks, Counts::default()));
+    let sums = parts(&sums).into_iter().map(|counts| report(&[], counts));
+    for message in states.chain(sums) {
+        if poll.lead == sidecar.ip {
+            // A coordinator that is behind gets the next one.
+            let _ = sidecar.reports.try_send(message);
+        } else {
+            sidecar.send(poll.lead, &message);
+        }
+    }
+}
+
+/// Counts in parts that fit into datagrams; one without any where there are none.
+fn parts(counts: &[u32]) -> VecDeque<Counts> {
+    let all = counts.chunks(COUNTS_SENT).enumerate();
+    let part = |(number, part): (usize, &[u32])| Counts {
+        from: u32::try_from(number * COUNTS_SENT).unwrap_or(u32::MAX),
+        counts: part.to_vec(),
+        last: (number + 1) * COUNTS_SENT >= counts.len(),
+    };
+    let parts: VecDeque<Counts> = all.map(part).collect();
+    if parts.is_empty() { [Counts { last: true, ..Counts::default() }].into() } else { parts }
+}
+
+/// Reads the server beside, for a poll.
+async fn read(sidecar: &Sidecar, poll: &Poll) -> Vec<RankReport> {
+    let Ok(state) = sidecar.engine.state().await else { return Vec::new() };
+    let read_at = sidecar.clock.now();
+    let Some(rank) = brief(sidecar, &state, &poll.group, read_at) else { return Vec::new() };
+    let mut counts = Vec::new();
+    if poll.sets.is_some() {
+        let sets = sidecar.model.borrow().as_ref().map_or(1, |model| model.sets);
+        if let Ok(choices) = sidecar.engine.choices().await {
+            counts = sidecar.readings.borrow_mut().since(poll, choices, sets);
+        }
+    }
+    let mut rank = Some(rank);
+    let report = |counts| RankReport {
+        group: poll.group.clone(),
+        round: poll.round,
+        rank: rank.take(),
+        counts,
+    };
+    parts(&counts).into_iter().map(report).collect()
+}
+
+/// The rank beside, if it is of that group.
+fn brief(
+    sidecar: &Sidecar,
+    state: &EngineState,
+    group: &str,
+    read_at: Uptime,
+) -> Option<RankBrief> {
+    let rank = state.rank.clone().filter(|_| state.group.as_deref() == Some(group))?;
+    Some(RankBrief {
+        server: sidecar.server,
+        state: rank,
+        load: state.running + state.waiting,
+        pace_milli: state.pace_milli,
+        read_at,
+    })
+}
+
+/// A word to a coordinator that does not poll this rank: it may not know of it.
+pub fn join(sidecar: &Sidecar, lead: IpAddr) {
+    let state = sidecar.state.borrow();
+    let Some(state) = state.as_ref() else { return };
+    let Some(group) = &state.group else { return };
+    let rank = brief(sidecar, state, group, sidecar.clock.now());
+    let counts = Counts { last: true, ..Counts::default() };
+    let report = RankReport { group: group.clone(), round: 0, rank, counts };
+    sidecar.send(lead, &Message::Rank(report));
+}
--- a/src/mastweir/sidecar/ranks.rs
+++ b/src/mastweir/sidecar/ranks.rs
@@ -5,7 +5,7 @@
 //! stands still, must not hold up what the others need.
 
 use super::state::Sidecar;
-use crate::{gateway::message::RankReport, net::http::Pool, platform::engine::Engine};
+use crate::{gateway::message::RankBrief, net::http::Pool, platform::engine::Engine};
 use mastweir_core::{switch::hold::RankState, time::Uptime};
 use slog::info;
 use std::{
@@ -118,18 +118,24 @@
         self.fresh(now).any(|seen| seen.server.ip() == ip)
     }
 
-    /// Takes a sidecar's report in.
-    pub fn report(&mut self, report: &RankReport, now: Uptime) {
+    /// Takes in what a sidecar says of its rank.
+    pub fn report(&mut self, brief: RankBrief, now: Uptime) {
         self.note(Seen {
-            server: report.server,
+            server: brief.server,
             at: now,
-            read_at: Some(report.read_at),
-            state: report.state.clone(),
-            load: report.load,
-            pace_milli: report.pace_milli,
+            read_at: Some(brief.read_at),
+            state: brief.state,
+            load: brief.load,
+            pace_milli: brief.pace_milli,
         });
     }
 
+    /// Whether all ranks were seen at least once.
+    pub fn is_complete(&self) -> bool {
+        let size = self.seen.values().next().map(|seen| seen.state.size as usize);
+        size.is_some_and(|size| self.seen.len() >= size)
+    }
+
     /// Takes a rank's state in, unless a newer one is known.
     pub fn note(&mut self, seen: Seen) {
         let newer = self.seen.get(&seen.state.rank).is_none_or(|before| {
@@ -171,16 +177,20 @@
         })
     }
 
-    /// Asks the servers themselves whose sidecars are silent. What they say is some
-    /// hundred milliseconds old, and each call is paid for.
-    pub fn ask_silent(&mut self, sidecar: &Sidecar, group: &str) {
+    /// Asks the servers among these themselves whose sidecars are silent. What they say
+    /// is some hundred milliseconds old, and each call is paid for.
+    pub fn ask_silent<'a>(
+        &mut self,
+        sidecar: &Sidecar,
+        group: &str,
+        members: impl Iterator<Item = &'a SocketAddr>,
+    ) {
         let now = sidecar.clock.now();
         if now.since(self.asked) < ASK_EVERY {
             return;
         }
         let heard: HashSet<SocketAddr> = self.fresh(now).map(|seen| seen.server).collect();
-        let roster = sidecar.ranks.borrow().clone();
-        let silent = roster.into_iter().filter(|server| !heard.contains(server));
+        let silent = members.copied().filter(|server| !heard.contains(server));
         let silent: Vec<SocketAddr> = silent.filter(|at| !self.pending.contains(at)).collect();
         if silent.is_empty() {
             return;
@@ -193,12 +203,7 @@
         }
     }
 
-    /// The next answer of a server that was asked itself.
-    pub async fn answer(&mut self) -> Option<Asked> {
-        self.answered.recv().await
-    }
-
-    /// The same, if it is there already.
+    /// The next answer of a server that was asked itself, if there is one.
     pub fn answer_now(&mut self) -> Option<Asked> {
         self.answered.try_recv().ok()
     }
--- a/src/mastweir/sidecar/state.rs
+++ b/src/mastweir/sidecar/state.rs
@@ -1,8 +1,11 @@
 //! What a sidecar knows, shared by its tasks on one thread.
 
-use super::SidecarOptions;
+use super::{
+    SidecarOptions,
+    answers::{Gathering, Readings},
+};
 use crate::{
-    gateway::message::{Lead, Message, RankReport},
+    gateway::message::{LeadSeen, Message, Poll},
     net::http::Pool,
     platform::{
         engine::{Engine, EngineState},
@@ -11,7 +14,8 @@
     util::clock::Clock,
 };
 use mastweir_core::{
-    gateway::{Model, Peers},
+    gateway::{Listeners, Model},
+    switch::maps::Maps,
     time::Uptime,
 };
 use slog::Logger;
@@ -25,16 +29,21 @@
     sync::{Notify, mpsc},
 };
 
-/// Reports that wait for the coordinator; each rank sends a few a second.
-const REPORTS_WAITING: usize = 256;
+/// Reports that wait for the coordinator: three rounds of a group of 512 ranks, whose
+/// sums of all sets take nine datagrams each of its 25 sections.
+const REPORTS_WAITING: usize = 700;
 
 /// A coordinator that was heard.
 #[derive(Clone, Debug)]
 pub struct Heard {
     /// Where it is.
-    pub from: IpAddr,
-    /// What it said.
-    pub lead: Lead,
+    pub lead: IpAddr,
+    /// Its group.
+    pub group: String,
+    /// Its token.
+    pub token: u64,
+    /// Number of its poll.
+    pub round: u64,
     /// When.
     pub at: Uptime,
 }
@@ -62,24 +71,26 @@
     pub internal: Rc<Pool>,
     /// The socket for datagrams.
     pub socket: UdpSocket,
-    /// Gateways.
-    pub gateways: RefCell<Peers>,
-    /// Model servers of the group.
-    pub ranks: RefCell<Vec<SocketAddr>>,
+    /// The gateways that speak for the hall.
+    pub speakers: RefCell<Listeners>,
     /// The engine's model.
     pub model: RefCell<Option<Model>>,
     /// The server's state as last read.
     pub state: RefCell<Option<EngineState>>,
     /// The coordinator that was heard last.
     pub heard: RefCell<Option<Heard>>,
-    /// Token under which this sidecar is the coordinator; zero if it is not.
-    pub token: Cell<u64>,
+    /// When a coordinator polled last.
+    pub polled: Cell<Uptime>,
+    /// What requests had chosen at earlier polls.
+    pub readings: RefCell<Readings>,
+    /// The answers of the section, where this sidecar is its head.
+    pub gathering: RefCell<Option<Gathering>>,
+    /// The group's maps.
+    pub maps: RefCell<Maps>,
     /// Reports for this sidecar as the coordinator.
-    pub reports: mpsc::Sender<RankReport>,
+    pub reports: mpsc::Sender<Message>,
     /// The other end of it.
-    pub received: RefCell<Option<mpsc::Receiver<RankReport>>>,
-    /// Version of the map that the server was last told to load, and when.
-    pub loading: Cell<Option<(u64, Uptime)>>,
+    pub received: RefCell<Option<mpsc::Receiver<Message>>>,
     /// Milliseconds that the last passes took, on average.
     pub pass_ms: Cell<f64>,
     /// Wakes the watch of the server: its state has changed.
@@ -102,15 +113,16 @@
             store: Store::new(settings.store, Rc::new(Pool::default())),
             internal: Rc::new(Pool::default()),
             socket,
-            gateways: RefCell::default(),
-            ranks: RefCell::default(),
+            speakers: RefCell::default(),
             model: RefCell::default(),
             state: RefCell::default(),
             heard: RefCell::default(),
-            token: Cell::new(0),
+            polled: Cell::default(),
+            readings: RefCell::default(),
+            gathering: RefCell::default(),
+            maps: RefCell::default(),
             reports,
             received: RefCell::new(Some(received)),
-            loading: Cell::new(None),
             pass_ms: Cell::new(0.0),
             changed: Notify::new(),
         }
@@ -123,6 +135,42 @@
         let _ = self.socket.try_send_to(&bytes, SocketAddr::new(to, self.port));
     }
 
+    /// Whether a poll is to be answered: not one of a coordinator that was followed by
+    /// another.
+    pub fn heed(&self, poll: &Poll) -> bool {
+        let heard = self.heard.borrow();
+        let newer = heard.as_ref().filter(|heard| heard.group == poll.group);
+        newer.is_none_or(|heard| heard.token <= poll.token)
+    }
+
+    /// The coordinator that was heard last, as it is told to others.
+    pub fn lead_seen(&self) -> Option<LeadSeen> {
+        let heard = self.heard.borrow();
+        let heard = heard.as_ref()?;
+        let age = self.clock.now().since(heard.at).as_millis();
+        Some(LeadSeen {
+            group: heard.group.clone(),
+            token: heard.token,
+            round: heard.round,
+            ip: heard.lead,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Takes in what another says of the group's coordinator.
+    pub fn hear_of(&self, seen: LeadSeen) {
+        let now = self.clock.now();
+        let at = now - std::time::Duration::from_millis(u64::from(seen.age_ms));
+        let mut heard = self.heard.borrow_mut();
+        let newer = heard.as_ref().is_none_or(|heard| {
+            heard.group != seen.group || (heard.token, heard.round) < (seen.token, seen.round)
+        });
+        if newer {
+            let LeadSeen { group, token, round, ip, .. } = seen;
+            *heard = Some(Heard { lead: ip, group, token, round, at });
+        }
+    }
+
     /// Address of another sidecar.
     pub fn addr(&self, ip: IpAddr) -> SocketAddr {
         SocketAddr::new(ip, self.port)
--- /dev/null
+++ b/tests/testsuite/messages.rs
@@ -0,0 +1,192 @@
+//! What processes tell each other fits into a datagram, however large groups and fleets
+//! are, and what goes over connections stays small.
+
+use googletest::prelude::*;
+use mastweir::gateway::message::{
+    COUNTS_SENT, Counts, DATAGRAM_MAX, Hello, LOADS_SENT, LeadSeen, Load, Loads, Message, Poll,
+    RANKS_SENT, RankBrief, RankReport, SectionReport,
+};
+use mastweir_core::{
+    gateway::{Named, Told},
+    switch::{
+        hold::RankState,
+        maps::MapChange,
+        sections::{Member, Members, sections},
+    },
+    time::Uptime,
+};
+use std::net::{IpAddr, SocketAddr};
+
+fn ip(number: usize) -> IpAddr {
+    IpAddr::from([10, 120, (number / 250) as u8, (number % 250) as u8 + 1])
+}
+
+fn server(number: usize) -> SocketAddr {
+    SocketAddr::new(ip(number), 18_286)
+}
+
+/// A rank's state, with numbers as large as they get in a month.
+fn brief(number: usize) -> RankBrief {
+    let state = RankState {
+        epoch: 1_000,
+        rank: number as u32,
+        size: 512,
+        open: true,
+        busy: true,
+        pass: 40_000_000,
+        taken: 1_000_000,
+        map: 900 << 20,
+        loaded: Some((901 << 20) + 7),
+        scheduled: Some(((901 << 20) + 7, 40_000_002)),
+        paused: Some(40_000_002),
+    };
+    let read_at = Uptime::from_secs(2_600_000);
+    RankBrief { server: server(number), state, load: 100, pace_milli: 20_000, read_at }
+}
+
+fn size(message: &Message) -> usize {
+    postcard::to_stdvec(message).map_or(usize::MAX, |bytes| bytes.len())
+}
+
+fn group() -> String {
+    "assistant-group-0001".to_owned()
+}
+
+fn counts(count: u32, of: usize) -> Counts {
+    Counts { from: 100_000, counts: vec![count; of], last: true }
+}
+
+#[googletest::test]
+fn every_datagram_fits_its_link_at_512_ranks() {
+    let members: Members = (0..512)
+        .map(|number| {
+            (server(number), Member { hall: format!("hall-{}", number % 7), ..Member::default() })
+        })
+        .collect();
+    let all = sections(&members, Uptime::default());
+    let longest = all.iter().map(Vec::len).max().unwrap_or(0);
+    let poll = Message::Poll(Poll {
+        group: group(),
+        token: 900,
+        lead: ip(1),
+        round: 20_000_000,
+        since: 19_999_999,
+        sets: Some((12, 16)),
+        section: (0..longest).map(ip).collect(),
+    });
+    let rank = Message::Rank(RankReport {
+        group: group(),
+        round: 20_000_000,
+        rank: Some(brief(500)),
+        counts: counts(10_000, COUNTS_SENT),
+    });
+    let states = Message::Section(SectionReport {
+        group: group(),
+        round: 20_000_000,
+        ranks: (0..RANKS_SENT).map(brief).collect(),
+        counts: Counts::default(),
+    });
+    let sums = Message::Section(SectionReport {
+        group: group(),
+        round: 20_000_000,
+        ranks: Vec::new(),
+        counts: counts(1_000_000, COUNTS_SENT),
+    });
+    let told = Told {
+        running: 20,
+        waiting: 300,
+        memory_milli: 1_000,
+        group: None,
+        group_open: true,
+        pass: 40_000_000,
+        pass_ms: 300,
+        pace_milli: 20_000,
+    };
+    let load = |at| Load { server: server(at), age_ms: 9_000, group: Some(3), told: told.clone() };
+    let lead =
+        |at| LeadSeen { group: group(), token: 900, round: 20_000_000, ip: ip(at), age_ms: 4_000 };
+    let loads = Message::Loads(Loads {
+        groups: (0..4).map(|_| group()).collect(),
+        loads: (0..LOADS_SENT).map(load).collect(),
+        leads: Vec::new(),
+    });
+    let leads = Message::Loads(Loads { leads: (0..16).map(lead).collect(), ..Loads::default() });
+    let named = |at| Named { ip: ip(at), hall: "region-1-hall-a".to_owned(), power: 16_000 };
+    let hello = Message::Hello(Hello {
+        hall: "region-1-hall-a".to_owned(),
+        power: 16_000,
+        config: 1_000_000,
+        directory: 1 << 40,
+        leaving: false,
+        asks: true,
+        follows: true,
+        in_hall: 59,
+        in_all: 410,
+        known: (0..42).map(named).collect(),
+    });
+    for message in [&poll, &rank, &states, &sums, &loads, &leads, &hello] {
+        expect_that!(size(message), le(DATAGRAM_MAX), "{message:?}");
+    }
+}
+
+/// A coordinator sends and hears about as many messages as the square root of its ranks.
+#[googletest::test]
+fn a_coordinator_speaks_to_few() {
+    let mut spoken_to = Vec::new();
+    for (ranks, halls) in [(2, 2), (12, 3), (32, 3), (96, 5), (512, 7)] {
+        let member = |number: usize| {
+            let hall = format!("hall-{}", number % halls);
+            (server(number), Member { hall, ..Member::default() })
+        };
+        let members: Members = (0..ranks).map(member).collect();
+        let parts = sections(&members, Uptime::default());
+        let in_all: usize = parts.iter().map(Vec::len).sum();
+        expect_that!(in_all, eq(ranks));
+        for part in &parts {
+            let hall = &members[&part[0]].hall;
+            expect_that!(part.iter().all(|addr| members[addr].hall == *hall), eq(true));
+        }
+        let longest = parts.iter().map(Vec::len).max().unwrap_or(0);
+        spoken_to.push((ranks, parts.len(), longest));
+    }
+    let expected = vec![(2, 2, 1), (12, 12, 1), (32, 6, 6), (96, 10, 10), (512, 28, 19)];
+    expect_that!(spoken_to, eq(&expected));
+}
+
+/// A head that was not heard, or did not answer, is passed over while another was.
+#[googletest::test]
+fn a_silent_rank_heads_no_section() {
+    let now = Uptime::from_secs(10);
+    let mut members: Members = (0..32)
+        .map(|number| {
+            let heard = Some(now);
+            (server(number), Member { hall: "a".to_owned(), heard, ..Member::default() })
+        })
+        .collect();
+    expect_that!(sections(&members, now)[0][0], eq(server(0)));
+    members.entry(server(0)).and_modify(|member| member.failed = Some(now));
+    expect_that!(sections(&members, now)[0][0], eq(server(1)));
+    members.entry(server(1)).and_modify(|member| member.heard = None);
+    expect_that!(sections(&members, now)[0][0], eq(server(2)));
+    let later = now + std::time::Duration::from_secs(3);
+    let all_old = sections(&members, later);
+    expect_that!(all_old[0][0], eq(server(0)));
+}
+
+/// All of a map of 512 ranks is 40 KB, 1.2 s of a coordinator's link for its 28 sections;
+/// what a plan changes in it is a tenth.
+#[googletest::test]
+fn a_map_is_told_by_what_changes() {
+    let whole = vec![vec![vec![190_u16; 3]; 512]; 16];
+    let changes = (0..500).map(|at: u16| (at % 16, at, vec![190_u16, 180, 170])).collect();
+    let change = |whole, changes| MapChange {
+        version: (900 << 20) + 2,
+        base: (900 << 20) + 1,
+        digest: u64::MAX,
+        changes,
+        whole,
+    };
+    let bytes = |change: &MapChange| postcard::to_stdvec(change).map_or(0, |bytes| bytes.len());
+    expect_that!(bytes(&change(Some(whole), Vec::new())), gt(40_000));
+    expect_that!(bytes(&change(None, changes)), lt(6_000));
+}
--- a/tests/testsuite/plans.rs
+++ b/tests/testsuite/plans.rs
@@ -27,6 +27,7 @@
     load_s: 0.15,
     horizon_s: 2.5,
     load_cost: 0.007,
+    change_cost: 0.007,
     load_slows: 0.15,
 };
 
