Pass over the coordinator before as the head of a section

Cause: a coordinator's machine stood still right behind its pause. Its successor knew 0.74 s later, and then waited 0.45 s for the first section, whose head was that machine, before it could take the change back.

--- a/src/mastweir/sidecar/lead.rs
+++ b/src/mastweir/sidecar/lead.rs
@@ -20,6 +20,7 @@
 use slog::{info, warn};
 use std::{
     cell::{Cell, RefCell},
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
@@ -117,6 +118,7 @@
     // The first poll tells all of them at once: one that is not heard in time is followed
     // by another, and what stands still with the one before is then not known to be its.
     shared.known.borrow_mut().listed(view, sidecar.clock.now());
+    before.into_iter().for_each(|ip| pass_over(sidecar, &shared, ip));
     tokio::select! {
         () = coordinate::run(sidecar, &shared, before) => (),
         // Also while it waits for the answer to an order.
@@ -127,6 +129,16 @@
     info!(sidecar.log, "coordinator no more"; "group" => group, "token" => token);
 }
 
+/// The coordinator before was not heard: as the head of its section it would hold up the
+/// first orders for 0.45 s, while its group may stand still.
+fn pass_over(sidecar: &Sidecar, shared: &Shared, ip: IpAddr) {
+    let now = sidecar.clock.now();
+    let mut known = shared.known.borrow_mut();
+    let servers: Vec<SocketAddr> =
+        known.members.keys().filter(|server| server.ip() == ip).copied().collect();
+    servers.into_iter().for_each(|server| known.failed(server, now));
+}
+
 /// Group and rank of the server beside.
 fn seat(sidecar: &Sidecar) -> Option<Seat> {
     let state = sidecar.state.borrow();
