Measure what a plan for 8 to 512 ranks costs

Cause: the time of a plan was known from a trial at 32 ranks alone. Change: mastweir-bench plans, the first plan of a group's life and the one behind a shift.

--- a/crates/mastweir-bench/src/commands/mod.rs
+++ b/crates/mastweir-bench/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod experts;
 mod outcomes;
 mod path;
+mod plans;
 mod routing;
 mod shares;
 mod switch;
@@ -19,6 +20,7 @@
     Experts(experts::Args),
     Outcomes(outcomes::Args),
     Path(path::Args),
+    Plans(plans::Args),
     Routing(routing::Args),
     Shares(shares::Args),
     Switch(switch::Args),
@@ -32,6 +34,7 @@
         Command::Experts(args) => experts::exec(&args),
         Command::Outcomes(args) => return outcomes::exec(&args).await,
         Command::Path(args) => return path::exec(&args).await,
+        Command::Plans(args) => plans::exec(&args),
         Command::Routing(args) => routing::exec(&args),
         Command::Shares(args) => shares::exec(&args),
         Command::Switch(args) => return switch::exec(&args).await,
