Open the circles of entry and agent

Cause: four pairs and triples of files held each other: agent engine and jobs, entry calls and keys, fleet and table, http, operator and status. Change: an order, a reply, a heartbeat and an engine's report have files of their own; running what waits is agent/work. Behaviour is as it was. Conclusion: a layered order; entry's shared state is not split by owner.

--- a/src/mastweir/agent/answer.rs
+++ b/src/mastweir/agent/answer.rs
@@ -205,3 +205,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Lets nobody wait for an answer for ever.
+impl Drop for Answer {
+    fn drop(&mut self) {
+        self.end(End::Broken);
+    }
+}
--- a/src/mastweir/agent/engine.rs
+++ b/src/mastweir/agent/engine.rs
@@ -1,10 +1,6 @@
 //! The engine or plain service beside the agent, over HTTP.
 
-use super::{
-    Shared,
-    answer::{Answer, End},
-    jobs::{self, Job},
-};
+use super::{answer::End, engine_report::Report, jobs::Job};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::StreamExt;
 use mastweir_core::{
@@ -13,14 +9,9 @@
     wire::{PIECE_MAX, Spent},
 };
 use reqwest::{Client, Method, RequestBuilder, Response, header};
-use serde::{Deserialize, Serialize};
-use std::{sync::Arc, time::Duration};
-use tokio::time;
+use serde::Deserialize;
+use std::time::Duration;
 
-/// How often the engine is asked for its load.
-const POLL: Duration = Duration::from_millis(500);
-/// Time for it to answer that.
-const POLL_TIME: Duration = Duration::from_secs(1);
 /// Time for it to carry out a rank order.
 const ORDER_TIME: Duration = Duration::from_secs(2);
 const EVENT_STREAM: &str = "text/event-stream";
@@ -28,22 +19,6 @@
 /// Last event of a stream in the protocol of chat completions.
 const LAST_EVENT: &[u8] = b"data: [DONE]";
 
-/// What an engine says of itself at `/load`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(default)]
-pub struct Report {
-    /// Step time of the group's slowest rank, in microseconds.
-    pub step_us: u32,
-    /// Slowest rank over mean, in thousandths.
-    pub skew: u16,
-    /// Free room for KV cache, in thousandths.
-    pub kv_free: u16,
-    /// Version of the expert map in force.
-    pub map: u64,
-    /// Changes when a rank here was replaced.
-    pub lives: u64,
-}
-
 /// Usage in an unstreamed answer.
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
@@ -78,6 +53,13 @@
         request.timeout(ORDER_TIME).send().await?.error_for_status()?.json().await
     }
 
+    /// What it says of itself; none if it gave no answer in time.
+    pub async fn report(&self, wait: Duration) -> Option<Report> {
+        let request = self.client.get(format!("{}/load", self.base));
+        let response = request.timeout(wait).send().await.ok()?;
+        response.json().await.ok()
+    }
+
     fn call(&self, job: &Job) -> Option<RequestBuilder> {
         let start = &job.start;
         let method = Method::from_bytes(start.method.as_bytes()).ok()?;
@@ -97,35 +79,8 @@
     }
 }
 
-/// Asks the engine for its load, again and again.
-pub async fn poll(shared: Arc<Shared>) {
-    loop {
-        time::sleep(POLL).await;
-        shared.jobs.expire();
-        let request = shared.engine.client.get(format!("{}/load", shared.engine.base));
-        let Ok(response) = request.timeout(POLL_TIME).send().await else { continue };
-        if let Ok(report) = response.json().await {
-            shared.jobs.set_engine(report);
-        }
-    }
-}
-
-/// Runs a request in the engine, then lets the next one begin.
-pub async fn run(shared: Arc<Shared>, job: Arc<Job>) {
-    let begun = shared.context.clock.now();
-    let left = job.deadline.since(begun);
-    let end = tokio::select! {
-        end = time::timeout(left, answer(&shared.engine, &job)) => end.unwrap_or(End::Broken),
-        () = job.answer.cancelled() => End::Broken,
-    };
-    let took = shared.context.clock.now().since(begun);
-    slog::debug!(shared.context.log, "request ended"; "request" => &job.start.request,
-        "end" => ?end, "took_ms" => took.as_millis());
-    shared.jobs.ended(&job, end, took);
-    jobs::pump(&shared);
-}
-
-async fn answer(engine: &Engine, job: &Job) -> End {
+/// Runs a request to its end.
+pub async fn answer(engine: &Engine, job: &Job) -> End {
     let Some(request) = engine.call(job) else { return End::Refused(Refusal::NotServed) };
     let response = match request.send().await {
         Ok(response) => response,
@@ -194,10 +149,3 @@
 fn spent(job: &Job, generated: u64) -> Spent {
     Spent { units: job.start.units(generated) }
 }
-
-/// Lets nobody wait for an answer for ever.
-impl Drop for Answer {
-    fn drop(&mut self) {
-        self.end(End::Broken);
-    }
-}
--- a/src/mastweir/agent/jobs.rs
+++ b/src/mastweir/agent/jobs.rs
@@ -4,9 +4,9 @@
 //! change of the other. Nothing waits under it.
 
 use super::{
-    AgentOptions, Shared,
+    AgentOptions,
     answer::{Answer, End},
-    engine,
+    engine_report::Report,
 };
 use crate::Context;
 use mastweir_core::{
@@ -50,7 +50,7 @@
     speed: f64,
     /// Mean units that a running request has left: half of what it costs.
     each: f64,
-    engine: engine::Report,
+    engine: Report,
 }
 
 /// All requests at the agent.
@@ -72,7 +72,7 @@
             leaving: false,
             speed: SPEED_FIRST,
             each: SPEED_FIRST / 2.0,
-            engine: engine::Report::default(),
+            engine: Report::default(),
         };
         Self {
             state: Mutex::new(state),
@@ -196,7 +196,7 @@
     }
 
     /// What the engine said of itself.
-    pub fn set_engine(&self, report: engine::Report) {
+    pub fn set_engine(&self, report: Report) {
         self.lock().engine = report;
     }
 
@@ -261,13 +261,6 @@
     }
 }
 
-/// Begins as many requests as there are free slots.
-pub fn pump(shared: &Arc<Shared>) {
-    while let Some(job) = shared.jobs.take_next() {
-        tokio::spawn(engine::run(shared.clone(), job));
-    }
-}
-
 /// The ledger's view of an order.
 fn order(start: &Start) -> Order {
     Order { op: start.op, incarnation: start.fence.incarnation, expires: start.expires }
--- a/src/mastweir/agent/mod.rs
+++ b/src/mastweir/agent/mod.rs
@@ -12,10 +12,13 @@
 
 mod answer;
 mod engine;
+mod engine_report;
 mod jobs;
 mod ranks;
+
 mod reports;
 mod serve;
+mod work;
 
 use crate::{
     Context,
@@ -98,7 +101,7 @@
         tasks.spawn(serve::accept(shared.clone(), listener));
         tasks.spawn(reports::answer_subscribers(shared.clone()));
         tasks.spawn(reports::send(shared.clone()));
-        tasks.spawn(engine::poll(shared.clone()));
+        tasks.spawn(work::poll(shared.clone()));
         tasks.spawn(ranks::learn(shared.clone()));
         slog::info!(shared.context.log, "agent listens"; "tcp" => %tcp, "udp" => %udp,
             "incarnation" => shared.context.incarnation.0);
--- a/src/mastweir/agent/serve.rs
+++ b/src/mastweir/agent/serve.rs
@@ -3,8 +3,8 @@
 use super::{
     Shared,
     answer::{End, Item},
-    jobs::{self, Job},
-    ranks,
+    jobs::Job,
+    ranks, work,
 };
 use crate::net::{Channel, ChannelError, Receiver, Sender};
 use mastweir_core::wire::{BODY_MAX, FromAgent, Start, ToAgent};
@@ -103,7 +103,7 @@
             return channel.sender.send(&refused).await;
         }
     };
-    jobs::pump(shared);
+    work::pump(shared);
     let result = tokio::select! {
         result = write_answer(shared, &mut channel.sender, &job, from) => result,
         cancel = wait_cancel(&mut channel.receiver) => {
--- /dev/null
+++ b/src/mastweir/agent/work.rs
@@ -0,0 +1,43 @@
+//! Runs what waits in the engine beside, and asks that for its load.
+
+use super::{Shared, answer::End, engine, jobs::Job};
+use std::{sync::Arc, time::Duration};
+use tokio::time;
+
+/// How often the engine is asked for its load.
+const POLL: Duration = Duration::from_millis(500);
+/// Time for it to answer that.
+const POLL_TIME: Duration = Duration::from_secs(1);
+
+/// Asks the engine for its load, again and again.
+pub async fn poll(shared: Arc<Shared>) {
+    loop {
+        time::sleep(POLL).await;
+        shared.jobs.expire();
+        if let Some(report) = shared.engine.report(POLL_TIME).await {
+            shared.jobs.set_engine(report);
+        }
+    }
+}
+
+/// Runs a request in the engine, then lets the next one begin.
+async fn run(shared: Arc<Shared>, job: Arc<Job>) {
+    let begun = shared.context.clock.now();
+    let left = job.deadline.since(begun);
+    let end = tokio::select! {
+        end = time::timeout(left, engine::answer(&shared.engine, &job)) => end.unwrap_or(End::Broken),
+        () = job.answer.cancelled() => End::Broken,
+    };
+    let took = shared.context.clock.now().since(begun);
+    slog::debug!(shared.context.log, "request ended"; "request" => &job.start.request,
+        "end" => ?end, "took_ms" => took.as_millis());
+    shared.jobs.ended(&job, end, took);
+    pump(&shared);
+}
+
+/// Begins as many requests as there are free slots.
+pub fn pump(shared: &Arc<Shared>) {
+    while let Some(job) = shared.jobs.take_next() {
+        tokio::spawn(run(shared.clone(), job));
+    }
+}
--- a/src/mastweir/entry/calls.rs
+++ b/src/mastweir/entry/calls.rs
@@ -12,15 +12,16 @@
     decisions::Decision,
     keys::{self, Places},
     lock,
+    order::Order,
     problem::{Kind, Problem},
+    reply::Reply,
     view::Chosen,
 };
 use bytes::Bytes;
 use mastweir_core::{
     id::{Fence, OpId},
     outcome::{Action, Binding, Call, Event, Evidence, Outcome, Plan},
-    route::{Request, Signal},
-    table::Service,
+    route::Signal,
     time::Uptime,
     wire::Start,
 };
@@ -45,71 +46,6 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// A request that was read and let in.
-#[derive(Clone, Debug)]
-pub struct Order {
-    /// Its id.
-    pub id: String,
-    /// Name of its customer.
-    pub customer: String,
-    /// The customer's weight.
-    pub weight: f64,
-    /// Name of the service.
-    pub service_name: String,
-    /// The service's row.
-    pub service: Service,
-    /// HTTP method.
-    pub method: String,
-    /// Path and query at the server.
-    pub path: String,
-    /// Content type of the body.
-    pub content: Option<String>,
-    /// The body.
-    pub body: Vec<u8>,
-    /// Whether a stream is asked for.
-    pub streamed: bool,
-    /// Key of a call that may not be repeated.
-    pub key: Option<String>,
-    /// Units of the prompt.
-    pub prefill: u32,
-    /// Units estimated in all.
-    pub cost: u32,
-    /// Hash of the prompt's prefix.
-    pub prefix: Option<u64>,
-}
-
-impl Order {
-    /// What the router looks at.
-    pub fn routing<'a>(&self, tried: &'a [String]) -> Request<'a> {
-        Request { prefix: self.prefix, saves: self.prefill / 2, cost: self.cost, tried }
-    }
-}
-
-/// What the handler answers with.
-#[derive(Debug)]
-pub enum Reply {
-    /// All of it.
-    Whole {
-        /// HTTP status.
-        status: u16,
-        /// Content type.
-        content: Option<String>,
-        /// The body.
-        body: Vec<u8>,
-    },
-    /// A stream that has begun.
-    Stream {
-        /// HTTP status.
-        status: u16,
-        /// Content type.
-        content: Option<String>,
-        /// Its units.
-        units: mpsc::Receiver<Bytes>,
-    },
-    /// No answer.
-    Problem(Problem),
-}
-
 /// A call in progress.
 struct Driver {
     shared: Arc<Shared>,
--- a/src/mastweir/entry/fleet.rs
+++ b/src/mastweir/entry/fleet.rs
@@ -1,28 +1,15 @@
 //! Who is there: the instance list, heartbeats and reports.
 
-use super::{Shared, lock, table, usage};
-use crate::objects::{Collection, InstanceRole, InstanceSpec, InstanceState, WatchEvent, outage};
+use super::{Shared, heartbeat, lock, table, usage};
+use crate::objects::{Collection, InstanceSpec, InstanceState, WatchEvent, outage};
 use futures_util::StreamExt;
 use mastweir_core::{member::Heard, wire::Packet};
-use rand::{
-    Rng,
-    seq::{IndexedRandom, IteratorRandom},
-};
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    pin::pin,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use rand::Rng;
+use std::{collections::BTreeMap, pin::pin, sync::Arc, time::Duration};
 use tokio::time;
 
 /// Time between heartbeats.
 const BEAT: Duration = Duration::from_secs(1);
-/// Peers that a heartbeat goes to.
-const FANOUT: usize = 3;
-/// Members named in a heartbeat.
-const NAMED: usize = 6;
 /// Bytes a second that reports may take, and what one takes with its headers
 /// and its part of the subscription.
 const REPORT_BUDGET: u64 = 1_800;
@@ -81,23 +68,11 @@
         let jitter = lock(&shared.rng).random_range(0.9..1.1);
         time::sleep(BEAT.mul_f64(jitter)).await;
         lock(&shared.members).tick(shared.context.clock.now());
-        tell_some(shared.clone()).await;
+        heartbeat::tell_some(&shared).await;
         subscribe(&shared).await;
     }
 }
 
-/// Sends a heartbeat to some peers of the hall, and to one of another hall.
-pub async fn tell_some(shared: Arc<Shared>) {
-    let peers = pick_peers(&shared);
-    if peers.is_empty() {
-        return;
-    }
-    let packet = heartbeat(&shared);
-    for addr in peers {
-        shared.socket.send(addr, &packet).await;
-    }
-}
-
 async fn watch(shared: &Arc<Shared>) -> eyre::Result<()> {
     let platform = &shared.context.platform;
     let list = platform.list::<InstanceSpec>(Collection::Instances).await?;
@@ -144,28 +119,6 @@
     tokio::spawn(async move { table::fetch(&shared, addr).await });
 }
 
-fn pick_peers(shared: &Shared) -> Vec<SocketAddr> {
-    let view = lock(&shared.view);
-    let own = &shared.context;
-    let peers: Vec<_> =
-        view.of_role(InstanceRole::Entry).filter(|(name, _)| *name != own.name).collect();
-    let near: Vec<_> = peers.iter().filter(|(_, spec)| spec.hall == own.hall).collect();
-    let far = peers.iter().filter(|(_, spec)| spec.hall != own.hall);
-    let mut rng = lock(&shared.rng);
-    let mut addrs: Vec<SocketAddr> =
-        near.choose_multiple(&mut *rng, FANOUT).map(|(_, spec)| spec.udp).collect();
-    addrs.extend(far.choose(&mut *rng).map(|(_, spec)| spec.udp));
-    addrs
-}
-
-fn heartbeat(shared: &Shared) -> Packet {
-    let table = lock(&shared.table).digest();
-    let leaving = shared.leaving.load(Ordering::SeqCst);
-    let beat = shared.context.clock.now().0;
-    let heard = lock(&shared.members).sample(NAMED, &mut *lock(&shared.rng));
-    Packet::Heartbeat { table, beat, leaving, heard }
-}
-
 /// Asks all servers that are routed to for reports, as often as there is room
 /// for in the budget.
 async fn subscribe(shared: &Shared) {
--- a/src/mastweir/entry/http.rs
+++ b/src/mastweir/entry/http.rs
@@ -3,9 +3,10 @@
 use super::{
     Shared,
     admit::{self, Denied},
-    calls::{self, Order, Reply},
-    keys, lock, operator,
+    calls, keys, lock, operator,
+    order::Order,
     problem::{Kind, Problem},
+    reply::{Reply, bearer, json},
 };
 use bytes::Bytes;
 use futures_util::stream;
@@ -147,7 +148,7 @@
         if !self.shared.is_ready() {
             return Err((Kind::NotReady, Some(1)));
         }
-        if active(&self.shared) >= ACTIVE_MAX {
+        if self.shared.active.load(Ordering::SeqCst) >= ACTIVE_MAX {
             return Err((Kind::Overloaded, Some(1)));
         }
         let (customer, row) = self.authorize(request).ok_or((Kind::Unauthorized, None))?;
@@ -289,17 +290,6 @@
     }
 }
 
-/// The bearer key of a request.
-pub fn bearer<'r>(request: &'r Request<'_>) -> Option<&'r str> {
-    request.headers().get_one("authorization")?.strip_prefix("Bearer ")
-}
-
-/// A JSON answer.
-pub fn json<T: serde::Serialize>(value: &T) -> Reply {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    Reply::Whole { status: 200, content: Some("application/json".to_owned()), body }
-}
-
 fn request_id(shared: &Shared) -> String {
     format!("{}-{:016x}", shared.context.name, rand::rng().random::<u64>())
 }
@@ -363,8 +353,3 @@
         None => response.set_header(Header::new("content-type", content)),
     };
 }
-
-/// Requests that run at this entry.
-pub fn active(shared: &Shared) -> usize {
-    shared.active.load(Ordering::SeqCst)
-}
--- a/src/mastweir/entry/keys.rs
+++ b/src/mastweir/entry/keys.rs
@@ -5,7 +5,7 @@
 //! object API, created by the first submission). A plain key whose first
 //! submission can't be looked up is refused as unknown: it may have run.
 
-use super::{Shared, calls::Order, lock, problem::Kind, view::Chosen};
+use super::{Shared, lock, order::Order, problem::Kind, view::Chosen};
 use crate::objects::{Collection, KeySpec, Object, PlatformError};
 use mastweir_core::{
     id::OpId,
--- a/src/mastweir/entry/operator.rs
+++ b/src/mastweir/entry/operator.rs
@@ -1,11 +1,9 @@
 //! Towards operators: under `/-/`, with the operators' key.
 
 use super::{
-    Shared,
-    calls::Reply,
-    http::{bearer, json},
-    lock,
+    Shared, lock,
     problem::{Kind, Problem},
+    reply::{Reply, bearer, json},
     status,
 };
 use mastweir_core::{outcome::Outcome, switch::MapVersion, table::hash_key};
--- a/src/mastweir/entry/status.rs
+++ b/src/mastweir/entry/status.rs
@@ -1,6 +1,6 @@
 //! What an entry says of itself to operators.
 
-use super::{Shared, http, lock};
+use super::{Shared, lock};
 use crate::net::Traffic;
 use serde::{Deserialize, Serialize};
 use std::sync::atomic::Ordering;
@@ -111,7 +111,7 @@
         ready: shared.is_ready(),
         leaving: shared.leaving.load(Ordering::SeqCst),
         table,
-        active: http::active(shared),
+        active: shared.active.load(Ordering::SeqCst),
         alive,
         servers,
         shares,
--- a/src/mastweir/entry/table.rs
+++ b/src/mastweir/entry/table.rs
@@ -5,7 +5,7 @@
 //! lack. An entry that hears of nobody watches for itself. Whatever comes goes
 //! through [`Table`], where no version reverts.
 
-use super::{Shared, lock};
+use super::{Shared, heartbeat, lock};
 use crate::{
     net::{Channel, ChannelError},
     objects::{Collection, InstanceRole, Object, WatchEvent, outage},
@@ -245,7 +245,7 @@
     tokio::spawn(async move {
         time::sleep(GATHER).await;
         shared.telling.store(false, Ordering::SeqCst);
-        super::fleet::tell_some(shared).await;
+        heartbeat::tell_some(&shared).await;
     });
 }
 
