Send on what a section has answered when the next poll overtakes it

Cause: while a change is under way a coordinator polls each 40 ms, and a head gives a silent rank up after 70 ms: with one silent rank each poll replaced what the others of its section had answered to the one before, and nothing of ten ranks was heard until the change was over. Found by reading. Change: what is replaced is sent on; sums have one piece of code at heads and coordinator, and take counts at bounded places only. Measured: polls_that_overtake_a_silent_rank_lose_nothing_of_the_others, 20 of 20 answers heard in ten polls (2 without); foreign_counts_are_bounded. Only groups of more than 16 ranks have heads: small sites are as they were.

--- a/src/mastweir/sidecar/answers.rs
+++ b/src/mastweir/sidecar/answers.rs
@@ -11,6 +11,9 @@
 
 /// Readings that are kept: a poll refers to the one before.
 const READINGS: usize = 4;
+/// Counts that are taken in: 128 sets of 1,024 experts. What comes from elsewhere must not
+/// take more memory than that.
+const COUNTS_MAX: usize = 1 << 17;
 
 /// What requests had chosen at earlier polls.
 #[derive(Debug, Default)]
@@ -82,16 +85,57 @@
 
     /// Takes an answer in.
     pub fn add(&mut self, from: IpAddr, report: RankReport) {
-        let Counts { from: place, counts, last } = report.counts;
-        let end = place as usize + counts.len();
-        if self.sums.len() < end {
-            self.sums.resize(end, 0);
-        }
-        let sums = self.sums[place as usize..end].iter_mut();
-        sums.zip(counts).for_each(|(sum, count)| *sum = sum.saturating_add(count));
+        add_counts(&mut self.sums, &report.counts);
         self.ranks.extend(report.rank);
-        if last {
+        if report.counts.last {
             self.waiting.remove(&from);
         }
     }
 }
+
+/// The answers of a section that its head has not sent on.
+#[derive(Debug, Default)]
+pub struct Answers(Option<Gathering>);
+
+impl Answers {
+    /// Begins to gather for another poll. What had come for the one before is given back,
+    /// to be sent on: while a change is under way polls follow each other sooner than a
+    /// silent rank is given up, and nothing of its section was heard.
+    pub fn begin(&mut self, poll: Poll, waiting: HashSet<IpAddr>) -> Option<Gathering> {
+        self.0.replace(Gathering::new(poll, waiting))
+    }
+
+    /// Takes an answer in; the whole, if it was the last. Gives it back if it is for
+    /// nothing that is gathered.
+    pub fn add(
+        &mut self,
+        from: IpAddr,
+        report: RankReport,
+    ) -> Result<Option<Gathering>, RankReport> {
+        let fits =
+            |open: &&mut Gathering| open.is_for(report.round) && open.poll.group == report.group;
+        let Some(open) = self.0.as_mut().filter(fits) else { return Err(report) };
+        open.add(from, report);
+        let is_complete = open.is_complete();
+        Ok(if is_complete { self.0.take() } else { None })
+    }
+
+    /// What has come for a poll, complete or not; none if it was sent on.
+    pub fn end(&mut self, round: u64) -> Option<Gathering> {
+        self.0.take_if(|open| open.is_for(round))
+    }
+}
+
+/// Adds counts to sums, at their places.
+pub fn add_counts(sums: &mut Vec<u32>, counts: &Counts) {
+    let from = counts.from as usize;
+    let end = from + counts.counts.len();
+    if end > COUNTS_MAX {
+        return;
+    }
+    if sums.len() < end {
+        sums.resize(end, 0);
+    }
+    let places = sums[from..end].iter_mut();
+    places.zip(&counts.counts).for_each(|(sum, count)| *sum = sum.saturating_add(*count));
+}
--- a/src/mastweir/sidecar/known.rs
+++ b/src/mastweir/sidecar/known.rs
@@ -1,7 +1,7 @@
 //! What a coordinator knows of its group: its members, their states, and what their
 //! requests chose.
 
-use super::ranks::Ranks;
+use super::{answers::add_counts, ranks::Ranks};
 use crate::gateway::message::{Counts, GroupView, Message, RankBrief};
 use mastweir_core::{
     experts::recent::RecentDemand,
@@ -149,13 +149,7 @@
 
     fn add(&mut self, round: u64, counts: &Counts, now: Uptime) {
         let Some(sums) = self.sums.as_mut().filter(|_| round == self.counted) else { return };
-        let from = counts.from as usize;
-        let end = from + counts.counts.len();
-        if sums.counts.len() < end {
-            sums.counts.resize(end, 0);
-        }
-        let places = sums.counts[from..end].iter_mut();
-        places.zip(&counts.counts).for_each(|(sum, count)| *sum = sum.saturating_add(*count));
+        add_counts(&mut sums.counts, counts);
         if counts.last {
             sums.open = sums.open.saturating_sub(1);
         }
--- a/src/mastweir/sidecar/mod.rs
+++ b/src/mastweir/sidecar/mod.rs
@@ -7,7 +7,7 @@
 //! `coordinate` goes step by step, `orders` gives orders. What it decides is in
 //! [`mastweir_core::switch`] and [`mastweir_core::experts::layers`].
 
-mod answers;
+pub mod answers;
 mod carry;
 mod coordinate;
 mod find_map;
--- a/src/mastweir/sidecar/poll.rs
+++ b/src/mastweir/sidecar/poll.rs
@@ -28,6 +28,7 @@
 /// sets of 192 experts take 40 ms of its link, and a coordinator's next poll comes after
 /// 100 ms.
 const HEAD_WAITS: Duration = Duration::from_millis(70);
+
 /// Takes a poll in, and answers it.
 pub fn polled(sidecar: &Rc<Sidecar>, poll: Poll, from: IpAddr) {
     if !sidecar.heed(&poll) {
@@ -64,44 +65,31 @@
     passed_on.section.clear();
     let message = Message::Poll(passed_on.clone());
     poll.section.iter().for_each(|ip| sidecar.send(*ip, &message));
-    *sidecar.gathering.borrow_mut() = Some(Gathering::new(poll, waiting));
+    let before = sidecar.answers.borrow_mut().begin(poll, waiting);
+    before.into_iter().for_each(|before| send_on(&sidecar, &before));
     let own = read(&sidecar, &passed_on).await;
     own.into_iter().for_each(|report| sidecar.take_report(report, sidecar.ip));
     time::sleep(HEAD_WAITS).await;
-    let is_open = sidecar.gathering.borrow().as_ref().is_some_and(|open| open.is_for(round));
-    if is_open {
-        finish(&sidecar);
-    }
+    let rest = sidecar.answers.borrow_mut().end(round);
+    rest.into_iter().for_each(|rest| send_on(&sidecar, &rest));
 }
 
 impl Sidecar {
     /// A rank's answer to a poll: as the head of its section, or as its coordinator.
     pub fn take_report(&self, report: RankReport, from: IpAddr) {
-        let is_gathered = self
-            .gathering
-            .borrow()
-            .as_ref()
-            .is_some_and(|open| open.is_for(report.round) && open.poll.group == report.group);
-        if !is_gathered {
-            // A coordinator that is behind gets the next one.
-            let _ = self.reports.try_send(Message::Rank(report));
-            return;
-        }
-        let mut gathering = self.gathering.borrow_mut();
-        let Some(open) = gathering.as_mut() else { return };
-        open.add(from, report);
-        let is_complete = open.is_complete();
-        drop(gathering);
-        if is_complete {
-            finish(self);
+        match self.answers.borrow_mut().add(from, report) {
+            Ok(whole) => whole.into_iter().for_each(|whole| send_on(self, &whole)),
+            Err(report) => {
+                // A coordinator that is behind gets the next one.
+                let _ = self.reports.try_send(Message::Rank(report));
+            }
         }
     }
 }
 
 /// Sends a section's answers to the coordinator.
-fn finish(sidecar: &Sidecar) {
-    let Some(open) = sidecar.gathering.borrow_mut().take() else { return };
-    let Gathering { poll, ranks, sums, .. } = open;
+fn send_on(sidecar: &Sidecar, answers: &Gathering) {
+    let Gathering { poll, ranks, sums, .. } = answers;
     let report = |ranks: &[RankBrief], counts: Counts| {
         Message::Section(SectionReport {
             group: poll.group.clone(),
@@ -112,7 +100,7 @@
     };
     // States and sums have datagrams of their own: together they may not fit.
     let states = ranks.chunks(RANKS_SENT).map(|ranks| report(ranks, Counts::default()));
-    let sums = parts(&sums).into_iter().map(|counts| report(&[], counts));
+    let sums = parts(sums).into_iter().map(|counts| report(&[], counts));
     for message in states.chain(sums) {
         if poll.lead == sidecar.ip {
             // A coordinator that is behind gets the next one.
--- a/src/mastweir/sidecar/state.rs
+++ b/src/mastweir/sidecar/state.rs
@@ -2,7 +2,7 @@
 
 use super::{
     SidecarOptions,
-    answers::{Gathering, Readings},
+    answers::{Answers, Readings},
 };
 use crate::{
     gateway::message::{LeadSeen, Message, Poll},
@@ -84,7 +84,7 @@
     /// What requests had chosen at earlier polls.
     pub readings: RefCell<Readings>,
     /// The answers of the section, where this sidecar is its head.
-    pub gathering: RefCell<Option<Gathering>>,
+    pub answers: RefCell<Answers>,
     /// The group's maps.
     pub maps: RefCell<Maps>,
     /// Reports for this sidecar as the coordinator.
@@ -119,7 +119,7 @@
             heard: RefCell::default(),
             polled: Cell::default(),
             readings: RefCell::default(),
-            gathering: RefCell::default(),
+            answers: RefCell::default(),
             maps: RefCell::default(),
             reports,
             received: RefCell::new(Some(received)),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of mastweir, a file a feature.
 
+mod answers;
 mod cli;
 mod connections;
 mod deaf_watch;
