Name a section's place and a plan's work once

Cause: read as a newcomer: a section that is not there was the largest number, what a map has to carry was imported through two modules, and a method of what was heard stood with the datagrams. Change: an option, one path, and its own file. Behaviour is as it was.

--- a/crates/mastweir-bench/src/commands/plans.rs
+++ b/crates/mastweir-bench/src/commands/plans.rs
@@ -3,7 +3,10 @@
 use crate::report::{Metric, Report};
 use argh::FromArgs;
 use mastweir_core::{
-    experts::layers::{LayerPlanner, Planning, Work},
+    experts::{
+        Work,
+        layers::{LayerPlanner, Planning},
+    },
     switch::maps::dealt,
 };
 use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
--- a/crates/mastweir-core/src/experts/layers.rs
+++ b/crates/mastweir-core/src/experts/layers.rs
@@ -15,9 +15,10 @@
 //! parts ([`Planning::advance`]): a process that has a seventh of a core goes on with
 //! its heartbeats between them.
 
-pub use super::layer_set::Work;
-
-use super::layer_set::{self, Move, Room, Set, Step};
+use super::{
+    Work,
+    layer_set::{self, Move, Room, Set, Step},
+};
 use crate::switch::hold::GroupMap;
 
 /// Bounds and weights of plans.
--- a/crates/mastweir-core/src/experts/mod.rs
+++ b/crates/mastweir-core/src/experts/mod.rs
@@ -20,6 +20,7 @@
 mod scratch;
 
 pub use demand::Demand;
+pub use layer_set::Work;
 pub use placement::{Change, Placement, skew};
 pub use planner::{Decision, Planner, Verdict, Weighting};
 pub use scratch::scratch;
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -13,7 +13,8 @@
 };
 use mastweir_core::{
     experts::{
-        layers::{Planning, Work, mean_skew},
+        Work,
+        layers::{Planning, mean_skew},
         recent::RecentDemand,
     },
     switch::{
--- a/src/mastweir/sidecar/known.rs
+++ b/src/mastweir/sidecar/known.rs
@@ -164,12 +164,6 @@
         demand.add(sums.first * self.experts, &sums.counts, now);
     }
 
-    /// The section of a member, with its head first; itself alone if it has none.
-    pub fn section_of(&self, server: SocketAddr, sections: &[Section]) -> usize {
-        let holds = |section: &Section| section.contains(&server);
-        sections.iter().position(holds).unwrap_or(usize::MAX)
-    }
-
     /// Sections as they are now.
     pub fn sections(&self, now: Uptime) -> Vec<Section> {
         sections(&self.members, now)
--- a/src/mastweir/sidecar/orders.rs
+++ b/src/mastweir/sidecar/orders.rs
@@ -125,14 +125,14 @@
 ) -> Vec<(SocketAddr, Vec<Addressed>)> {
     let known = shared.known.borrow();
     let sections = known.sections(sidecar.clock.now());
-    let mut parts: BTreeMap<usize, Vec<Addressed>> = BTreeMap::new();
+    let mut parts: BTreeMap<Option<usize>, Vec<Addressed>> = BTreeMap::new();
     for order in orders {
-        let section = known.section_of(order.seen.server, &sections);
+        let section = sections.iter().position(|section| section.contains(&order.seen.server));
         parts.entry(section).or_default().push(order);
     }
-    let headed = |(at, part): (usize, Vec<Addressed>)| {
+    let headed = |(at, part): (Option<usize>, Vec<Addressed>)| {
         let heard = |head: &&SocketAddr| part.iter().any(|order| order.seen.server == **head);
-        let head = sections.get(at).and_then(|section| section.first()).filter(heard);
+        let head = at.and_then(|at| sections[at].first()).filter(heard);
         let head = head.copied().unwrap_or(part[0].seen.server);
         (head, part)
     };
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -1,9 +1,6 @@
 //! The server beside: its state, told to the hall's speakers, and datagrams for it.
 
-use super::{
-    poll,
-    state::{Heard, Sidecar},
-};
+use super::{poll, state::Sidecar};
 use crate::{
     gateway::message::{DATAGRAM_MAX, Greeting, Message, Report},
     platform::engine::EngineState,
@@ -127,10 +124,3 @@
     }
     greeting.lead.into_iter().for_each(|lead| sidecar.hear_of(lead));
 }
-
-impl Heard {
-    /// Whether it is the coordinator of that group.
-    pub fn leads(&self, group: &str) -> bool {
-        self.group == group
-    }
-}
--- a/src/mastweir/sidecar/state.rs
+++ b/src/mastweir/sidecar/state.rs
@@ -23,6 +23,7 @@
     cell::{Cell, RefCell},
     net::{IpAddr, SocketAddr},
     rc::Rc,
+    time::Duration,
 };
 use tokio::{
     net::UdpSocket,
@@ -48,6 +49,13 @@
     pub at: Uptime,
 }
 
+impl Heard {
+    /// Whether it is the coordinator of that group.
+    pub fn leads(&self, group: &str) -> bool {
+        self.group == group
+    }
+}
+
 /// A sidecar's state.
 #[derive(Debug)]
 pub struct Sidecar {
@@ -160,7 +168,7 @@
     /// Takes in what another says of the group's coordinator.
     pub fn hear_of(&self, seen: LeadSeen) {
         let now = self.clock.now();
-        let at = now - std::time::Duration::from_millis(u64::from(seen.age_ms));
+        let at = now - Duration::from_millis(u64::from(seen.age_ms));
         let mut heard = self.heard.borrow_mut();
         let newer = heard.as_ref().is_none_or(|heard| {
             heard.group != seen.group || (heard.token, heard.round) < (seen.token, seen.round)
--- a/tests/testsuite/plans.rs
+++ b/tests/testsuite/plans.rs
@@ -3,7 +3,8 @@
 use googletest::prelude::*;
 use mastweir_core::{
     experts::{
-        layers::{LayerPlanner, Planning, Work, mean_skew},
+        Work,
+        layers::{LayerPlanner, Planning, mean_skew},
         recent::RecentDemand,
     },
     time::Uptime,
