--- a/src/mastweir/sidecar/known.rs
+++ b/src/mastweir/sidecar/known.rs
@@ -53,10 +53,10 @@
 }
 
 impl Known {
-    /// Nothing known yet.
-    pub fn new() -> Self {
+    /// Nothing known yet, at a coordinator's start.
+    pub fn new(began: Uptime) -> Self {
         Self {
-            ranks: Ranks::new(),
+            ranks: Ranks::new(began),
             members: Members::new(),
             demand: None,
             round: 0,
--- a/src/mastweir/sidecar/lead.rs
+++ b/src/mastweir/sidecar/lead.rs
@@ -111,7 +111,7 @@
     let shared = Shared {
         group: group.to_owned(),
         token,
-        known: RefCell::new(Known::new()),
+        known: RefCell::new(Known::new(sidecar.clock.now())),
         busy: Cell::new(false),
         heard: Notify::new(),
     };
--- a/src/mastweir/sidecar/ranks.rs
+++ b/src/mastweir/sidecar/ranks.rs
@@ -20,6 +20,10 @@
 const STATE_LASTS: Duration = Duration::from_millis(700);
 /// Servers whose sidecars are silent are asked this often.
 const ASK_EVERY: Duration = Duration::from_millis(150);
+/// Behind its start a coordinator hears its ranks by its first polls. Before that all are
+/// silent: asked themselves, 95 of 96 got their orders past their sidecars, 2.4 MB of whole
+/// maps, behind which the polls waited until another took over.
+const ASK_FROM: Duration = Duration::from_millis(350);
 /// A load that was taken is not ordered again for this time: some ten experts.
 const LOAD_LASTS: Duration = Duration::from_millis(2_500);
 
@@ -63,6 +67,7 @@
 pub struct Ranks {
     seen: BTreeMap<u32, Seen>,
     loading: BTreeMap<u32, Load>,
+    began: Uptime,
     asked: Uptime,
     pending: HashSet<SocketAddr>,
     unanswering: HashSet<SocketAddr>,
@@ -71,12 +76,13 @@
 }
 
 impl Ranks {
-    /// Nothing known yet.
-    pub fn new() -> Self {
+    /// Nothing known yet, at a coordinator's start.
+    pub fn new(began: Uptime) -> Self {
         let (answers, answered) = mpsc::unbounded_channel();
         Self {
             seen: BTreeMap::new(),
             loading: BTreeMap::new(),
+            began,
             asked: Uptime::default(),
             pending: HashSet::new(),
             unanswering: HashSet::new(),
@@ -186,7 +192,7 @@
         members: impl Iterator<Item = &'a SocketAddr>,
     ) {
         let now = sidecar.clock.now();
-        if now.since(self.asked) < ASK_EVERY {
+        if now.since(self.began) < ASK_FROM || now.since(self.asked) < ASK_EVERY {
             return;
         }
         let heard: HashSet<SocketAddr> = self.fresh(now).map(|seen| seen.server).collect();
