Drop an answer nobody reads, and say who is greeted

Cause: read once more: whether a gateway was new was worked out at each hello and used nowhere; a comment still told of halls without any gateway. Change: the answer is gone, the comment names halls with too few speakers, an import stands with the others. Behaviour is as it was.

--- a/crates/mastweir-core/src/gateway/peers.rs
+++ b/crates/mastweir-core/src/gateway/peers.rs
@@ -126,8 +126,8 @@
         }
     }
 
-    /// One was heard. True if it was not known to live.
-    pub fn heard(&mut self, is: Named, said: Said, now: Uptime) -> bool {
+    /// One was heard.
+    pub fn heard(&mut self, is: Named, said: Said, now: Uptime) {
         let ip = is.ip;
         if said.follows || said.leaving {
             // One that leaves still serves: told no more, it would take all servers for
@@ -139,14 +139,12 @@
             self.in_halls.insert(is.hall.clone(), said.in_hall);
         }
         let peer = self.peers.entry(ip).or_insert_with(|| Peer::new(is.clone(), now));
-        let is_new = !peer.is_heard(now);
         peer.is = is;
         peer.heard = Some(now);
         peer.unanswered = None;
         peer.leaving = said.leaving;
         let others: u32 = self.in_halls.values().sum();
         self.most = self.most.max(said.in_all).max(others + self.in_hall(now));
-        is_new
     }
 
     /// One was named by another.
--- a/src/mastweir/gateway/relay.rs
+++ b/src/mastweir/gateway/relay.rs
@@ -120,7 +120,7 @@
     leads
 }
 
-/// Greets the sidecars of the hall, and those of halls where no gateway lives.
+/// Greets the sidecars of the hall, and those of halls with too few speakers of their own.
 fn greet(gateway: &Gateway, socket: &UdpSocket) {
     let now = gateway.clock.now();
     let Some(active) = gateway.active() else { return };
--- a/src/mastweir/sidecar/polling.rs
+++ b/src/mastweir/sidecar/polling.rs
@@ -10,7 +10,12 @@
     net::internal,
 };
 use slog::{info, warn};
-use std::{cell::RefCell, net::IpAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::IpAddr,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{
     sync::{Notify, mpsc},
     time::{self, Instant},
@@ -38,7 +43,7 @@
     /// What is known.
     pub known: RefCell<Known>,
     /// Whether a change is under way.
-    pub busy: std::cell::Cell<bool>,
+    pub busy: Cell<bool>,
     /// Wakes the coordinator: something was heard.
     pub heard: Notify,
 }
