Pass over objects that can't be read, and tell a server's lives apart

Cause: one entry of another writer made the list of servers, and each watch of it, fail as a whole: a gateway that started then was not ready, one that ran heard nothing more. And a server may start again under its id: what was kept of the life before (requests in flight, failures, loads under way, counts) stood against the new one. Change: platform/objects reads each object by itself from its raw text; what can't be read names nothing, is logged once a revision and counted (objects_unread_total). A lease that can't be read is nobody's, its epoch the store's revision, which no epoch passes. A report with a rank beyond its group's size is no rank's. born, where it is said, is kept with list, report, counts and rank, and compared for equality only; what ran in a life that is over is taken up elsewhere at once; late word of the life before is ignored. A datagram of loads holds 36, before 40. Late orders over a restart rest on the group's epoch, as before.

--- a/crates/mastweir-core/src/gateway/directory.rs
+++ b/crates/mastweir-core/src/gateway/directory.rs
@@ -15,11 +15,13 @@
     Leaving,
 }
 
-/// One life of a server.
+/// A server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
-    /// Names this life alone.
+    /// Its name, which it may keep over a restart.
     pub id: String,
+    /// Names this life of it; zero if it does not say.
+    pub born: u64,
     /// The service that it belongs to.
     pub service: String,
     /// Where it listens.
--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -32,6 +32,8 @@
 pub struct Candidate {
     /// Its id.
     pub id: String,
+    /// Its life; zero if that is not known.
+    pub born: u64,
     /// Where it listens.
     pub addr: SocketAddr,
     /// Its load at the choice, over its slots, in thousandths.
@@ -105,8 +107,10 @@
         if !self.roster.replace(directory, after_outage, now) {
             return false;
         }
-        for id in self.roster.directory().servers.keys() {
-            self.seen.entry(id.clone()).or_default().listed.get_or_insert(now);
+        for server in self.roster.directory().servers.values() {
+            let seen = self.seen.entry(server.id.clone()).or_default();
+            seen.listed.get_or_insert(now);
+            seen.enter(server.born);
         }
         self.forget_gone();
         true
@@ -133,7 +137,9 @@
     pub fn told_before(&mut self, id: &str, told: Told, age: Duration, now: Uptime) {
         if self.roster.server(id).is_some() {
             let seen = self.seen.entry(id.to_owned()).or_default();
-            seen.told_by_sidecar(told, now - age, now);
+            if seen.enter(told.born) {
+                seen.told_by_sidecar(told, now - age, now);
+            }
         }
     }
 
@@ -273,9 +279,10 @@
         seen.note_sent(now);
     }
 
-    /// A request ended there; `failed` if it got no whole answer.
-    pub fn ended(&mut self, id: &str, failed: bool, now: Uptime) {
-        let Some(seen) = self.seen.get_mut(id) else { return };
+    /// A request ended that was sent to one life of a server; `failed` if it got no whole
+    /// answer. Of a life that is over nothing is kept.
+    pub fn ended(&mut self, id: &str, born: u64, failed: bool, now: Uptime) {
+        let Some(seen) = self.seen.get_mut(id).filter(|seen| !seen.is_over(born)) else { return };
         seen.in_flight = seen.in_flight.saturating_sub(1);
         seen.note_ended(now);
         seen.failures = if failed { seen.failures + 1 } else { 0 };
@@ -325,12 +332,15 @@
         self.seen.values().map(|seen| seen.in_flight).sum()
     }
 
-    /// Whether a server can't be reached, as far as can be told: its sidecar has
-    /// fallen silent, or was never heard while most others of its service were. A
-    /// group that stands still is no reason to leave it: it goes on soon, and the
-    /// others can't carry its requests on top of theirs.
-    pub fn is_stuck(&self, id: &str, now: Uptime) -> bool {
+    /// Whether a life of a server can't be reached, as far as can be told: another has
+    /// begun, and what it ran is gone; its sidecar has fallen silent; or it was never heard
+    /// while most others of its service were. A group that stands still is no reason to
+    /// leave it: it goes on soon, and the others can't carry its requests on top of theirs.
+    pub fn is_stuck(&self, id: &str, born: u64, now: Uptime) -> bool {
         let Some(seen) = self.seen.get(id) else { return false };
+        if seen.is_over(born) {
+            return true;
+        }
         let ready = self.roster.server(id).map(|server| self.roster.ready(&server.service));
         let usual = ready.is_some_and(|ready| self.sidecars_usual(ready, now));
         seen.is_silent(usual, self.heard_until(seen, now), now)
@@ -384,9 +394,11 @@
     }
 
     fn candidate(&self, server: &Server, fit: Fit, now: Uptime) -> Candidate {
-        let told = self.seen.get(&server.id).and_then(|seen| seen.told.as_ref());
+        let seen = self.seen.get(&server.id);
+        let told = seen.and_then(|seen| seen.told.as_ref());
         Candidate {
             id: server.id.clone(),
+            born: seen.map_or(server.born, |seen| seen.born),
             addr: server.addr,
             load_milli: (fit.load * 1_000.0) as u32,
             report_age: told.map(|(at, _)| now.since(*at)),
--- a/crates/mastweir-core/src/gateway/seen.rs
+++ b/crates/mastweir-core/src/gateway/seen.rs
@@ -43,11 +43,17 @@
     /// Time that it takes for the same work over what is usual, in thousandths; zero
     /// if that is not known.
     pub pace_milli: u32,
+    /// Life of the server that it saw; zero if that does not say.
+    pub born: u64,
 }
 
 /// A server, as this gateway sees it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Seen {
+    /// Its life, and the one before, as far as the list or its sidecar named them. They
+    /// are no times here: two of them are the same life, or not.
+    pub(super) born: u64,
+    pub(super) former: u64,
     /// When the list first named it here.
     pub(super) listed: Option<Uptime>,
     /// Requests of this gateway there.
@@ -72,6 +78,28 @@
 }
 
 impl Seen {
+    /// The list, or a report, names the server's life. Behind a start all that was known
+    /// of the life before is gone with it. False for what tells of that one, late.
+    pub(super) fn enter(&mut self, born: u64) -> bool {
+        if born == 0 || born == self.born {
+            return true;
+        }
+        if born == self.former {
+            return false;
+        }
+        if self.born == 0 {
+            self.born = born;
+        } else {
+            *self = Self { born, former: self.born, listed: self.listed, ..Self::default() };
+        }
+        true
+    }
+
+    /// Whether a life is over: another has begun since.
+    pub(super) const fn is_over(&self, born: u64) -> bool {
+        born != 0 && born != self.born
+    }
+
     /// Takes in what its sidecar said at a time, unless something newer is known.
     pub(super) fn told_by_sidecar(&mut self, told: Told, at: Uptime, now: Uptime) {
         self.mentioned = now;
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -65,7 +65,8 @@
 impl Drop for Place {
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
-        self.gateway.fleet.borrow_mut().ended(&self.server.id, self.failed.get(), now);
+        let Candidate { id, born, .. } = &self.server;
+        self.gateway.fleet.borrow_mut().ended(id, *born, self.failed.get(), now);
     }
 }
 
@@ -161,7 +162,7 @@
         let pause = soon.map_or(STUCK_LOOK, |soon| soon.max(STUCK_LOOK_LEAST));
         time::sleep(pause.min(STUCK_LOOK)).await;
         let now = gateway.clock.now();
-        if gateway.fleet.borrow().is_stuck(&place.server.id, now) {
+        if gateway.fleet.borrow().is_stuck(&place.server.id, place.server.born, now) {
             return;
         }
     }
--- a/src/mastweir/gateway/follow.rs
+++ b/src/mastweir/gateway/follow.rs
@@ -8,7 +8,7 @@
 //! given up when the probes say so ([`Liveness`]).
 
 use crate::{
-    platform::store::{Changes, StoreError},
+    platform::{objects::Changes, store::StoreError},
     util::tally::Tally,
 };
 use mastweir_core::gateway::{Doubt, Liveness, Probe};
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -20,8 +20,8 @@
 pub const DATAGRAM_MAX: usize = 1_400;
 /// Counts in one datagram: they take one to three bytes each, beside a rank's state.
 pub const COUNTS_SENT: usize = 400;
-/// Servers' loads in one datagram: some 25 bytes each.
-pub const LOADS_SENT: usize = 40;
+/// Servers' loads in one datagram: some 33 bytes each.
+pub const LOADS_SENT: usize = 36;
 /// Ranks' states in one datagram: some 50 bytes each.
 pub const RANKS_SENT: usize = 20;
 
@@ -171,6 +171,8 @@
     pub load: u32,
     /// Time that it takes for the same work over what is usual, in thousandths.
     pub pace_milli: u32,
+    /// Life of the server; zero if that does not say.
+    pub born: u64,
     /// When it was read, on the sidecar's clock: datagrams overtake each other.
     pub read_at: Uptime,
 }
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod settings;
 mod state;
 mod stream;
+mod unread;
 mod watch;
 
 pub use listen::run;
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -3,8 +3,12 @@
 use super::{
     follow::{Source, follow},
     state::Gateway,
+    unread::Noted,
+};
+use crate::platform::{
+    objects::{Change, Changes, Listed, Unread},
+    store::StoreError,
 };
-use crate::platform::store::{Change, Changes, StoreError};
 use mastweir_core::gateway::{Config, Directory, Server};
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
@@ -15,7 +19,8 @@
 /// Follows the configuration, for ever, while this gateway watches the store.
 pub async fn config(gateway: Rc<Gateway>) {
     while_watching(&gateway, async || {
-        follow(&Configs(&gateway), &gateway.outages, &gateway.log, &gateway.tally).await;
+        let source = Configs { gateway: &gateway, noted: RefCell::default() };
+        follow(&source, &gateway.outages, &gateway.log, &gateway.tally).await;
     })
     .await;
 }
@@ -23,7 +28,8 @@
 /// Follows the servers, for ever, while this gateway watches the store.
 pub async fn servers(gateway: Rc<Gateway>) {
     while_watching(&gateway, async || {
-        let source = Servers { gateway: &gateway, listed: RefCell::default() };
+        let source =
+            Servers { gateway: &gateway, listed: RefCell::default(), noted: RefCell::default() };
         follow(&source, &gateway.outages, &gateway.log, &gateway.tally).await;
     })
     .await;
@@ -43,41 +49,61 @@
     }
 }
 
-struct Configs<'a>(&'a Rc<Gateway>);
+/// The configuration. One that can't be read leaves the one before in force.
+struct Configs<'a> {
+    gateway: &'a Rc<Gateway>,
+    noted: RefCell<Noted>,
+}
+
+impl Configs<'_> {
+    fn note(&self, unread: &Unread) {
+        let Gateway { log, tally, .. } = &**self.gateway;
+        self.noted.borrow_mut().note(Self::KIND, unread, log, tally);
+    }
+}
 
 impl Source for Configs<'_> {
-    type Item = Config;
+    type Item = Option<Config>;
 
     const KIND: &'static str = "config";
 
     async fn list(&self, _away: Duration) -> Result<u64, StoreError> {
-        let (config, revision) = self.0.store.config().await?;
-        config.into_iter().for_each(|config| self.0.adopt_config(config, "store"));
+        let Listed { items, unread, revision } = self.gateway.store.config().await?;
+        unread.iter().for_each(|unread| self.note(unread));
+        let configs = items.into_iter().flatten();
+        configs.for_each(|config| self.gateway.adopt_config(config, "store"));
         Ok(revision)
     }
 
-    async fn watch(&self, since: u64, wait: Duration) -> Result<Changes<Config>, StoreError> {
-        self.0.store.watch_config(since, wait).await
+    async fn watch(
+        &self,
+        since: u64,
+        wait: Duration,
+    ) -> Result<Changes<Option<Config>>, StoreError> {
+        self.gateway.store.watch_config(since, wait).await
     }
 
-    fn take(&self, changes: Changes<Config>, _away: Duration) {
+    fn take(&self, changes: Changes<Option<Config>>, _away: Duration) {
         for change in changes.changes {
-            if let Change::Is(config) = change {
-                self.0.adopt_config(config, "store");
+            match change {
+                Change::Is(Some(config)) => self.gateway.adopt_config(config, "store"),
+                Change::Is(None) | Change::Gone(_) => (),
+                Change::Unread(unread) => self.note(&unread),
             }
         }
     }
 
     async fn probe(&self, since: u64) -> Result<bool, StoreError> {
-        self.0.store.probe_config(since).await
+        self.gateway.store.probe_config(since).await
     }
 }
 
 /// The servers, with the list as the store has it: what a gateway keeps of lapsed ones
-/// is not in it.
+/// is not in it. An entry that can't be read names no server; the others hold.
 struct Servers<'a> {
     gateway: &'a Rc<Gateway>,
     listed: RefCell<Directory>,
+    noted: RefCell<Noted>,
 }
 
 impl Servers<'_> {
@@ -86,6 +112,11 @@
     fn may_lapse(&self, away: Duration) -> bool {
         away >= self.gateway.settings.borrow().bounds.heartbeat * LAPSE_HEARTBEATS
     }
+
+    fn note(&self, unread: &Unread) {
+        let Gateway { log, tally, .. } = &**self.gateway;
+        self.noted.borrow_mut().note(Self::KIND, unread, log, tally);
+    }
 }
 
 impl Source for Servers<'_> {
@@ -94,8 +125,10 @@
     const KIND: &'static str = "servers";
 
     async fn list(&self, away: Duration) -> Result<u64, StoreError> {
-        let directory = self.gateway.store.servers().await?;
-        let revision = directory.revision;
+        let Listed { items, unread, revision } = self.gateway.store.servers().await?;
+        unread.iter().for_each(|unread| self.note(unread));
+        let servers = items.into_iter().map(|server| (server.id.clone(), server)).collect();
+        let directory = Directory { revision, servers, ..Directory::default() };
         *self.listed.borrow_mut() = directory.clone();
         self.gateway.adopt_directory(directory, self.may_lapse(away), "store");
         Ok(revision)
@@ -115,6 +148,10 @@
             match change {
                 Change::Is(server) => listed.servers.insert(server.id.clone(), server),
                 Change::Gone(id) => listed.servers.remove(&id),
+                Change::Unread(unread) => {
+                    self.note(&unread);
+                    listed.servers.remove(&unread.name)
+                }
             };
         }
         self.gateway.adopt_directory(listed.clone(), self.may_lapse(away), "store");
--- a/src/mastweir/platform/config.rs
+++ b/src/mastweir/platform/config.rs
@@ -4,10 +4,10 @@
 use serde::Deserialize;
 use std::collections::HashMap;
 
-/// Kind of the object in the store, and its name.
+/// Kind of the object in the store.
 pub const KIND: &str = "config";
-/// The one object of that kind.
-pub const NAME: &str = "main";
+/// The one object of that kind that is the configuration.
+const NAME: &str = "main";
 
 #[derive(Debug, Deserialize)]
 struct Desired {
@@ -105,25 +105,28 @@
     idle_timeout_ms: Option<u64>,
 }
 
-/// Reads a configuration from the body of its object.
+/// Reads a configuration from its object's name and body; none if the object is another.
 ///
 /// # Errors
 ///
 /// It is not in the format of the pages.
-pub fn read(spec: serde_json::Value) -> serde_json::Result<Config> {
-    let desired: Desired = serde_json::from_value(spec)?;
+pub fn read(name: &str, _changed: u64, spec: &str) -> serde_json::Result<Option<Config>> {
+    if name != NAME {
+        return Ok(None);
+    }
+    let desired: Desired = serde_json::from_str(spec)?;
     let keys = |tenants: Vec<Tenant>| -> HashMap<String, String> {
         let pair =
             |tenant: Tenant| tenant.api_keys.into_iter().map(move |key| (key, tenant.name.clone()));
         tenants.into_iter().flat_map(pair).collect()
     };
-    Ok(Config {
+    Ok(Some(Config {
         version: desired.version,
         routes: desired.routes.into_iter().map(route).collect(),
         services: desired.services.into_iter().map(service).collect(),
         customers: desired.tenants.map(keys),
         limits: limits(&desired.limits),
-    })
+    }))
 }
 
 fn route(route: DesiredRoute) -> Route {
--- a/src/mastweir/platform/engine.rs
+++ b/src/mastweir/platform/engine.rs
@@ -20,6 +20,10 @@
 /// A report is small; counts and maps of 12 sets of 128 experts are some 20 KB.
 const ANSWER_BYTES_MAX: usize = 1 << 20;
 
+/// Ranks of a group at most, eight times those of the largest that is planned for. A report
+/// that tells of more is not taken for a rank's: what is kept grows with that number.
+const RANKS_MAX: u32 = 4_096;
+
 /// Why a call to a model server failed.
 #[derive(Debug, thiserror::Error)]
 pub enum EngineError {
@@ -39,6 +43,8 @@
 
 #[derive(Debug, Deserialize)]
 struct FileReport {
+    /// Names the server's life; no time to reckon with.
+    born: Option<u64>,
     #[serde(default)]
     busy: bool,
     #[serde(default)]
@@ -83,6 +89,7 @@
 
 #[derive(Debug, Deserialize)]
 struct Counts {
+    born: Option<u64>,
     #[serde(default)]
     step: u64,
     #[serde(default)]
@@ -145,6 +152,8 @@
 /// State of a server, with its rank's if it has one.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineState {
+    /// Its life; zero if it does not say.
+    pub born: u64,
     /// Requests that run.
     pub running: u32,
     /// Requests that wait.
@@ -162,6 +171,8 @@
 /// What requests chose, since the server's start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choices {
+    /// The server's life; zero if it does not say.
+    pub born: u64,
     /// The group's epoch.
     pub epoch: u64,
     /// The last pass begun.
@@ -202,7 +213,9 @@
     pub async fn choices(&self) -> Result<Choices, EngineError> {
         let body = self.get("/picked").await?;
         let read: Counts = serde_json::from_slice(&body)?;
-        Ok(Choices { epoch: read.epoch, pass: read.step, counts: read.counts.0 })
+        let Counts { born, step, epoch, counts } = read;
+        let born = born.unwrap_or_default();
+        Ok(Choices { born, epoch, pass: step, counts: counts.0 })
     }
 
     /// The map in force at its rank: version, and experts by set.
@@ -291,9 +304,10 @@
 }
 
 fn state(report: FileReport) -> EngineState {
-    let memory = (report.kv_used * 1_000).checked_div(report.kv_total).unwrap_or(0);
+    let memory = report.kv_used.saturating_mul(1_000).checked_div(report.kv_total).unwrap_or(0);
     let size = report.size;
-    let rank = report.group.as_ref().map(|group| RankState {
+    let group = report.group.as_ref().filter(|group| group.rank < size && size <= RANKS_MAX);
+    let rank = group.map(|group| RankState {
         epoch: group.epoch,
         rank: group.rank,
         size,
@@ -307,6 +321,7 @@
         paused: number(&report.held, "step"),
     });
     EngineState {
+        born: report.born.unwrap_or_default(),
         running: report.running,
         waiting: report.queued,
         memory_milli: u32::try_from(memory).unwrap_or(u32::MAX),
--- a/src/mastweir/platform/mod.rs
+++ b/src/mastweir/platform/mod.rs
@@ -7,12 +7,14 @@
 //! - [`settings`]: the file that tells a process where it runs;
 //! - [`headers`]: what requests and answers carry;
 //! - [`config`] and [`servers`]: objects of the store, read into our types;
+//! - [`objects`]: objects of the store, each read by itself;
 //! - [`store`]: calls to the store;
 //! - [`engine`]: calls to a model server.
 
 pub mod config;
 pub mod engine;
 pub mod headers;
+pub mod objects;
 pub mod servers;
 pub mod settings;
 pub mod store;
--- /dev/null
+++ b/src/mastweir/platform/objects.rs
@@ -0,0 +1,205 @@
+//! Objects of the store, as lists and watches bring them.
+//!
+//! Each object is read by itself. One that another writer left in a form that is not that
+//! of the pages is named as [`Unread`], and the others hold. Only an answer whose frame
+//! can't be read fails as a whole.
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+/// Longest reason that is kept of why an object can't be read, in bytes: it may quote
+/// what another writer put there.
+const REASON_MAX: usize = 200;
+
+/// An object that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unread {
+    /// Its name; empty if not even that can be read.
+    pub name: String,
+    /// Revision of its last change; zero if it can't be read.
+    pub revision: u64,
+    /// Why.
+    pub reason: String,
+}
+
+impl Unread {
+    fn new(meta: Meta, error: &serde_json::Error) -> Self {
+        let Meta { name, revision } = meta;
+        Self { name, revision, reason: error.to_string().chars().take(REASON_MAX).collect() }
+    }
+}
+
+/// Objects of a kind.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed<T> {
+    /// Those that can be read.
+    pub items: Vec<T>,
+    /// The others.
+    pub unread: Vec<Unread>,
+    /// The store's revision.
+    pub revision: u64,
+}
+
+/// A change of one object.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change<T> {
+    /// It is like this now.
+    Is(T),
+    /// The object of that name is gone.
+    Gone(String),
+    /// It can't be read any more, and names nothing.
+    Unread(Unread),
+}
+
+/// Changes of a kind, up to a revision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Changes<T> {
+    /// In order.
+    pub changes: Vec<Change<T>>,
+    /// Where to go on.
+    pub revision: u64,
+}
+
+/// Reads an object's body, given its name and the revision of its last change.
+pub type Read<T> = fn(&str, u64, &str) -> serde_json::Result<T>;
+
+/// What names an object.
+#[derive(Debug, Default, Deserialize)]
+pub(super) struct Meta {
+    #[serde(default)]
+    pub(super) name: String,
+    #[serde(default)]
+    pub(super) revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Object<'a> {
+    #[serde(borrow)]
+    metadata: Option<&'a RawValue>,
+    #[serde(borrow)]
+    spec: Option<&'a RawValue>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Page<'a> {
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
+    #[serde(default)]
+    has_more: bool,
+    /// A revision of the store, not a time.
+    timestamp: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Watched<'a> {
+    #[serde(borrow)]
+    events: Vec<&'a RawValue>,
+    /// A revision of the store, not a time.
+    timestamp: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Event<'a> {
+    #[serde(default)]
+    deleted: bool,
+    #[serde(borrow)]
+    object: &'a RawValue,
+}
+
+/// One page of a list, and the name behind which the next one begins.
+#[derive(Debug)]
+pub struct ReadPage<T> {
+    /// The page.
+    pub listed: Listed<T>,
+    /// Where the next page begins; none if this is the last.
+    pub next: Option<String>,
+}
+
+/// Reads a page of a list.
+///
+/// # Errors
+///
+/// The answer as a whole is not in the format of the pages.
+pub fn read_page<T>(body: &[u8], read: Read<T>) -> serde_json::Result<ReadPage<T>> {
+    let text = String::from_utf8_lossy(body);
+    let page: Page<'_> = serde_json::from_str(&text)?;
+    let mut listed = Listed { items: Vec::new(), unread: Vec::new(), revision: page.timestamp };
+    let mut last = None;
+    for item in page.items {
+        let name = match read_object(item, read) {
+            Ok((name, item)) => {
+                listed.items.push(item);
+                name
+            }
+            Err(unread) => {
+                let name = unread.name.clone();
+                listed.unread.push(unread);
+                name
+            }
+        };
+        last = Some(name).filter(|name| !name.is_empty()).or(last);
+    }
+    let next = last.filter(|_| page.has_more);
+    Ok(ReadPage { listed, next })
+}
+
+/// Reads what a watch brought.
+///
+/// # Errors
+///
+/// The answer as a whole is not in the format of the pages.
+pub fn read_changes<T>(body: &[u8], read: Read<T>) -> serde_json::Result<Changes<T>> {
+    let text = String::from_utf8_lossy(body);
+    let watched: Watched<'_> = serde_json::from_str(&text)?;
+    let changes = watched.events.into_iter().map(|event| read_event(event, read)).collect();
+    Ok(Changes { changes, revision: watched.timestamp })
+}
+
+/// Reads a single object: what it holds, or that it can't be read.
+///
+/// # Errors
+///
+/// The answer as a whole is no JSON.
+pub fn read_one<T>(body: &[u8], read: Read<T>) -> serde_json::Result<Result<T, Unread>> {
+    let text = String::from_utf8_lossy(body);
+    let object: &RawValue = serde_json::from_str(&text)?;
+    Ok(read_object(object, read).map(|(_, item)| item))
+}
+
+fn read_event<T>(event: &RawValue, read: Read<T>) -> Change<T> {
+    let event: Event<'_> = match serde_json::from_str(event.get()) {
+        Ok(event) => event,
+        Err(error) => return Change::Unread(Unread::new(Meta::default(), &error)),
+    };
+    if event.deleted {
+        return match read_meta(event.object) {
+            Ok((meta, _)) => Change::Gone(meta.name),
+            Err(unread) => Change::Unread(unread),
+        };
+    }
+    match read_object(event.object, read) {
+        Ok((_, item)) => Change::Is(item),
+        Err(unread) => Change::Unread(unread),
+    }
+}
+
+fn read_object<T>(object: &RawValue, read: Read<T>) -> Result<(String, T), Unread> {
+    let (meta, spec) = read_meta(object)?;
+    match read(&meta.name, meta.revision, spec) {
+        Ok(item) => Ok((meta.name, item)),
+        Err(error) => Err(Unread::new(meta, &error)),
+    }
+}
+
+/// What names an object, and its body.
+fn read_meta(object: &RawValue) -> Result<(Meta, &str), Unread> {
+    let unnamed = |error| Unread::new(Meta::default(), &error);
+    let object: Object<'_> = serde_json::from_str(object.get()).map_err(unnamed)?;
+    let meta = object.metadata.map_or("null", RawValue::get);
+    let meta: Meta = serde_json::from_str(meta).map_err(unnamed)?;
+    if meta.name.is_empty() {
+        let error = serde::de::Error::missing_field("name");
+        return Err(unnamed(error));
+    }
+    Ok((meta, object.spec.map_or("null", RawValue::get)))
+}
--- a/src/mastweir/platform/servers.rs
+++ b/src/mastweir/platform/servers.rs
@@ -15,6 +15,9 @@
     #[serde(default)]
     slots: u32,
     state: String,
+    /// Names its life: the start's time of day, which is compared for equality only.
+    /// Installations whose servers never start again under one id may leave it out.
+    born: Option<u64>,
 }
 
 /// Reads a server from its object's name, the revision of its last change, and its
@@ -23,8 +26,8 @@
 /// # Errors
 ///
 /// It is not in the format of the pages.
-pub fn read(name: &str, changed: u64, spec: serde_json::Value) -> serde_json::Result<Server> {
-    let entry: Entry = serde_json::from_value(spec)?;
+pub fn read(name: &str, changed: u64, spec: &str) -> serde_json::Result<Server> {
+    let entry: Entry = serde_json::from_str(spec)?;
     // Any word but the one for ready may mean that it is leaving.
     let ready = entry.state == "ready";
     Ok(Server {
@@ -34,6 +37,7 @@
         hall: entry.zone,
         slots: entry.slots,
         state: if ready { ServerState::Ready } else { ServerState::Leaving },
+        born: entry.born.unwrap_or_default(),
         changed,
     })
 }
--- a/src/mastweir/platform/store.rs
+++ b/src/mastweir/platform/store.rs
@@ -4,12 +4,16 @@
 //! got no answer may have been carried out, or may be later: the connection it
 //! used is closed, and callers read back before they try again.
 
-use super::{config, servers};
+use super::{
+    config,
+    objects::{self, Changes, Listed, Read, ReadPage, Unread},
+    servers,
+};
 use crate::net::http::{CallError, Pool};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, header};
-use mastweir_core::gateway::{Config, Directory, PROBE_LASTS, Server};
+use mastweir_core::gateway::{Config, PROBE_LASTS, Server};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -47,24 +51,6 @@
     Malformed(#[from] serde_json::Error),
 }
 
-/// A change of one object.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Change<T> {
-    /// It is like this now.
-    Is(T),
-    /// The object of that name is gone.
-    Gone(String),
-}
-
-/// Changes of a kind, up to a revision.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Changes<T> {
-    /// In order.
-    pub changes: Vec<Change<T>>,
-    /// Where to go on.
-    pub revision: u64,
-}
-
 /// A lease, as it lies in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredLease {
@@ -76,49 +62,17 @@
     pub revision: u64,
 }
 
-#[derive(Debug, Deserialize)]
-struct Meta {
-    name: String,
-    #[serde(default)]
-    revision: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct Object {
-    metadata: Meta,
-    #[serde(default)]
-    spec: Value,
-}
-
-#[derive(Debug, Deserialize)]
-struct List {
-    items: Vec<Object>,
-    #[serde(default)]
-    has_more: bool,
-    /// A revision of the store, not a time.
-    timestamp: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct Event {
-    #[serde(default)]
-    deleted: bool,
-    object: Object,
-}
-
-#[derive(Debug, Deserialize)]
-struct Watched {
-    events: Vec<Event>,
-    /// A revision of the store, not a time.
-    timestamp: u64,
-}
-
 #[derive(Debug, Serialize, Deserialize)]
 struct LeaseSpec {
     epoch: u64,
     holder: String,
 }
 
+fn read_lease(_name: &str, revision: u64, spec: &str) -> serde_json::Result<StoredLease> {
+    let LeaseSpec { epoch, holder } = serde_json::from_str(spec)?;
+    Ok(StoredLease { epoch, holder, revision })
+}
+
 /// The store.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -132,16 +86,13 @@
         Self { addr, pool }
     }
 
-    /// The configuration, and the revision to watch from.
+    /// The configuration, among the objects of its kind.
     ///
     /// # Errors
     ///
     /// See [`StoreError`].
-    pub async fn config(&self) -> Result<(Option<Config>, u64), StoreError> {
-        let (items, revision) = self.list(config::KIND).await?;
-        let main = items.into_iter().find(|object| object.metadata.name == config::NAME);
-        let read = main.map(|object| config::read(object.spec)).transpose()?;
-        Ok((read, revision))
+    pub async fn config(&self) -> Result<Listed<Option<Config>>, StoreError> {
+        self.list(config::KIND, config::read).await
     }
 
     /// Configurations written since a revision.
@@ -153,14 +104,8 @@
         &self,
         since: u64,
         wait: Duration,
-    ) -> Result<Changes<Config>, StoreError> {
-        let watched = self.watch(config::KIND, since, wait).await?;
-        let main = watched
-            .events
-            .into_iter()
-            .filter(|event| !event.deleted && event.object.metadata.name == config::NAME);
-        let changes = main.map(|event| config::read(event.object.spec).map(Change::Is));
-        Ok(Changes { changes: changes.collect::<Result<_, _>>()?, revision: watched.timestamp })
+    ) -> Result<Changes<Option<Config>>, StoreError> {
+        self.watch(config::KIND, since, wait, config::read).await
     }
 
     /// All servers.
@@ -168,15 +113,8 @@
     /// # Errors
     ///
     /// See [`StoreError`].
-    pub async fn servers(&self) -> Result<Directory, StoreError> {
-        let (items, revision) = self.list(servers::KIND).await?;
-        let read = |object: Object| {
-            let Meta { name, revision } = object.metadata;
-            let server = servers::read(&name, revision, object.spec)?;
-            Ok((server.id.clone(), server))
-        };
-        let servers = items.into_iter().map(read).collect::<Result<_, serde_json::Error>>()?;
-        Ok(Directory { revision, servers, ..Directory::default() })
+    pub async fn servers(&self) -> Result<Listed<Server>, StoreError> {
+        self.list(servers::KIND, servers::read).await
     }
 
     /// Servers that changed since a revision.
@@ -189,19 +127,12 @@
         since: u64,
         wait: Duration,
     ) -> Result<Changes<Server>, StoreError> {
-        let watched = self.watch(servers::KIND, since, wait).await?;
-        let change = |event: Event| {
-            let Meta { name, revision } = event.object.metadata;
-            if event.deleted {
-                return Ok(Change::Gone(name));
-            }
-            servers::read(&name, revision, event.object.spec).map(Change::Is)
-        };
-        let changes = watched.events.into_iter().map(change);
-        Ok(Changes { changes: changes.collect::<Result<_, _>>()?, revision: watched.timestamp })
+        self.watch(servers::KIND, since, wait, servers::read).await
     }
 
-    /// A lease, if it was ever taken.
+    /// A lease, if it was ever taken. One that can't be read is nobody's, and its epoch
+    /// is taken for the store's revision at its last change: each time it is taken its
+    /// epoch rises by one and that revision by one at least, so it was never higher.
     ///
     /// # Errors
     ///
@@ -213,10 +144,12 @@
             Err(StoreError::Refused { status: 404 }) => return Ok(None),
             other => other?,
         };
-        let object: Object = serde_json::from_slice(&body)?;
-        let spec: LeaseSpec = serde_json::from_value(object.spec)?;
-        let revision = object.metadata.revision;
-        Ok(Some(StoredLease { epoch: spec.epoch, holder: spec.holder, revision }))
+        let lease = objects::read_one(&body, read_lease)?;
+        Ok(Some(lease.unwrap_or_else(|Unread { revision, .. }| StoredLease {
+            epoch: revision,
+            holder: String::new(),
+            revision,
+        })))
     }
 
     /// Takes a lease over, under the condition that it is as it was read.
@@ -266,34 +199,48 @@
     async fn probe(&self, kind: &str, since: u64) -> Result<bool, StoreError> {
         let path = format!("/objects/{kind}?watch={since}&wait_ms=0&stale_ok=1");
         let body = self.call(Method::GET, &path, None, PROBE_LASTS).await?;
-        let watched: Watched = serde_json::from_slice(&body)?;
-        Ok(!watched.events.is_empty())
+        let unread: Read<()> = |_, _, _| Ok(());
+        Ok(!objects::read_changes(&body, unread)?.changes.is_empty())
     }
 
-    async fn list(&self, kind: &str) -> Result<(Vec<Object>, u64), StoreError> {
-        let mut items: Vec<Object> = Vec::new();
-        let mut revision = None;
+    async fn list<T>(&self, kind: &str, read: Read<T>) -> Result<Listed<T>, StoreError> {
+        let mut all: Option<Listed<T>> = None;
+        let mut query = String::new();
         loop {
-            let after = items.last().map(|object| object.metadata.name.as_str());
-            let query = after.map_or_else(String::new, |name| format!("?after_rev={name}"));
             let path = format!("/objects/{kind}{query}");
             let body = self.call(Method::GET, &path, None, CALL_LASTS).await?;
-            let list: List = serde_json::from_slice(&body)?;
+            let ReadPage { listed, next } = objects::read_page(&body, read)?;
             // Changes made between two pages are seen again by the watch that
             // begins at the first page's revision.
-            let first = *revision.get_or_insert(list.timestamp);
-            let empty = list.items.is_empty();
-            items.extend(list.items);
-            if !list.has_more || empty {
-                return Ok((items, first));
+            let all = match &mut all {
+                None => all.insert(listed),
+                Some(all) => {
+                    all.items.extend(listed.items);
+                    all.unread.extend(listed.unread);
+                    all
+                }
+            };
+            match next {
+                Some(name) => query = format!("?after_rev={name}"),
+                None => {
+                    let Listed { items, unread, revision } = all;
+                    let (items, unread) = (std::mem::take(items), std::mem::take(unread));
+                    return Ok(Listed { items, unread, revision: *revision });
+                }
             }
         }
     }
 
-    async fn watch(&self, kind: &str, since: u64, wait: Duration) -> Result<Watched, StoreError> {
+    async fn watch<T>(
+        &self,
+        kind: &str,
+        since: u64,
+        wait: Duration,
+        read: Read<T>,
+    ) -> Result<Changes<T>, StoreError> {
         let path = format!("/objects/{kind}?watch={since}&wait_ms={}", wait.as_millis());
         let body = self.call(Method::GET, &path, None, wait + WATCH_SLACK).await?;
-        Ok(serde_json::from_slice(&body)?)
+        Ok(objects::read_changes(&body, read)?)
     }
 
     async fn call(
--- a/src/mastweir/sidecar/answers.rs
+++ b/src/mastweir/sidecar/answers.rs
@@ -31,7 +31,8 @@
         }
         let before = self.readings.iter().find(|(round, _)| *round == poll.since);
         let same = |(_, before): &&(u64, Choices)| {
-            before.epoch == now.epoch && before.counts.len() == now.counts.len()
+            let (a, b) = (before, &now);
+            (a.born, a.epoch, a.counts.len()) == (b.born, b.epoch, b.counts.len())
         };
         let counts = before.filter(same).map(|(_, before)| chosen(poll, before, &now, sets));
         self.readings.push_back((poll.round, now));
--- a/src/mastweir/sidecar/coordinate.rs
+++ b/src/mastweir/sidecar/coordinate.rs
@@ -294,8 +294,7 @@
             }
             let read_at = seen.read_at.map(|_| reply.read_at);
             if let Some(state) = reply.state {
-                let (load, pace_milli) = (seen.load, seen.pace_milli);
-                ranks.note(Seen { server, at: now, read_at, state, load, pace_milli });
+                ranks.note(Seen { at: now, read_at, state, ..seen.clone() });
             }
         }
     }
--- a/src/mastweir/sidecar/mod.rs
+++ b/src/mastweir/sidecar/mod.rs
@@ -18,7 +18,7 @@
 mod poll;
 mod polling;
 mod rank;
-mod ranks;
+pub mod ranks;
 mod state;
 
 use crate::{gateway::settings::Settings, net::internal};
--- a/src/mastweir/sidecar/poll.rs
+++ b/src/mastweir/sidecar/poll.rs
@@ -158,6 +158,7 @@
         state: rank,
         load: state.running + state.waiting,
         pace_milli: state.pace_milli,
+        born: state.born,
         read_at,
     })
 }
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -47,6 +47,11 @@
 
 fn seen(sidecar: &Sidecar, state: EngineState, passes: &mut Passes) {
     let now = sidecar.clock.now();
+    let before = sidecar.state.borrow().as_ref().map(|before| before.born);
+    if before.is_some_and(|before| before != state.born) {
+        info!(sidecar.log, "model server started again"; "born" => state.born, "before" => before);
+        *passes = Passes::default();
+    }
     if let Some(rank) = &state.rank {
         sidecar.maps.borrow_mut().enter(rank.epoch);
     }
@@ -83,6 +88,7 @@
         pass: rank.map_or(0, |rank| rank.pass),
         pass_ms: passes.mean_ms() as u32,
         pace_milli: state.pace_milli,
+        born: state.born,
     };
     let lead = sidecar.lead_seen();
     let report = Message::Report(Report { server: sidecar.server, told, lead });
--- a/src/mastweir/sidecar/ranks.rs
+++ b/src/mastweir/sidecar/ranks.rs
@@ -40,6 +40,8 @@
     pub load: u32,
     /// Time that it takes for the same work over what is usual, in thousandths.
     pub pace_milli: u32,
+    /// Life of its server; zero if that is not known.
+    pub born: u64,
     /// When its sidecar read it, on its own clock; none if that is silent and the
     /// server was asked itself.
     pub read_at: Option<Uptime>,
@@ -52,6 +54,7 @@
     at: Uptime,
     state: Option<RankState>,
     pace_milli: u32,
+    born: u64,
 }
 
 /// The last load that a rank has begun.
@@ -133,6 +136,7 @@
             state: brief.state,
             load: brief.load,
             pace_milli: brief.pace_milli,
+            born: brief.born,
         });
     }
 
@@ -153,6 +157,11 @@
             lapsed || seen.state.epoch > before.state.epoch || later
         });
         if newer {
+            let before = self.seen.get(&seen.state.rank).map_or(0, |before| before.born);
+            if before != 0 && before != seen.born {
+                // What the life before was loading is gone with it.
+                self.loading.remove(&seen.state.rank);
+            }
             self.seen.insert(seen.state.rank, seen);
         }
     }
@@ -216,7 +225,7 @@
 
     /// Takes such an answer in.
     pub fn take_answer(&mut self, sidecar: &Sidecar, asked: Asked) {
-        let Asked { server, at, state, pace_milli } = asked;
+        let Asked { server, at, state, pace_milli, born } = asked;
         self.pending.remove(&server);
         let lost = state.is_none();
         let changed =
@@ -227,7 +236,7 @@
         }
         let Some(state) = state else { return };
         let load = self.seen.get(&state.rank).map_or(0, |seen| seen.load);
-        self.note(Seen { server, at, read_at: None, state, load, pace_milli });
+        self.note(Seen { server, at, read_at: None, state, load, pace_milli, born });
     }
 }
 
@@ -244,6 +253,7 @@
     let state = state.filter(|state| state.group.as_deref() == Some(&group));
     // The coordinator may have ended meanwhile.
     let pace_milli = state.as_ref().map_or(1_000, |state| state.pace_milli);
+    let born = state.as_ref().map_or(0, |state| state.born);
     let state = state.and_then(|state| state.rank);
-    let _ = answers.send(Asked { server, at, state, pace_milli });
+    let _ = answers.send(Asked { server, at, state, pace_milli, born });
 }
--- a/tests/testsuite/answers.rs
+++ b/tests/testsuite/answers.rs
@@ -30,6 +30,7 @@
         server: SocketAddr::new(ip(number), 80),
         state,
         load: 1,
+        born: 0,
         pace_milli: 1_000,
         read_at: Uptime::default(),
     };
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -8,9 +8,10 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use std::{collections::BTreeMap, time::Duration};
 
-fn server(id: &str, state: ServerState) -> (String, Server) {
+pub fn server(id: &str, state: ServerState) -> (String, Server) {
     let server = Server {
         id: id.to_owned(),
+        born: 0,
         service: "s".to_owned(),
         addr: ([10, 0, 0, 1], 80).into(),
         hall: "here".to_owned(),
@@ -21,7 +22,7 @@
     (id.to_owned(), server)
 }
 
-fn listed(revision: u64, servers: BTreeMap<String, Server>) -> Directory {
+pub fn listed(revision: u64, servers: BTreeMap<String, Server>) -> Directory {
     Directory { revision, servers, ..Directory::default() }
 }
 
@@ -176,7 +177,7 @@
     fleet.told("a", told(9), later);
     fleet.told("c", Told { pass_ms: 60, ..told(10) }, later);
     expect_that!(choose(&fleet, later), ok(eq("a")));
-    expect_that!(fleet.is_stuck("b", later), eq(true));
+    expect_that!(fleet.is_stuck("b", 0, later), eq(true));
     // Groups that stand still are told apart from full ones.
     for id in ["a", "b", "c"] {
         fleet.told(id, Told { group_open: false, ..told(0) }, later);
@@ -196,10 +197,10 @@
     };
     let mut fleet = listed(&["a", "b", "c"]);
     fleet.told("a", told(9), later);
-    expect_that!(fleet.is_stuck("c", later), eq(false));
+    expect_that!(fleet.is_stuck("c", 0, later), eq(false));
     fleet.told("b", told(8), later);
     // A gateway that has just started can't know that it ever reported.
-    expect_that!(fleet.is_stuck("c", later), eq(true));
+    expect_that!(fleet.is_stuck("c", 0, later), eq(true));
     expect_that!(choose(&fleet, later), ok(eq("b")));
     // One without a sidecar is not left for ever.
     let much_later = start + Duration::from_secs(5);
@@ -207,7 +208,7 @@
     fleet.told("b", told(8), much_later);
     expect_that!(choose(&fleet, much_later), ok(eq("c")));
     // Servers of plain services have none at all.
-    expect_that!(listed(&["a", "b"]).is_stuck("a", later), eq(false));
+    expect_that!(listed(&["a", "b"]).is_stuck("a", 0, later), eq(false));
 }
 
 #[googletest::test]
@@ -218,8 +219,8 @@
     fleet.told("a", told(1), now);
     let soon = fleet.stuck_in("a", now).unwrap_or_default();
     let just_before = now + soon - Duration::from_millis(1);
-    expect_that!(fleet.is_stuck("a", just_before), eq(false));
-    expect_that!(fleet.is_stuck("a", now + soon), eq(true));
+    expect_that!(fleet.is_stuck("a", 0, just_before), eq(false));
+    expect_that!(fleet.is_stuck("a", 0, now + soon), eq(true));
     expect_that!(fleet.stuck_in("a", now + soon), none());
 }
 
@@ -326,17 +327,17 @@
     let mut fleet = fleet(&["a", "b"]);
     fleet.hears_sidecars(None);
     ["a", "b"].iter().for_each(|id| fleet.told_before(id, told(2), Duration::ZERO, start));
-    expect_that!(fleet.is_stuck("a", after(5_000)), eq(false));
+    expect_that!(fleet.is_stuck("a", 0, after(5_000)), eq(false));
     fleet.told_before("a", told(2), Duration::from_millis(900), after(900));
     fleet.told_before("b", told(2), Duration::from_millis(100), after(900));
-    expect_that!(fleet.is_stuck("a", after(900)), eq(true));
+    expect_that!(fleet.is_stuck("a", 0, after(900)), eq(true));
     expect_that!(choose(&fleet, after(900)), ok(eq("b")));
     // One that has just begun to hear sidecars itself has to wait for their reports.
     fleet.hears_sidecars(Some(after(900)));
-    expect_that!(fleet.is_stuck("b", after(2_000)), eq(false));
+    expect_that!(fleet.is_stuck("b", 0, after(2_000)), eq(false));
     fleet.told("a", told(2), after(3_000));
-    expect_that!(fleet.is_stuck("b", after(3_000)), eq(true));
-    expect_that!(fleet.is_stuck("a", after(3_000)), eq(false));
+    expect_that!(fleet.is_stuck("b", 0, after(3_000)), eq(true));
+    expect_that!(fleet.is_stuck("a", 0, after(3_000)), eq(false));
 }
 
 /// What was told before a request was sent there can't count it, however late it is heard.
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -5,7 +5,10 @@
 use mastweir::{
     gateway::follow::{Source, follow},
     net::http::CallError,
-    platform::store::{Change, Changes, StoreError},
+    platform::{
+        objects::{Change, Changes},
+        store::StoreError,
+    },
     util::tally::Tally,
 };
 use slog::{Logger, o};
--- /dev/null
+++ b/tests/testsuite/lives.rs
@@ -0,0 +1,185 @@
+//! A server that starts again under its id: what was known of the life before is gone with
+//! it, and late word of that one changes nothing.
+
+use super::{
+    fleet::{listed, server},
+    gateway::answer,
+};
+use eyre::Result;
+use googletest::prelude::*;
+use mastweir::{
+    gateway::message::{Poll, RankBrief},
+    platform::engine::Choices,
+    sidecar::{answers::Readings, ranks::Ranks},
+};
+use mastweir_core::{
+    gateway::{Fleet, Needs, Server, ServerState, Told},
+    switch::hold::RankState,
+    time::Uptime,
+};
+use mastweir_test_support::{
+    scripted::{Act, Scripted},
+    site::{Site, exchange, request, route, wait_for},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use serde_json::json;
+use std::{collections::BTreeMap, net::IpAddr, time::Duration};
+
+const FIRST: u64 = 1_790_000_000_000;
+/// Smaller: the time of day was set back before the second start.
+const SECOND: u64 = FIRST - 50_000;
+
+fn lives(lives: &[(&str, u64)]) -> BTreeMap<String, Server> {
+    let one = |(id, born): &(&str, u64)| {
+        let (id, server) = server(id, ServerState::Ready);
+        (id, Server { born: *born, ..server })
+    };
+    lives.iter().map(one).collect()
+}
+
+fn fleet_of(servers: &[(&str, u64)]) -> Fleet {
+    let mut fleet = Fleet::new("here");
+    fleet.replace(listed(5, lives(servers)), false, Uptime::default());
+    fleet.hears_sidecars(Some(Uptime::default()));
+    fleet
+}
+
+fn told(running: u32, born: u64) -> Told {
+    Told { running, group_open: true, pass_ms: 50, born, ..Told::default() }
+}
+
+fn load_milli(fleet: &Fleet, at: Uptime) -> Option<u32> {
+    let needs = Needs { service: "s", tried: &[], room: 10.0, gap_ms: 0.0 };
+    let mut rng = SmallRng::seed_from_u64(3);
+    fleet.choose(needs, at, &mut rng).ok().map(|found| found.load_milli)
+}
+
+#[googletest::test]
+fn a_life_begins_with_nothing_in_flight_and_is_used_at_once() {
+    let mut fleet = fleet_of(&[("a", FIRST)]);
+    let at = Uptime::from_millis(3_000);
+    fleet.told("a", told(9, FIRST), at);
+    (0..4).for_each(|_| fleet.sent("a", at));
+    (0..3).for_each(|_| fleet.ended("a", FIRST, true, at));
+    expect_that!(load_milli(&fleet, at), some(ge(900)));
+    // The list names another life: no gap, and none of the old load and failures.
+    fleet.replace(listed(6, lives(&[("a", SECOND)])), false, at);
+    expect_that!(load_milli(&fleet, at), some(eq(0)));
+    expect_that!(fleet.in_flight(), eq(0));
+    // What ends of the life before is not counted against this one.
+    fleet.sent("a", at);
+    fleet.ended("a", FIRST, true, at);
+    expect_that!(fleet.in_flight(), eq(1));
+}
+
+#[googletest::test]
+fn late_word_of_the_life_before_changes_nothing() {
+    let mut fleet = fleet_of(&[("a", FIRST)]);
+    let at = Uptime::from_millis(3_000);
+    fleet.told("a", told(2, FIRST), at);
+    // Its sidecar is sooner than the list.
+    fleet.told("a", told(1, SECOND), at + Duration::from_millis(50));
+    expect_that!(load_milli(&fleet, at + Duration::from_millis(60)), some(eq(100)));
+    // A report and a list of before.
+    fleet.told("a", told(9, FIRST), at + Duration::from_millis(70));
+    fleet.replace(listed(6, lives(&[("a", FIRST)])), false, at + Duration::from_millis(80));
+    expect_that!(load_milli(&fleet, at + Duration::from_millis(90)), some(eq(100)));
+}
+
+#[googletest::test]
+fn what_ran_in_a_life_that_is_over_is_taken_up_elsewhere_at_once() {
+    let mut fleet = fleet_of(&[("a", FIRST), ("b", FIRST)]);
+    let at = Uptime::from_millis(3_000);
+    ["a", "b"].iter().for_each(|id| fleet.told(id, told(1, FIRST), at));
+    fleet.sent("a", at);
+    expect_that!(fleet.is_stuck("a", FIRST, at), eq(false));
+    fleet.told("a", told(0, SECOND), at);
+    expect_that!(fleet.is_stuck("a", FIRST, at), eq(true));
+    expect_that!(fleet.is_stuck("a", SECOND, at), eq(false));
+}
+
+#[googletest::test]
+fn servers_that_tell_no_life_are_as_before() {
+    let mut fleet = fleet_of(&[("a", 0)]);
+    let at = Uptime::from_millis(3_000);
+    fleet.told("a", told(3, 0), at);
+    fleet.sent("a", at + Duration::from_millis(1));
+    fleet.replace(listed(6, lives(&[("a", 0)])), false, at);
+    expect_that!(load_milli(&fleet, at), some(eq(400)));
+    // One that says it later has not started again.
+    fleet.replace(listed(7, lives(&[("a", FIRST)])), false, at);
+    expect_that!(load_milli(&fleet, at), some(eq(400)));
+    fleet.ended("a", 0, false, at + Duration::from_millis(2));
+    expect_that!(fleet.in_flight(), eq(0));
+}
+
+fn poll(round: u64, since: u64) -> Poll {
+    let lead = IpAddr::from([10, 0, 0, 9]);
+    let (group, section) = ("g".to_owned(), Vec::new());
+    Poll { group, token: 1, lead, round, since, sets: Some((0, 1)), section }
+}
+
+#[googletest::test]
+fn counts_of_two_lives_are_not_subtracted() {
+    let read = |born, counts: &[u64]| Choices { born, epoch: 3, pass: 1, counts: counts.to_vec() };
+    let mut readings = Readings::default();
+    readings.since(&poll(1, 0), read(FIRST, &[100, 100]), 1);
+    // The second life has counted past the first already.
+    expect_that!(readings.since(&poll(2, 1), read(SECOND, &[400, 101]), 1), eq(&Vec::<u32>::new()));
+    expect_that!(readings.since(&poll(3, 2), read(SECOND, &[405, 103]), 1), eq(&vec![5, 2]));
+}
+
+#[googletest::test]
+fn loads_of_the_life_before_are_not_awaited() {
+    let at = Uptime::from_secs(5);
+    let mut ranks = Ranks::new(Uptime::default());
+    let brief = |born, read_at| RankBrief {
+        server: ([10, 0, 0, 1], 80).into(),
+        state: RankState { epoch: 2, size: 1, open: true, ..RankState::default() },
+        load: 0,
+        pace_milli: 1_000,
+        born,
+        read_at,
+    };
+    let is_busy = |ranks: &Ranks| {
+        ranks.states(Some(7), at).first().cloned().flatten().is_some_and(|state| state.busy)
+    };
+    ranks.report(brief(FIRST, at), at);
+    ranks.loads(0, 7, 2, at);
+    expect_that!(is_busy(&ranks), eq(true));
+    ranks.report(brief(SECOND, at), at);
+    expect_that!(is_busy(&ranks), eq(false));
+}
+
+/// A request that may run once and whose server starts again under its id before it
+/// answers: it may have run, and the new life must not get it.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_run_once_does_not_reach_the_next_life() -> Result<()> {
+    let site = Site::new(1)?;
+    let first =
+        Scripted::start(|_| vec![Act::Wait(Duration::from_millis(400)), Act::Reset]).await?;
+    let second = Scripted::start(|got| vec![answer(got, "200 OK", "second")]).await?;
+    let list = |born: u64, server: &Scripted| {
+        let spec = json!({ "service": "desk", "address": server.addr.to_string(),
+            "zone": "hall-a", "slots": 8, "state": "ready", "born": born, "seq": 1 });
+        site.platform.put("servers", "i-0", json!({ "spec": spec }));
+    };
+    list(FIRST, &first);
+    site.configure(1, &[route("/once/", "unsafe"), route("/safe/", "safe")]);
+    let (_, served) = site.door().await?;
+    let gateway = site.gateway(0, served.addr)?;
+    gateway.wait_ready().await?;
+    let callers = gateway.callers;
+    let once =
+        tokio::spawn(
+            async move { exchange(callers, &request("POST", "/once/a", "r-1", "", "")).await },
+        );
+    wait_for(async || first.got().len() == 1).await?;
+    list(SECOND, &second);
+    expect_that!(once.await??.status, eq(502));
+    expect_that!(second.got().len(), eq(0));
+    let reply = exchange(callers, &request("GET", "/safe/a", "r-2", "", "")).await?;
+    expect_that!(reply.body, eq("second"));
+    Ok(())
+}
--- a/tests/testsuite/messages.rs
+++ b/tests/testsuite/messages.rs
@@ -41,7 +41,14 @@
         paused: Some(40_000_002),
     };
     let read_at = Uptime::from_secs(2_600_000);
-    RankBrief { server: server(number), state, load: 100, pace_milli: 20_000, read_at }
+    RankBrief {
+        server: server(number),
+        state,
+        load: 100,
+        pace_milli: 20_000,
+        born: 1_790_000_000_000,
+        read_at,
+    }
 }
 
 fn size(message: &Message) -> usize {
@@ -101,6 +108,7 @@
         pass: 40_000_000,
         pass_ms: 300,
         pace_milli: 20_000,
+        born: 1_790_000_000_000,
     };
     let load = |at| Load { server: server(at), age_ms: 9_000, group: Some(3), told: told.clone() };
     let lead =
