Miss a connection that went silent by the passes that bring nothing

Cause: open connections may go silent for good while new ones work; streams over one waited for their caller's deadline. Change: a request whose server's group made twelve passes since its last event, or since it was sent while nobody waits there, is taken up elsewhere, where it may be; looked at each 0.3 s.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -67,6 +67,10 @@
 /// Load of a server up to which a stream goes there that was taken on by the mean of all:
 /// of four drawn the least loaded is seldom fuller.
 const DRAWN_ROOM: f64 = 1.5;
+/// Passes without an event after which a connection is taken for one that went silent. What
+/// is known of a server's passes may be four behind; the others leave room for a prompt that
+/// is read again when memory runs out.
+const MUTE_PASSES: u64 = 12;
 /// Failures in a row after which a server is left out for a while.
 const FAILURES_MAX: u32 = 3;
 /// Load over its slots up to which a server that refuses is taken for one that can't
@@ -447,6 +451,17 @@
         seen.is_silent(usual, self.heard_until(seen, now), now)
     }
 
+    /// Whether what a server sends to one of its requests does not come: its group has made
+    /// many passes since a moment at which it had made `pass`, and each of them brings a
+    /// request that runs there an event. One that does not run yet may wait there.
+    pub fn is_mute(&self, id: &str, pass: u64, runs: bool, now: Uptime) -> bool {
+        let Some(seen) = self.seen.get(id).filter(|seen| seen.reported) else { return false };
+        let Some((at, told)) = &seen.told else { return false };
+        let is_fresh = now.since(*at) < SILENT_FROM;
+        let must_run = runs || told.waiting == 0;
+        is_fresh && must_run && told.running > 0 && told.pass >= pass + MUTE_PASSES
+    }
+
     /// Time until a server counts as stuck if nothing is heard of it meanwhile; none
     /// if that can't be told.
     pub fn stuck_in(&self, id: &str, now: Uptime) -> Option<Duration> {
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -17,9 +17,9 @@
 
 /// Opening a connection takes a round trip; a machine that is gone says nothing.
 const CONNECT_LASTS: Duration = Duration::from_millis(250);
-/// A server without an answer or an event is looked at this often. Callers give a
-/// stream up after two seconds, and a dead rank's group is cut after 1.5.
-const STUCK_LOOK: Duration = Duration::from_millis(600);
+/// A server without an answer or an event is looked at this often: callers give a stream up
+/// after two seconds, and a connection that went silent is missed after one.
+const STUCK_LOOK: Duration = Duration::from_millis(300);
 /// It is looked at sooner where it would fall silent before; no sooner than this.
 const STUCK_LOOK_LEAST: Duration = Duration::from_millis(20);
 
@@ -105,12 +105,12 @@
     *request.headers_mut() = headers::for_server(&call.headers, added);
     let sent = tokio::select! {
         sent = time::timeout_at(call.deadline, exchange.send(request)) => sent,
-        () = stuck(gateway, call, &place) => {
+        reason = stuck(gateway, call, &place, false) => {
             progress.runs += 1;
             place.fail();
-            gateway.tally.count("attempts_failed_total", "stuck");
+            gateway.tally.count("attempts_failed_total", reason);
             info!(gateway.log, "server makes no progress"; "id" => &call.head.id,
-                "server" => &place.server.id);
+                "server" => &place.server.id, "reason" => reason);
             return Err(Answer::Broken);
         }
     };
@@ -161,19 +161,26 @@
     }
 }
 
-/// Ends when a server has made no progress for a while, and the request may go to
-/// another one. It never ends for a request that may not be repeated.
-pub async fn stuck(gateway: &Gateway, call: &Call, place: &Place) {
+/// Ends when a server has made no progress for a while, or its connection has gone silent,
+/// and the request may go to another one; says which. It never ends for a request that may
+/// not be repeated. `runs`: whether the request had an event there.
+pub async fn stuck(gateway: &Gateway, call: &Call, place: &Place, runs: bool) -> &'static str {
     if !call.route().repeatable() {
         return std::future::pending().await;
     }
+    let id = &place.server.id;
+    let pass = gateway.fleet.borrow().last_told(id).map(|told| told.pass);
     loop {
-        let soon = gateway.fleet.borrow().stuck_in(&place.server.id, gateway.clock.now());
+        let soon = gateway.fleet.borrow().stuck_in(id, gateway.clock.now());
         let pause = soon.map_or(STUCK_LOOK, |soon| soon.max(STUCK_LOOK_LEAST));
         time::sleep(pause.min(STUCK_LOOK)).await;
         let now = gateway.clock.now();
-        if gateway.fleet.borrow().is_stuck(&place.server.id, place.server.born, now) {
-            return;
+        let fleet = gateway.fleet.borrow();
+        if fleet.is_stuck(id, place.server.born, now) {
+            return "stuck";
+        }
+        if pass.is_some_and(|pass| fleet.is_mute(id, pass, runs, now)) {
+            return "mute";
         }
     }
 }
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -111,8 +111,8 @@
             let Some(source) = &mut self.source else { return Piece::Cut };
             let frame = tokio::select! {
                 frame = time::timeout_at(self.call.deadline, source.body.frame()) => frame,
-                () = stuck(&self.gateway, &self.call, &source.place) => {
-                    if !self.take_up_elsewhere("stuck").await {
+                reason = stuck(&self.gateway, &self.call, &source.place, true) => {
+                    if !self.take_up_elsewhere(reason).await {
                         return self.cut("not taken up");
                     }
                     continue;
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -380,3 +380,23 @@
     expect_that!(ahead.changes_since(0).whole, eq(true));
     expect_that!(ahead.changes_since(3).whole, eq(true));
 }
+
+/// A connection may go silent without a reset, while its server serves others.
+#[googletest::test]
+fn a_request_is_missed_that_gets_nothing_of_many_passes() {
+    let mut fleet = fleet(&["a"]);
+    let told = |running, waiting, pass| Told { waiting, pass, ..told(running) };
+    let at = |ms: u64| Uptime::from_millis(3_000 + ms);
+    fleet.told("a", told(8, 0, 100), at(0));
+    expect_that!(fleet.is_mute("a", 100, true, at(10)), eq(false));
+    fleet.told("a", told(8, 0, 111), at(900));
+    expect_that!(fleet.is_mute("a", 100, true, at(910)), eq(false));
+    fleet.told("a", told(8, 3, 112), at(980));
+    expect_that!(fleet.is_mute("a", 100, true, at(990)), eq(true));
+    // One that may wait there for its first event is not missed.
+    expect_that!(fleet.is_mute("a", 100, false, at(990)), eq(false));
+    fleet.told("a", told(8, 0, 113), at(1_060));
+    expect_that!(fleet.is_mute("a", 100, false, at(1_070)), eq(true));
+    // What was heard long ago tells nothing.
+    expect_that!(fleet.is_mute("a", 100, true, at(1_800)), eq(false));
+}
