--- a/crates/mastweir-core/src/gateway/admission.rs
+++ b/crates/mastweir-core/src/gateway/admission.rs
@@ -15,6 +15,8 @@
 //! before takes what is left over: served first, each of them would have another refused
 //! who then comes back as late, and no more callers are served by it.
 
+use crate::time::Uptime;
+
 /// Mean load, over their places, up to which servers take all that comes. With 0.92 and
 /// 1.12 it was 65.1 of that day, with 0.97 and 1.17 it is 66.8.
 const BUSY: f64 = 0.97;
@@ -40,3 +42,19 @@
         self.chance < (FULL - load) / (FULL - BUSY)
     }
 }
+
+/// How a service's servers were loaded a moment ago.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Crowd {
+    pub(super) at: Uptime,
+    /// Mean load over their places, and milliseconds of a pass; none if the groups of all
+    /// stood still.
+    pub(super) load: Option<(f64, f64)>,
+}
+
+impl Crowd {
+    /// Whether they take a stream on; none if the groups of all stood still.
+    pub(super) fn admits(self, stream: Stream) -> Option<bool> {
+        self.load.map(|(load, _)| stream.is_admitted(load))
+    }
+}
--- /dev/null
+++ b/crates/mastweir-core/src/gateway/choice.rs
@@ -0,0 +1,267 @@
+//! The choice among the servers that a gateway knows.
+//!
+//! Reports lag, and all gateways see the same. So a choice is the least loaded of a few
+//! drawn at random, and requests sent since a report count on top of it; whether a stream
+//! is taken on at all is decided by the mean of all reports ([`Stream`]).
+
+use super::{
+    admission::{Crowd, Stream},
+    directory::Server,
+    fit::Fit,
+    fleet::Fleet,
+    seen::{REPORT_LASTS, Told},
+};
+use crate::time::Uptime;
+use rand::Rng;
+use std::{net::SocketAddr, time::Duration};
+
+/// Why no server was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No server of the service is known that might serve.
+    NoServer,
+    /// All are full.
+    Full,
+    /// The groups of all of them stand still.
+    Standing,
+}
+
+/// A server that was chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Its id.
+    pub id: String,
+    /// Its life; zero if that is not known.
+    pub born: u64,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its load at the choice, over its slots, in thousandths.
+    pub load_milli: u32,
+    /// Age of the report that the choice used, if there was one.
+    pub report_age: Option<Duration>,
+    /// Milliseconds that its group's passes take, as far as is known.
+    pub pass_ms: f64,
+}
+
+/// What a coordinator said of its group's passes is not used longer than this; it
+/// says so again each 80 ms while it changes the map.
+const PACE_LASTS: Duration = Duration::from_millis(300);
+/// The mean load of a service's servers is used for this long: a twentieth of a pass's
+/// worth of arrivals.
+const CROWD_LASTS: Duration = Duration::from_millis(20);
+/// Servers drawn for a choice.
+const DRAWN: usize = 4;
+/// Servers of whose reports the mean load is taken: it is off by 3 in 100 then.
+const SAMPLED: usize = 64;
+/// Load of a server up to which a stream goes there that was taken on by the mean of all:
+/// of four drawn the least loaded is seldom fuller.
+const DRAWN_ROOM: f64 = 1.5;
+/// Load of another hall's server, over that of one's own: a tenth of a place.
+const OTHER_HALL: f64 = 0.1;
+
+/// What a request needs of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Needs<'a> {
+    /// Its service.
+    pub service: &'a str,
+    /// Servers that won't do any more.
+    pub tried: &'a [String],
+    /// Load over a server's slots up to which it may get the request.
+    pub room: f64,
+    /// Longest wanted pause between two events, in ms; zero if that doesn't matter.
+    pub gap_ms: f64,
+    /// What it takes, if it is a stream that may still be refused.
+    pub stream: Option<Stream>,
+}
+
+impl Fleet {
+    /// Chooses a server for a request.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] says whether there is no server, or none with room.
+    pub fn choose(
+        &self,
+        needs: Needs<'_>,
+        now: Uptime,
+        rng: &mut impl Rng,
+    ) -> Result<Candidate, Refusal> {
+        let Needs { service, tried, room, .. } = needs;
+        let refused = needs.stream.and_then(|stream| self.is_refused(service, stream, now));
+        if let Some(refusal) = refused {
+            return Err(refusal);
+        }
+        let ready = self.roster.ready(service);
+        let untried: Vec<&String> = ready
+            .iter()
+            .filter(|id| !tried.contains(id) && !self.roster.has_lapsed(id, now))
+            .collect();
+        let usual = self.sidecars_usual(ready, now);
+        let is_closed = |id: &&String| self.seen.get(*id).is_some_and(|seen| seen.is_closed(now));
+        let open: Vec<&String> = untried.iter().copied().filter(|id| !is_closed(id)).collect();
+        let is_silent = |id: &&String| {
+            self.seen
+                .get(*id)
+                .is_some_and(|seen| seen.is_silent(usual, self.heard_until(seen, now), now))
+        };
+        let (silent, heard): (Vec<&String>, Vec<&String>) =
+            open.iter().copied().partition(is_silent);
+        // When none is left the fault is more likely on this side.
+        let reachable = [heard, open, untried].into_iter().find(|ids| !ids.is_empty());
+        let Some(reachable) = reachable else {
+            let missing = self.roster.last_resort(service, tried, now).ok_or(Refusal::NoServer)?;
+            return Ok(self.candidate(missing, Fit::default(), now));
+        };
+        let usable = self.not_failing(reachable, now);
+        if let Some(stream) = needs.stream {
+            return self.choose_for(stream, &usable, needs, now, rng);
+        }
+        let best = self.best(&draw(&usable, DRAWN, rng), needs, now);
+        let best = best.filter(|(fit, _)| fit.has_room(room));
+        // The few drawn are full: look at all of them.
+        let best = best.or_else(|| self.best(&usable, needs, now)).ok_or(Refusal::NoServer)?;
+        let (fit, id) = if best.0.has_room(room) {
+            best
+        } else if best.0.stands {
+            return Err(Refusal::Standing);
+        } else {
+            // Sidecars may be lost where servers are not.
+            let unheard = self.best(&silent, needs, now);
+            unheard.filter(|(fit, _)| fit.has_room(room)).ok_or(Refusal::Full)?
+        };
+        let server = self.roster.server(id).ok_or(Refusal::NoServer)?;
+        Ok(self.candidate(server, fit, now))
+    }
+
+    /// Chooses a server for a stream that may still be refused.
+    fn choose_for(
+        &self,
+        stream: Stream,
+        usable: &[&String],
+        needs: Needs<'_>,
+        now: Uptime,
+        rng: &mut impl Rng,
+    ) -> Result<Candidate, Refusal> {
+        let sample = draw(usable, SAMPLED, rng);
+        let crowd = Crowd { at: now, load: self.crowd(&sample, now) };
+        self.crowds.borrow_mut().insert(needs.service.to_owned(), crowd);
+        admit(crowd, stream)?;
+        let best = self.best(&draw(usable, DRAWN, rng), needs, now);
+        let best = best.filter(|(fit, _)| fit.has_room(DRAWN_ROOM));
+        let best = best.or_else(|| self.best(&sample, needs, now));
+        let (fit, id) = best.filter(|(fit, _)| fit.has_room(DRAWN_ROOM)).ok_or(Refusal::Full)?;
+        let server = self.roster.server(id).ok_or(Refusal::NoServer)?;
+        Ok(self.candidate(server, fit, now))
+    }
+
+    /// Mean load of these servers over their places, and of their groups' passes; none if
+    /// the groups of all stand still.
+    fn crowd(&self, ids: &[&String], now: Uptime) -> Option<(f64, f64)> {
+        let fits = ids.iter().map(|id| self.fit(id, 0.0, now)).filter(|fit| !fit.stands);
+        let sum = |(load, pass_ms, count): (f64, f64, f64), fit: Fit| {
+            (load + fit.taken, pass_ms + fit.pass_ms, count + 1.0)
+        };
+        let (load, pass_ms, count) = fits.fold((0.0, 0.0, 0.0), sum);
+        (count > 0.0).then(|| (load / count, pass_ms / count))
+    }
+
+    /// Milliseconds of a pass of a service's groups, on average, by what was last asked for;
+    /// zero before that.
+    pub fn pass_ms_of(&self, service: &str) -> f64 {
+        let crowds = self.crowds.borrow();
+        let load = crowds.get(service).and_then(|crowd| crowd.load);
+        load.map_or(0.0, |(_, pass_ms)| pass_ms)
+    }
+
+    /// Whether a stream was refused by what is known of its service's servers a moment ago:
+    /// a hundred that wait would each ask all of them.
+    fn is_refused(&self, service: &str, stream: Stream, now: Uptime) -> Option<Refusal> {
+        let crowds = self.crowds.borrow();
+        let crowd = crowds.get(service).filter(|crowd| now.since(crowd.at) < CROWD_LASTS)?;
+        admit(*crowd, stream).err()
+    }
+
+    /// Those whose requests don't fail, or all if that is most of them.
+    fn not_failing<'a>(&self, ids: Vec<&'a String>, now: Uptime) -> Vec<&'a String> {
+        let is_failing = |id: &&String| self.seen.get(*id).is_some_and(|seen| seen.is_failing(now));
+        let sound: Vec<&String> = ids.iter().copied().filter(|id| !is_failing(id)).collect();
+        if sound.len() * 2 < ids.len() { ids } else { sound }
+    }
+
+    /// The server that fits best; any with room before one without.
+    fn best<'a>(
+        &self,
+        ids: &[&'a String],
+        needs: Needs<'_>,
+        now: Uptime,
+    ) -> Option<(Fit, &'a String)> {
+        let fits = ids.iter().map(|id| (self.fit(id, needs.gap_ms, now), *id));
+        let rank = |fit: Fit| (!fit.has_room(needs.room), fit.score());
+        fits.min_by(|a, b| {
+            let (a, b) = (rank(a.0), rank(b.0));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        })
+    }
+
+    fn fit(&self, id: &str, gap_ms: f64, now: Uptime) -> Fit {
+        let Some(server) = self.roster.server(id) else { return Fit::default() };
+        let seen = self.seen.get(id);
+        let places = f64::from(server.slots.max(1));
+        let away = if server.hall == self.hall { 0.0 } else { OTHER_HALL };
+        let told = seen.and_then(|seen| seen.told.as_ref());
+        let told = told.filter(|(at, _)| now.since(*at) < REPORT_LASTS);
+        let own = seen.map_or(0, |seen| seen.in_flight);
+        let Some((_, told)) = told else {
+            let taken = f64::from(own) / places;
+            return Fit { load: taken + away / places, taken, ..Fit::default() };
+        };
+        let since = seen.map_or(0, |seen| seen.sent.len() as u32);
+        let ended = seen.map_or(0, |seen| seen.ended.len() as u32);
+        let load = (told.running + told.waiting + since).saturating_sub(ended).max(own);
+        let pass_ms = self.pass_ms(told, now);
+        let slow = if gap_ms > 0.0 { (pass_ms / gap_ms - 1.0).max(0.0) } else { 0.0 };
+        // Its whole group waits for a slow server, the longer the more it has.
+        let pace = f64::from(told.pace_milli.max(1_000)) / 1_000.0;
+        let taken = f64::from(load) / places;
+        let load = taken * pace + away / places;
+        Fit { load, taken, slow, pass_ms, stands: !told.group_open }
+    }
+
+    /// Milliseconds of a pass of a server's group: what its coordinator expects, or
+    /// what its sidecar saw.
+    fn pass_ms(&self, told: &Told, now: Uptime) -> f64 {
+        let pace = told.group.as_ref().and_then(|group| self.paces.get(group));
+        let pace = pace.filter(|pace| now.since(pace.at) < PACE_LASTS);
+        pace.map_or(f64::from(told.pass_ms), |pace| pace.pass_ms)
+    }
+
+    fn candidate(&self, server: &Server, fit: Fit, now: Uptime) -> Candidate {
+        let seen = self.seen.get(&server.id);
+        let told = seen.and_then(|seen| seen.told.as_ref());
+        Candidate {
+            id: server.id.clone(),
+            born: seen.map_or(server.born, |seen| seen.born),
+            addr: server.addr,
+            load_milli: (fit.load * 1_000.0) as u32,
+            report_age: told.map(|(at, _)| now.since(*at)),
+            pass_ms: fit.pass_ms,
+        }
+    }
+}
+
+fn draw<'a>(ids: &[&'a String], count: usize, rng: &mut impl Rng) -> Vec<&'a String> {
+    if ids.len() <= count {
+        return ids.to_vec();
+    }
+    let picks = rand::seq::index::sample(rng, ids.len(), count);
+    picks.into_iter().map(|at| ids[at]).collect()
+}
+
+/// Whether servers that are so loaded take a stream on.
+fn admit(crowd: Crowd, stream: Stream) -> Result<(), Refusal> {
+    match crowd.admits(stream) {
+        None => Err(Refusal::Standing),
+        Some(false) => Err(Refusal::Full),
+        Some(true) => Ok(()),
+    }
+}
--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! answer ([`Liveness`]).
 
 mod admission;
+mod choice;
 mod config;
 mod directory;
 mod events;
@@ -28,10 +29,11 @@
 mod window;
 
 pub use admission::Stream;
+pub use choice::{Candidate, Needs, Refusal};
 pub use config::{Config, Kind, Limits, Model, PassCost, Route, RouteIndex, Service, Target};
 pub use directory::{Directory, DirectoryChange, Server, ServerState};
 pub use events::Events;
-pub use fleet::{Candidate, Fleet, Needs, Refusal};
+pub use fleet::Fleet;
 pub use lag::{Lag, Versions};
 pub use listeners::Listeners;
 pub use liveness::{Doubt, Liveness, PROBE_LASTS, Probe};
--- a/crates/mastweir-core/src/gateway/seen.rs
+++ b/crates/mastweir-core/src/gateway/seen.rs
@@ -8,6 +8,8 @@
 /// A server whose sidecar reported, and has been silent for this long, is taken for
 /// one that can't be reached; three reports are missing by then.
 pub(super) const SILENT_FROM: Duration = Duration::from_millis(700);
+/// A report older than this is not used; four of them are missing by then.
+pub(super) const REPORT_LASTS: Duration = Duration::from_millis(1_000);
 /// Until then its silence counts; later its sidecar may just not be there.
 const SILENT_UNTIL: Duration = Duration::from_secs(10);
 /// The same for a server that never reported here while most others of its service
