Tell callers who come back by what others of their route come with

Cause: who was refused before was told by the route's own time limit; where an operator raises that above what callers wait, all of them would count as returned and go last. Change: the longest time of late of the route's callers is the measure (core Waits). Measured: test callers_who_come_back_are_told_by_the_time_that_they_have_left.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod proof;
 mod roster;
 mod seen;
+mod waits;
 mod window;
 
 pub use admission::Stream;
@@ -43,4 +44,5 @@
 pub use peers::{Named, Peers, Said};
 pub use proof::{Answer, Next, Proof, Step, ending, next};
 pub use seen::Told;
+pub use waits::Waits;
 pub use window::RetryWindow;
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -156,7 +156,7 @@
 fn turn(call: &Call, last_event: Option<&str>) -> Turn {
     match last_event {
         Some(_) => Turn::First,
-        None if call.is_model() && call.has_returned() => Turn::Last,
+        None if call.is_model() && call.returned => Turn::Last,
         None => Turn::Usual,
     }
 }
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -8,9 +8,6 @@
 use std::{rc::Rc, time::Duration};
 use tokio::time::Instant;
 
-/// Part of what its route gives that the caller of a first attempt has at least.
-const GIVEN_WHOLE: f64 = 0.95;
-
 /// A request that was read whole.
 #[derive(Debug)]
 pub struct Call {
@@ -38,6 +35,8 @@
     pub deadline: Instant,
     /// Drawn for it, 0 to 1: who is taken on first while not all are.
     pub chance: f64,
+    /// Whether its caller was refused before, as far as that shows.
+    pub returned: bool,
 }
 
 impl Call {
@@ -52,13 +51,6 @@
         service.is_some_and(|service| service.model.is_some())
     }
 
-    /// Whether its caller was refused before, or has waited elsewhere: what it still has is
-    /// less than its route gives.
-    pub fn has_returned(&self) -> bool {
-        let given = Duration::from_millis(self.route().timeout_ms);
-        self.head.wait.is_some_and(|wait| wait < given.mul_f64(GIVEN_WHOLE))
-    }
-
     /// What it needs of a server, with so much room there.
     pub fn needs<'a>(&'a self, tried: &'a [String], room: f64) -> Needs<'a> {
         let gap_ms = self.route().gap_ms as f64;
@@ -67,7 +59,7 @@
 
     /// The same, of a request that may still be refused.
     pub fn needs_first<'a>(&'a self, tried: &'a [String], room: f64) -> Needs<'a> {
-        let stream = Stream { chance: self.chance, returned: self.has_returned() };
+        let stream = Stream { chance: self.chance, returned: self.returned };
         Needs { stream: Some(stream).filter(|_| self.is_model()), ..self.needs(tried, room) }
     }
 
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -103,6 +103,8 @@
     };
     let wait = head.wait.unwrap_or(WAIT_USUAL).min(Duration::from_millis(route.timeout_ms));
     let deadline = arrived + wait.min(WAIT_MAX);
+    let returned =
+        head.wait.is_some_and(|wait| gateway.waits.borrow_mut().has_returned(&route.name, wait));
     let limit = active.config.limits.body_bytes;
     let body = time::timeout_at(deadline, Limited::new(body, limit).collect()).await;
     let body = match body {
@@ -126,6 +128,7 @@
         deadline,
         active,
         chance: gateway.rng.borrow_mut().random(),
+        returned,
     })
 }
 
@@ -227,7 +230,7 @@
     let route = call.route();
     let objective = Duration::from_millis(route.objective_ms);
     let mut held = objective.mul_f64(HELD_PART);
-    if refusal == Refusal::Full && call.is_model() && call.has_returned() {
+    if refusal == Refusal::Full && call.is_model() && call.returned {
         let gap = Duration::from_millis(route.gap_ms);
         let stays = STAYS_LEAST.max(objective * STAYS_OBJECTIVES).max(gap * STAYS_GAPS);
         let pass_ms = gateway.fleet.borrow().pass_ms_of(&call.service);
@@ -307,7 +310,7 @@
     gateway.tally.count("refusals_total", reason);
     info!(gateway.log, "no server found"; "id" => &call.head.id, "service" => &call.service,
         "reason" => reason, "tried" => progress.tried.join(","),
-        "returned" => call.has_returned(), "left_ms" => call.left().as_millis() as u64,
+        "returned" => call.returned, "left_ms" => call.left().as_millis() as u64,
         "directory" => gateway.fleet.borrow().directory().revision);
     let run = progress.runs > 0;
     let next = if run { Next::EndUnknown } else { Next::EndNotRun };
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -9,7 +9,7 @@
 use mastweir_core::{
     gateway::{
         Candidate, Config, Directory, Fleet, Named, Needs, Peers, Refusal, RetryWindow, Route,
-        RouteIndex,
+        RouteIndex, Waits,
     },
     time::Uptime,
 };
@@ -89,6 +89,8 @@
     pub watches: watch::Sender<bool>,
     /// Tells requests that wait for room: something was heard of servers, or ended there.
     pub news: Notify,
+    /// How long callers wait.
+    pub waits: RefCell<Waits>,
     /// Requests that are held.
     pub held: Cell<usize>,
     /// Connections of callers.
@@ -123,6 +125,7 @@
             speaks: Cell::new(false),
             watches: watch::Sender::new(false),
             news: Notify::new(),
+            waits: RefCell::default(),
             held: Cell::new(0),
             connections: Cell::new(0),
             stopping: Cell::new(false),
--- a/tests/testsuite/gateway_core.rs
+++ b/tests/testsuite/gateway_core.rs
@@ -4,7 +4,7 @@
 use mastweir_core::{
     gateway::{
         Answer, Config, Events, Kind, Lag, Limits, Next, PassCost, Passes, Pauses, Proof,
-        RetryWindow, Route, RouteIndex, Step, Target, Versions, held, next,
+        RetryWindow, Route, RouteIndex, Step, Target, Versions, Waits, held, next,
     },
     time::Uptime,
 };
@@ -230,3 +230,19 @@
     expect_that!(lag.heard(at(0, 0), at(4, 6), true, ms(9_910)), eq(false));
     expect_that!(lag.heard(at(0, 0), at(4, 6), true, ms(10_250)), eq(true));
 }
+
+#[googletest::test]
+fn callers_who_come_back_are_told_by_the_time_that_they_have_left() {
+    let ms = Duration::from_millis;
+    let mut waits = Waits::default();
+    expect_that!(waits.has_returned("r", ms(8_000)), eq(false));
+    expect_that!(waits.has_returned("r", ms(5_400)), eq(true));
+    expect_that!(waits.has_returned("r", ms(7_900)), eq(false));
+    // Another route's callers come with less.
+    expect_that!(waits.has_returned("s", ms(1_000)), eq(false));
+    // From now on this route's do, too.
+    let taken = (0..200).filter(|_| waits.has_returned("r", ms(7_000))).count();
+    expect_that!(taken, le(100));
+    expect_that!(waits.has_returned("r", ms(7_000)), eq(false));
+    expect_that!(waits.has_returned("r", ms(4_400)), eq(true));
+}
