Name in logs what the attempts at one request have in common

Cause: ids differ with each attempt, so no line told whether five attempts under which servers ended were one request, and which gateways had sent it. Change: lines of attempts that were lost carry a fingerprint of customer, host, path and body; `mastweir explain` takes one in an id's place and says at how many servers how many attempts were lost; a sidecar names the address of the server that it lost. A fingerprint is made only when it is asked for.

--- a/src/bin/mastweir/commands/explain.rs
+++ b/src/bin/mastweir/commands/explain.rs
@@ -18,8 +18,8 @@
                http://127.0.0.1:8080 --operator-key operator group g1"
 )]
 pub struct Args {
-    /// id of a request, then log files: none, or '-', for standard input; with --entry, the
-    /// request's id, or 'group NAME'
+    /// id of a request, or the fingerprint that its attempts share, then log files: none, or
+    /// '-', for standard input; with --entry, the request's id, or 'group NAME'
     #[argh(positional)]
     subject: Vec<String>,
     /// base address of an entry; once for each
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -110,7 +110,8 @@
             place.fail();
             gateway.tally.count("attempts_failed_total", reason);
             info!(gateway.log, "server makes no progress"; "id" => &call.head.id,
-                "server" => &place.server.id, "reason" => reason);
+                "server" => &place.server.id, "reason" => reason,
+                "fingerprint" => %call.fingerprint());
             return Err(Answer::Broken);
         }
     };
@@ -218,7 +219,7 @@
     place.fail();
     gateway.tally.count("attempts_failed_total", "broken");
     info!(gateway.log, "attempt broken"; "id" => &call.head.id, "server" => &place.server.id,
-        "error" => %error);
+        "fingerprint" => %call.fingerprint(), "error" => %error);
 }
 
 fn refused(gateway: &Gateway, call: &Call, place: &Place, proof: Proof) {
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -3,9 +3,12 @@
 use super::state::Active;
 use crate::platform::headers::CallHead;
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, Uri};
-use mastweir_core::gateway::{Needs, Route, Stream};
-use std::{rc::Rc, time::Duration};
+use hyper::{
+    HeaderMap, Method, Uri,
+    header::{HOST, HeaderValue},
+};
+use mastweir_core::gateway::{Asked, Fingerprint, Needs, Route, Stream};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
 /// A request that was read whole.
@@ -37,6 +40,8 @@
     pub chance: f64,
     /// Whether its caller was refused before, as far as that shows.
     pub returned: bool,
+    /// Made when it is first asked for: few requests need it.
+    pub fingerprint: OnceCell<Fingerprint>,
 }
 
 impl Call {
@@ -45,6 +50,19 @@
         &self.active.config.routes[self.number]
     }
 
+    /// What it has in common with other attempts at the same request.
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = self.headers.get(HOST).map_or(&b""[..], HeaderValue::as_bytes);
+            Fingerprint::of(Asked {
+                customer: self.customer.as_deref().unwrap_or_default(),
+                host: &String::from_utf8_lossy(host),
+                path: self.uri.path(),
+                body: &self.body,
+            })
+        })
+    }
+
     /// Whether a model's servers serve it.
     pub fn is_model(&self) -> bool {
         let service = self.active.config.services.get(&self.service);
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -19,7 +19,12 @@
 };
 use rand::Rng;
 use slog::info;
-use std::{cell::Cell, ops::Range, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    ops::Range,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::time::{self, Instant};
 
 /// Largest answer that is held back until it is whole. Usual ones are some KB.
@@ -130,6 +135,7 @@
         active,
         chance: gateway.rng.borrow_mut().random(),
         returned,
+        fingerprint: OnceCell::new(),
     })
 }
 
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -207,6 +207,7 @@
             source.place.fail();
             info!(self.gateway.log, "stream left its server"; "id" => &self.call.head.id,
                 "server" => &source.place.server.id, "reason" => reason,
+                "fingerprint" => %self.call.fingerprint(),
                 "last_event" => self.events.last_id());
         }
         self.resume().await
--- a/src/mastweir/ops/logs/story.rs
+++ b/src/mastweir/ops/logs/story.rs
@@ -5,12 +5,12 @@
     read_lines,
 };
 use serde::Serialize;
-use std::path::PathBuf;
+use std::{collections::BTreeSet, path::PathBuf};
 
 /// Which request, and where to look for it.
 #[derive(Clone, Copy, Debug)]
 pub struct StoryOptions<'a> {
-    /// The request's id.
+    /// The request's id, or the fingerprint that all its attempts have in common.
     pub id: &'a str,
     /// Log files; none for standard input.
     pub files: &'a [PathBuf],
@@ -55,7 +55,7 @@
             return;
         }
         match Line::read(text) {
-            Read::Line(line) if line.text("id") == options.id => lines.push(line),
+            Read::Line(line) if names(&line, options.id) => lines.push(line),
             Read::Malformed => malformed += 1,
             Read::Line(_) | Read::Other => (),
         }
@@ -73,7 +73,30 @@
         what: line.message().to_owned(),
         details: line.details(),
     };
-    Ok(Story { steps: lines.iter().map(step).collect(), cause: cause(&lines), malformed })
+    let is_attempt = lines.iter().any(|line| line.text("id") == options.id);
+    let cause = if is_attempt { cause(&lines) } else { in_common(&lines) };
+    Ok(Story { steps: lines.iter().map(step).collect(), cause, malformed })
+}
+
+/// Whether a line is about an attempt, or a request that has the fingerprint.
+fn names(line: &Line, id: &str) -> bool {
+    line.text("id") == id || line.text("fingerprint") == id
+}
+
+/// What became of all attempts at one request, as far as lines name its fingerprint: only
+/// those do that say that an attempt failed.
+fn in_common(lines: &[Line]) -> String {
+    let distinct = |texts: Vec<&str>| {
+        let texts: BTreeSet<&str> = texts.into_iter().filter(|text| !text.is_empty()).collect();
+        texts.len()
+    };
+    let attempts = distinct(lines.iter().map(|line| line.text("id")).collect());
+    let gateways = distinct(lines.iter().map(|line| line.instance.as_str()).collect());
+    let servers = distinct(lines.iter().map(|line| line.text("server")).collect());
+    format!(
+        "{attempts} attempts at one request, through {gateways} gateways, were lost at {servers} \
+         servers"
+    )
 }
 
 /// Why a request ended as it did, in a sentence.
--- a/src/mastweir/platform/engine.rs
+++ b/src/mastweir/platform/engine.rs
@@ -194,6 +194,11 @@
         Self { addr, pool }
     }
 
+    /// Its address.
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Its state now.
     ///
     /// # Errors
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -29,13 +29,14 @@
         match sidecar.engine.state().await {
             Ok(state) => {
                 if std::mem::take(&mut lost) {
-                    info!(sidecar.log, "model server regained");
+                    info!(sidecar.log, "model server regained"; "server" => %sidecar.engine.addr());
                 }
                 seen(&sidecar, state, &mut passes);
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
-                    warn!(sidecar.log, "model server lost"; "error" => %error);
+                    warn!(sidecar.log, "model server lost"; "server" => %sidecar.engine.addr(),
+                        "error" => %error);
                 }
                 *sidecar.state.borrow_mut() = None;
             }
--- a/tests/testsuite/sight.rs
+++ b/tests/testsuite/sight.rs
@@ -22,6 +22,8 @@
   12.6000 side-1 {"msg":"coordinator now","level":"INFO","ts":"2026-10-03T06:53:53.6Z","instance":"side-1","group":"g0","token":2}
 something that is not ours
   13.0000 gw-b {"msg":"stream pace","level":"INFO","ts":"2026-10-03T06:53:54Z","instance":"gw-b","end":"cut","route":"draft","late":"no","id":"r-5"}
+  13.1000 gw-a {"msg":"stream left its server","level":"INFO","ts":"2026-10-03T06:53:54.1Z","instance":"gw-a","last_event":null,"fingerprint":"00c0ffee00c0ffee","reason":"broken","server":"i-3","id":"r-6"}
+  13.2000 gw-b {"msg":"attempt broken","level":"INFO","ts":"2026-10-03T06:53:54.2Z","instance":"gw-b","error":"no whole answer","fingerprint":"00c0ffee00c0ffee","server":"i-4","id":"r-7"}
   13.0000 gw-b {"msg":"stream cut","level":"INFO","ts":"2026-10-03T06:53:54Z","instance":"gw-b","reason":"late","last_event":"11","tried":"i-1","took_ms":8000,"id":"r-5"}
 "#;
 
@@ -55,7 +57,7 @@
 fn a_request_is_explained_in_order_with_one_cause() -> Result<()> {
     let logs = Logs::write("story")?;
     let mut told = String::new();
-    for id in ["r-1", "r-2", "r-3", "r-4", "r-5"] {
+    for id in ["r-1", "r-2", "r-3", "r-4", "r-5", "00c0ffee00c0ffee"] {
         let story = logs.story(id)?;
         for step in &story.steps {
             told += &format!("{id} {:.3} {} {}\n", step.at_s, step.instance, step.what);
@@ -70,7 +72,7 @@
 fn a_request_that_no_line_names_is_said_so_with_the_remedy() -> Result<()> {
     let logs = Logs::write("unknown")?;
     let error = logs.story("r-99").err().map(|error| error.to_string());
-    expect_that!(error, some(contains_substring("no line of 14 names request r-99")));
+    expect_that!(error, some(contains_substring("no line of 16 names request r-99")));
     let missing = PathBuf::from("no-such-file");
     let error = story(StoryOptions { id: "r-1", files: &[missing] }).err();
     expect_that!(error.map(|error| error.to_string()), some(contains_substring("check that")));
