Hold a request back once two servers have ended under it

Cause: what a gateway learned of a request was kept with one attempt, under that attempt's id. The caller came back with another, through another gateway, and the request had its whole allowance of servers anew. Change: gateways keep, by fingerprint, which lives of servers ended under a request (core `Suspects`), tell each other, and send it to none any more behind two of them; eight where it was once answered whole. That a server ended is proved by its port, which refuses connections twice, 0.25 s apart: streams also break where another rank of their group ended, or a connection was reset (`gateway/examine`). Held back, it gets 503 at once and the time after which it would be tried again. A gateway that starts later still sends it on until it is told.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! route a request takes ([`Config`]), whether its servers take it on ([`Stream`]), which
 //! of them gets it ([`Fleet`]), what the
 //! end of an attempt proves and what follows from it ([`Proof`], [`next`]), and
-//! whether the fleet can afford another attempt ([`RetryWindow`]). Streams are cut
+//! whether the fleet can afford another attempt ([`RetryWindow`]). What servers ended under
+//! goes to no more of them ([`Suspects`]). Streams are cut
 //! into whole events ([`Events`]), so that another server can take one up. What it
 //! hears of the platform's store is trusted only as far as the store is known to
 //! answer ([`Liveness`]).
@@ -27,6 +28,7 @@
 mod proof;
 mod roster;
 mod seen;
+mod suspects;
 mod waits;
 mod window;
 
@@ -46,5 +48,6 @@
 pub use peers::{Named, Peers, Said};
 pub use proof::{Answer, Next, Proof, Step, ending, next};
 pub use seen::Told;
+pub use suspects::{Accused, HELD_BACK_FOR, Hold, Suspects};
 pub use waits::Waits;
 pub use window::RetryWindow;
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::{
     call::{Call, Progress},
+    examine::broke_off,
     state::Gateway,
 };
 use crate::{
@@ -124,6 +125,7 @@
         Ok(Err(error)) => {
             progress.runs += 1;
             broken(gateway, call, &place, &error);
+            broke_off(gateway, call.fingerprint(), &place.server).await;
             return Err(Answer::Broken);
         }
         Err(_) => {
@@ -187,12 +189,16 @@
 }
 
 /// Whether the fleet's retries, and this request's sends, allow another one. One
-/// that never left is not a retry to any server.
+/// that never left is not a retry to any server. What servers end under goes to no other.
 pub fn may_retry(gateway: &Gateway, call: &Call, progress: &Progress, answer: Answer) -> bool {
     let sends = u32::try_from(progress.tried.len()).unwrap_or(u32::MAX);
     if sends >= call.route().attempts + SENDS_SPARE {
         return false;
     }
+    if gateway.hold(call).is_some() {
+        gateway.tally.count("retries_denied_total", "held_back");
+        return false;
+    }
     let unsent = answer == Answer::NotRun(Proof::NeverSent);
     let allowed = unsent || gateway.take_retry(&call.service);
     if !allowed {
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -3,6 +3,7 @@
 use super::{
     attempt::{Got, attempt, may_retry},
     call::{Call, Progress},
+    examine::broke_off,
     held::Held,
     state::Gateway,
     stream::{self, Reply},
@@ -15,7 +16,7 @@
     header::{CONNECTION, HOST, HeaderValue},
 };
 use mastweir_core::gateway::{
-    Answer, Candidate, Kind, Next, Refusal, Route, Step, ending, held, next,
+    Answer, Candidate, HELD_BACK_FOR, Hold, Kind, Next, Refusal, Route, Step, ending, held, next,
 };
 use rand::Rng;
 use slog::info;
@@ -161,7 +162,12 @@
     let call = Rc::new(call);
     let mut progress = Progress::default();
     loop {
-        let server = match find_server(gateway, &call, &progress).await {
+        let found = find_server(gateway, &call, &progress).await;
+        // Servers may have ended under it while it waited.
+        if let Some(hold) = gateway.hold(&call) {
+            return held_back(gateway, &call, &progress, hold);
+        }
+        let server = match found {
             Ok(server) => server,
             Err(refusal) => return no_server(gateway, &call, &progress, refusal),
         };
@@ -264,11 +270,17 @@
 ) -> Result<Reply, Answer> {
     let Got { parts, head, body, exchange, place } = got;
     let read = Limited::new(body, ANSWER_BYTES_MAX).collect();
-    let Ok(Ok(body)) = time::timeout_at(call.deadline, read).await else {
+    let read = time::timeout_at(call.deadline, read).await;
+    let is_broken = matches!(read, Ok(Err(_)));
+    let Ok(Ok(body)) = read else {
         place.fail();
         gateway.tally.count("attempts_failed_total", "cut");
+        if is_broken {
+            broke_off(gateway, call.fingerprint(), &place.server).await;
+        }
         return Err(Answer::Broken);
     };
+    gateway.finished(call);
     gateway.servers.give_back(exchange, head.keep);
     let status = parts.status;
     let failed = status.is_server_error();
@@ -319,9 +331,22 @@
         "reason" => reason, "tried" => progress.tried.join(","),
         "returned" => call.returned, "left_ms" => call.left().as_millis() as u64,
         "directory" => gateway.fleet.borrow().directory().revision);
-    let run = progress.runs > 0;
-    let next = if run { Next::EndUnknown } else { Next::EndNotRun };
-    end(gateway, call, progress, next, back_after(gateway, call, refusal))
+    end(gateway, call, progress, unsent(progress), back_after(gateway, call, refusal))
+}
+
+/// The final answer of a request that servers end under. Its caller is told when it would be
+/// tried again, and nothing that would have it come sooner.
+fn held_back(gateway: &Gateway, call: &Call, progress: &Progress, hold: Hold) -> Reply {
+    gateway.tally.count("refusals_total", "held_back");
+    info!(gateway.log, "request held back"; "id" => &call.head.id, "ends" => hold.ends,
+        "fingerprint" => %call.fingerprint(), "age_ms" => hold.age.as_millis() as u64,
+        "tried" => progress.tried.join(","));
+    end(gateway, call, progress, unsent(progress), HELD_BACK_FOR)
+}
+
+/// How a request ends that goes to no other server.
+const fn unsent(progress: &Progress) -> Next {
+    if progress.runs > 0 { Next::EndUnknown } else { Next::EndNotRun }
 }
 
 /// When a refused caller is told to come back.
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -100,6 +100,7 @@
         gateway.servers.sweep();
         gateway.internal.sweep();
         gateway.drop_lapsed();
+        gateway.suspects.borrow_mut().expire(gateway.clock.now());
     }
 }
 
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -6,7 +6,7 @@
 //! to either (docs/design/large.md).
 
 use mastweir_core::{
-    gateway::{Model, Named, Told},
+    gateway::{Accused, Model, Named, Told},
     switch::{
         hold::{RankState, Taken},
         maps::MapChange,
@@ -22,6 +22,8 @@
 pub const COUNTS_SENT: usize = 400;
 /// Servers' loads in one datagram: some 33 bytes each.
 pub const LOADS_SENT: usize = 36;
+/// Requests that servers ended under in one datagram: some 80 bytes each at most.
+pub const ACCUSED_SENT: usize = 16;
 /// Ranks' states in one datagram: some 50 bytes each.
 pub const RANKS_SENT: usize = 20;
 
@@ -44,6 +46,9 @@
     Section(SectionReport),
     /// A coordinator to its hall's speakers, and they to gateways.
     Pace(Pace),
+    /// A gateway to its hall's speakers, and they to gateways: requests under which servers
+    /// ended.
+    Accused(Vec<Accused>),
 }
 
 /// A gateway is here, and has got so far.
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -3,7 +3,8 @@
 //! One process an instance, one thread. The way of a request: `listen` accepts
 //! its connection, `forward` finds route, customer and server and carries the
 //! `call` to its end in one `attempt` or more, `stream` passes events on and has
-//! another server take a stream up. `watch` says what is followed in the platform's
+//! another server take a stream up; `examine` looks whether a server ended under what it
+//! broke off. `watch` says what is followed in the platform's
 //! store, `follow` how; `peers` are the other gateways, `fetch` is what they have newer,
 //! and `relay` what sidecars say and who tells it on. Store or peers alone are enough to
 //! stay up to date. What is decided from it all is in [`mastweir_core::gateway`].
@@ -11,6 +12,7 @@
 mod attempt;
 mod call;
 mod datagrams;
+mod examine;
 mod fetch;
 pub mod follow;
 mod forward;
@@ -22,6 +24,7 @@
 pub mod settings;
 mod state;
 mod stream;
+mod suspects;
 mod unread;
 mod watch;
 
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -11,6 +11,7 @@
     message::{DATAGRAM_MAX, Hello, Message},
     relay,
     state::Gateway,
+    suspects,
 };
 use mastweir_core::gateway::{Lag, Named, Said, Versions};
 use slog::info;
@@ -27,6 +28,7 @@
     let socket = Rc::new(socket);
     task::spawn_local(send_hellos(gateway.clone(), socket.clone()));
     task::spawn_local(relay::tell(gateway.clone(), socket.clone()));
+    task::spawn_local(suspects::tell(gateway.clone(), socket.clone()));
     let mut lag = Lag::default();
     let mut buffer = vec![0; DATAGRAM_MAX * 2];
     loop {
@@ -44,6 +46,7 @@
                 let from_sidecar = !gateway.gateways.borrow().knows(from);
                 relay::paced(&gateway, &socket, pace, from_sidecar);
             }
+            Ok(Message::Accused(accused)) => suspects::told(&gateway, &accused, from),
             Ok(
                 Message::Greeting(_) | Message::Poll(_) | Message::Rank(_) | Message::Section(_),
             )
--- a/src/mastweir/gateway/relay.rs
+++ b/src/mastweir/gateway/relay.rs
@@ -63,7 +63,8 @@
     }
 }
 
-fn send_all(gateway: &Gateway, socket: &UdpSocket, to: &[IpAddr], messages: &[Vec<u8>]) {
+/// Sends messages to the processes at some addresses.
+pub fn send_all(gateway: &Gateway, socket: &UdpSocket, to: &[IpAddr], messages: &[Vec<u8>]) {
     for ip in to {
         let addr = gateway.internal_addr(*ip);
         messages.iter().for_each(|bytes| send(gateway, socket, addr, bytes));
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -1,6 +1,6 @@
 //! What a gateway knows, shared by its tasks on one thread.
 
-use super::{message::LeadSeen, settings::Settings};
+use super::{call::Call, examine::Looks, message::LeadSeen, settings::Settings};
 use crate::{
     net::http::Pool,
     platform::store::Store,
@@ -8,8 +8,8 @@
 };
 use mastweir_core::{
     gateway::{
-        Candidate, Config, Directory, Fleet, Named, Needs, Peers, Refusal, RetryWindow, Route,
-        RouteIndex, Waits,
+        Candidate, Config, Directory, Fleet, Hold, Named, Needs, Peers, Refusal, RetryWindow,
+        Route, RouteIndex, Suspects, Waits,
     },
     time::Uptime,
 };
@@ -89,6 +89,10 @@
     pub watches: watch::Sender<bool>,
     /// Tells requests that wait for room: something was heard of servers, or ended there.
     pub news: Notify,
+    /// Requests under which servers ended.
+    pub suspects: RefCell<Suspects>,
+    /// Servers that broke requests off, and are looked at.
+    pub looks: Looks,
     /// How long callers wait.
     pub waits: RefCell<Waits>,
     /// Requests that are held.
@@ -125,6 +129,8 @@
             speaks: Cell::new(false),
             watches: watch::Sender::new(false),
             news: Notify::new(),
+            suspects: RefCell::default(),
+            looks: Looks::default(),
             waits: RefCell::default(),
             held: Cell::new(0),
             connections: Cell::new(0),
@@ -191,6 +197,19 @@
         self.fleet.borrow().choose(needs, self.clock.now(), &mut *rng)
     }
 
+    /// Why a request is held back, if it is. Its callers come again with other ids, so that
+    /// which attempt this is tells nothing: nine servers ended under one, in five attempts.
+    pub fn hold(&self, call: &Call) -> Option<Hold> {
+        let mut suspects = self.suspects.borrow_mut();
+        // Most of the time there are none, and no fingerprint is needed.
+        if suspects.is_empty() { None } else { suspects.hold(call.fingerprint(), self.clock.now()) }
+    }
+
+    /// Notes that a server answered a request whole.
+    pub fn finished(&self, call: &Call) {
+        self.suspects.borrow_mut().finished(call.fingerprint(), self.clock.now());
+    }
+
     /// Counts a request of a service.
     pub fn count_request(&self, service: &str) {
         let now = self.clock.now();
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -3,6 +3,7 @@
 use super::{
     attempt::{Got, Place, attempt, may_retry, stuck},
     call::{Call, Progress},
+    examine::broke_off,
     held::Held,
     state::Gateway,
 };
@@ -29,6 +30,9 @@
 /// before new requests.
 const RESUME_ROOM: f64 = 2.5;
 
+/// Why a stream left its server, whose connection ended.
+const BROKEN: &str = "broken";
+
 /// A stream that can't be finished. Its connection is closed, so that the caller
 /// sees that it is not complete.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
@@ -133,7 +137,7 @@
                 }
                 Ok(None) if self.events.is_whole() => return self.finish(),
                 Ok(None) | Ok(Some(Err(_))) => {
-                    if !self.take_up_elsewhere("broken").await {
+                    if !self.take_up_elsewhere(BROKEN).await {
                         return self.cut("not taken up");
                     }
                 }
@@ -183,6 +187,7 @@
         let Some(source) = self.source.take() else { return Piece::Cut };
         self.gateway.servers.give_back(source.exchange, source.keep);
         let took = self.call.arrived.elapsed();
+        self.gateway.finished(&self.call);
         self.gateway.tally.count("streams_total", "complete");
         self.log_pace("complete");
         self.gateway.tally.observe("stream_seconds", took);
@@ -209,6 +214,9 @@
                 "server" => &source.place.server.id, "reason" => reason,
                 "fingerprint" => %self.call.fingerprint(),
                 "last_event" => self.events.last_id());
+            if reason == BROKEN {
+                broke_off(&self.gateway, self.call.fingerprint(), &source.place.server).await;
+            }
         }
         self.resume().await
     }
--- /dev/null
+++ b/src/mastweir/gateway/suspects.rs
@@ -0,0 +1,79 @@
+//! What gateways tell each other of requests under which servers ended.
+//!
+//! A gateway tells the speakers of its hall, and they those who follow them and the other
+//! halls' speakers; each tells on only what was new to it, so nothing goes in a circle. What
+//! is held back speakers tell again and again: some was lost, or told before a gateway
+//! started.
+
+use super::{
+    examine::log_held,
+    message::{ACCUSED_SENT, Message},
+    relay::send_all,
+    state::Gateway,
+};
+use mastweir_core::gateway::Accused;
+use std::{net::IpAddr, rc::Rc, time::Duration};
+use tokio::{net::UdpSocket, time};
+
+/// News is told on this often: through two speakers all gateways have it within 0.5 s.
+const TELL_EVERY: Duration = Duration::from_millis(150);
+/// Rounds of that between two times that a speaker tells what is held back: a gateway that
+/// has just started knows it 1.5 s later.
+const HELD_ROUNDS: u32 = 10;
+
+/// Tells others, for ever.
+pub async fn tell(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut round = 0_u32;
+    loop {
+        round = round.wrapping_add(1);
+        if !gateway.suspects.borrow().is_empty() {
+            tell_once(&gateway, &socket, round.is_multiple_of(HELD_ROUNDS));
+        }
+        time::sleep(TELL_EVERY).await;
+    }
+}
+
+fn tell_once(gateway: &Gateway, socket: &UdpSocket, with_held: bool) {
+    let now = gateway.clock.now();
+    let suspects = gateway.suspects.borrow();
+    let mut told = suspects.news(now);
+    if with_held && gateway.speaks.get() {
+        told.extend(suspects.held(ACCUSED_SENT, now));
+    }
+    drop(suspects);
+    if told.is_empty() {
+        return;
+    }
+    let messages: Vec<Vec<u8>> = told
+        .chunks(ACCUSED_SENT)
+        // What can't be encoded can't be told; no message is of that kind.
+        .filter_map(|chunk| postcard::to_stdvec(&Message::Accused(chunk.to_vec())).ok())
+        .collect();
+    send_all(gateway, socket, &hearers(gateway), &messages);
+}
+
+/// The speakers of the hall, and, of one of them, its followers and the other halls' speakers.
+fn hearers(gateway: &Gateway) -> Vec<IpAddr> {
+    let now = gateway.clock.now();
+    let settings = gateway.settings.borrow();
+    let gateways = gateway.gateways.borrow();
+    let mut hearers = gateways.speakers(&settings.hall, now);
+    if gateway.speaks.get() {
+        hearers.extend(gateways.followers());
+        hearers.extend(gateways.far_speakers(now));
+    }
+    hearers.sort_unstable();
+    hearers.dedup();
+    hearers.retain(|ip| *ip != settings.ip);
+    hearers
+}
+
+/// Takes in what another gateway tells.
+pub fn told(gateway: &Gateway, all: &[Accused], from: IpAddr) {
+    let now = gateway.clock.now();
+    for accused in all {
+        if gateway.suspects.borrow_mut().told(accused, now) {
+            log_held(gateway, accused.request, &from.to_string());
+        }
+    }
+}
--- a/src/mastweir/net/http.rs
+++ b/src/mastweir/net/http.rs
@@ -73,6 +73,12 @@
     pub const fn is_unsent(&self) -> bool {
         matches!(self, Self::Connect { .. } | Self::Unsent)
     }
+
+    /// Whether nobody listens there.
+    pub fn is_refused(&self) -> bool {
+        let Self::Connect { source, .. } = self else { return false };
+        source.kind() == io::ErrorKind::ConnectionRefused
+    }
 }
 
 /// A connection that one request and its answer hold.
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -113,7 +113,13 @@
                 // A coordinator that is behind gets the next one.
                 let _ = sidecar.reports.try_send(section);
             }
-            Ok(Message::Hello(_) | Message::Report(_) | Message::Loads(_) | Message::Pace(_))
+            Ok(
+                Message::Hello(_)
+                | Message::Report(_)
+                | Message::Loads(_)
+                | Message::Pace(_)
+                | Message::Accused(_),
+            )
             | Err(_) => (),
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,4 +32,5 @@
 mod processes;
 mod sight;
 mod soak;
+mod suspects;
 mod unreadable;
