Prove that a server ended by two looks that find the same

Change: only two looks in a row that find the same decide, 0.25 s apart; a connection that the first one opened and that still stands is the second. Scripted servers keep their port 20 ms beyond their connections.

--- a/crates/mastweir-test-support/src/scripted.rs
+++ b/crates/mastweir-test-support/src/scripted.rs
@@ -14,6 +14,9 @@
 };
 
 const BUFFER: usize = 16 << 10;
+/// The port of a server that ends takes connections so long after the others were reset: a
+/// process that ends closes one after the other.
+const PORT_LASTS: Duration = Duration::from_millis(20);
 
 /// What a server does for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,7 +31,7 @@
     Reset,
     /// Says nothing until the other side closes.
     Hang,
-    /// Ends the server: its port closes, and all its connections are reset.
+    /// Ends the server: all its connections are reset, and its port closes a moment later.
     End,
 }
 
@@ -85,11 +88,14 @@
             let mut ended = alive.subscribe();
             loop {
                 let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    // Dropped here, the port refuses connections.
-                    _ = ended.wait_for(|alive| !alive) => return,
+                    accepted = listener.accept() => Some(accepted),
+                    _ = ended.wait_for(|alive| !alive) => None,
+                };
+                let Some(Ok((stream, _))) = accepted else {
+                    time::sleep(PORT_LASTS).await;
+                    // Dropped here, it refuses connections.
+                    return;
                 };
-                let Ok((stream, _)) = accepted else { return };
                 let serving =
                     serve(stream, script.clone(), got.clone(), left.clone(), alive.clone());
                 tokio::spawn(serving);
--- a/src/mastweir/gateway/examine.rs
+++ b/src/mastweir/gateway/examine.rs
@@ -2,10 +2,12 @@
 //!
 //! An answer that breaks off accuses nobody: its connection may have been reset, its group
 //! may have lost another rank, its server may answer badly. So the server's port is looked
-//! at: one that has ended refuses connections at once. A second look a little later is the
-//! proof, as a server with too many connections turns some away.
+//! at: one that has ended refuses connections. Two looks in a row have to find the same: a
+//! process that ends closes its port behind its connections, and one that lives turns some
+//! away when it has too many.
 
 use super::state::Gateway;
+use crate::net::http::Exchange;
 use mastweir_core::gateway::{Candidate, Fingerprint};
 use slog::info;
 use std::{
@@ -22,9 +24,7 @@
 /// Pause between two looks: less than any server takes to start again.
 const LOOK_AGAIN: Duration = Duration::from_millis(250);
 /// Looks at a server at most, for the case that packets are lost.
-const LOOKS_MAX: u32 = 4;
-/// Refusals in a row that prove the end of a server.
-const REFUSALS: u32 = 2;
+const LOOKS_MAX: u32 = 6;
 
 /// Servers that are looked at, each with the requests that it broke off and those who wait
 /// for the first look.
@@ -64,38 +64,45 @@
     let _ = first.await;
 }
 
-/// Looks at a server until it is clear whether it ended.
+/// Looks at a server until two looks in a row find the same.
 async fn examine(gateway: Rc<Gateway>, server: Candidate) {
-    let mut refusals = 0;
+    let mut open = None;
+    let mut before = Look::Silent;
+    let mut ended = false;
     for _ in 0..LOOKS_MAX {
-        let look = look(&gateway, &server).await;
-        match look {
-            Look::Opened => break,
-            Look::Refused => refusals += 1,
-            Look::Silent => (),
-        }
-        if refusals >= REFUSALS {
+        let look = look(&gateway, &server, &mut open).await;
+        release(&gateway, &server);
+        if look == before && look != Look::Silent {
+            ended = look == Look::Refused;
             break;
         }
-        let waiting = gateway
-            .looks
-            .0
-            .borrow_mut()
-            .get_mut(&server.id)
-            .map(|looked| std::mem::take(&mut looked.waiting));
-        // Those whose caller has left wait no more.
-        waiting.into_iter().flatten().for_each(|seen| seen.send(()).unwrap_or_default());
+        before = look;
         time::sleep(LOOK_AGAIN).await;
     }
-    let ended = refusals >= REFUSALS;
-    let looked = gateway.looks.0.borrow_mut().remove(&server.id).unwrap_or_default();
-    conclude(&gateway, &server, &looked.requests, ended);
+    if let Some(open) = open {
+        gateway.servers.give_back(open, None);
+    }
+    conclude(&gateway, &server, ended);
+}
+
+/// The first look is over.
+fn release(gateway: &Gateway, server: &Candidate) {
+    let mut looks = gateway.looks.0.borrow_mut();
+    let Some(looked) = looks.get_mut(&server.id) else { return };
+    for waiting in looked.waiting.drain(..) {
+        // Its caller may have left.
+        let _ = waiting.send(());
+    }
 }
 
-async fn look(gateway: &Gateway, server: &Candidate) -> Look {
+async fn look(gateway: &Gateway, server: &Candidate, open: &mut Option<Exchange>) -> Look {
+    if open.as_ref().is_some_and(|open| !open.is_closed()) {
+        return Look::Opened;
+    }
+    *open = None;
     match gateway.servers.open(server.addr, LOOK_LASTS).await {
         Ok(exchange) => {
-            gateway.servers.give_back(exchange, None);
+            *open = Some(exchange);
             Look::Opened
         }
         Err(error) if error.is_refused() => {
@@ -106,7 +113,9 @@
     }
 }
 
-fn conclude(gateway: &Gateway, server: &Candidate, requests: &[Fingerprint], ended: bool) {
+fn conclude(gateway: &Gateway, server: &Candidate, ended: bool) {
+    let looked = gateway.looks.0.borrow_mut().remove(&server.id).unwrap_or_default();
+    let requests = looked.requests;
     let now = gateway.clock.now();
     let life = Fingerprint::of_life(&server.id);
     let mut suspects = gateway.suspects.borrow_mut();
@@ -117,7 +126,7 @@
     gateway.tally.count("servers_ended_total", "under_requests");
     info!(gateway.log, "server ended under requests"; "server" => &server.id,
         "requests" => requests.len(), "first" => requests.first().map(Fingerprint::to_string));
-    for request in requests {
+    for request in &requests {
         if suspects.ended(*request, life, now) {
             log_held(gateway, *request, "own");
         }
--- a/src/mastweir/net/http.rs
+++ b/src/mastweir/net/http.rs
@@ -89,6 +89,11 @@
 }
 
 impl Exchange {
+    /// Whether its connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends the request; the connection closes if the future is dropped.
     ///
     /// # Errors
@@ -113,7 +118,7 @@
 
 impl Idle {
     fn is_usable(&self, now: Instant) -> bool {
-        self.until > now && !self.exchange.sender.is_closed()
+        self.until > now && !self.exchange.is_closed()
     }
 }
 
