Keep requests that are held back where gateways that start find them

Cause: a gateway that starts knows nothing of what the others hold back for 1.5 s, and all of them nothing when all lose power; each time two more servers end. Change: whoever proves a request writes it into the store, once; who watches the store reads that when it begins, others fetch it from the first gateway that has newer news, and none calls itself ready before that or 1 s. Objects lapse after an hour and are cleared by those who read them, under a condition.

--- a/crates/mastweir-core/src/gateway/suspects.rs
+++ b/crates/mastweir-core/src/gateway/suspects.rs
@@ -233,6 +233,12 @@
         self.suspects.retain(|_, suspect| now.since(suspect.seen) < HELD_BACK_FOR);
     }
 
+    /// What is known of a request, if a server ended under it.
+    pub fn accused_of(&self, request: Fingerprint, now: Uptime) -> Option<Accused> {
+        let suspect = self.suspects.get(&request).filter(|suspect| !suspect.ends.is_empty())?;
+        Some(accused(request, suspect, now))
+    }
+
     /// What was learned of late, and is to be told to other gateways.
     pub fn news(&self, now: Uptime) -> Vec<Accused> {
         let is_new = |suspect: &Suspect| now.since(suspect.changed) < NEWS_LASTS;
@@ -254,11 +260,16 @@
         fits: impl Fn(&Suspect) -> bool,
     ) -> impl Iterator<Item = Accused> {
         let proven = self.suspects.iter().filter(|(_, suspect)| !suspect.ends.is_empty());
-        proven.filter(move |(_, suspect)| fits(suspect)).map(move |(request, suspect)| Accused {
-            request: *request,
-            ends: suspect.ends.clone(),
-            finished: suspect.finished,
-            age_ms: u32::try_from(now.since(suspect.seen).as_millis()).unwrap_or(u32::MAX),
-        })
+        let fitting = proven.filter(move |(_, suspect)| fits(suspect));
+        fitting.map(move |(request, suspect)| accused(*request, suspect, now))
+    }
+}
+
+fn accused(request: Fingerprint, suspect: &Suspect, now: Uptime) -> Accused {
+    Accused {
+        request,
+        ends: suspect.ends.clone(),
+        finished: suspect.finished,
+        age_ms: u32::try_from(now.since(suspect.seen).as_millis()).unwrap_or(u32::MAX),
     }
 }
--- a/crates/mastweir-test-support/src/doors.rs
+++ b/crates/mastweir-test-support/src/doors.rs
@@ -54,7 +54,7 @@
             lost: Mutex::default(),
         });
         let managed = door.clone();
-        let routes = rocket::routes![list, get, create, update];
+        let routes = rocket::routes![list, get, create, update, delete];
         let served = serve(0, move |rocket| rocket.mount("/objects", routes).manage(managed));
         Ok((door, served.await?))
     }
@@ -206,6 +206,21 @@
     write(door, kind, name, &object).await
 }
 
+#[rocket::delete("/<kind>/<name>?<revision>")]
+async fn delete(door: &State<Arc<Door>>, kind: &str, name: &str, revision: Option<u64>) -> Reply {
+    door.hear(kind, None);
+    if let Err(status) = door.enter(1).await {
+        return no(status);
+    }
+    let Some(is) = door.platform.object(kind, name) else { return no(Status::NotFound) };
+    if revision.is_some_and(|revision| told(&is)["metadata"]["revision"] != revision) {
+        return no(Status::Conflict);
+    }
+    door.platform.remove(kind, name);
+    door.platform.leave_write().await;
+    reply(Status::Ok, &told(&is))
+}
+
 async fn write(door: &Door, kind: &str, name: &str, object: &Value) -> Reply {
     door.platform.put(kind, name, json!({ "spec": object["spec"] }));
     door.platform.leave_write().await;
--- a/crates/mastweir-test-support/src/platform.rs
+++ b/crates/mastweir-test-support/src/platform.rs
@@ -161,6 +161,11 @@
         self.changed.send_modify(|changed| *changed = version);
     }
 
+    /// Whether there is an object.
+    pub fn has(&self, collection: &str, name: &str) -> bool {
+        self.object(collection, name).is_some()
+    }
+
     /// Tells of changes.
     pub(crate) fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
--- a/src/mastweir/gateway/examine.rs
+++ b/src/mastweir/gateway/examine.rs
@@ -6,7 +6,7 @@
 //! process that ends closes its port behind its connections, and one that lives turns some
 //! away when it has too many.
 
-use super::state::Gateway;
+use super::{keep, state::Gateway};
 use crate::net::http::Exchange;
 use mastweir_core::gateway::{Candidate, Fingerprint};
 use slog::info;
@@ -113,7 +113,7 @@
     }
 }
 
-fn conclude(gateway: &Gateway, server: &Candidate, ended: bool) {
+fn conclude(gateway: &Rc<Gateway>, server: &Candidate, ended: bool) {
     let looked = gateway.looks.0.borrow_mut().remove(&server.id).unwrap_or_default();
     let requests = looked.requests;
     let now = gateway.clock.now();
@@ -129,6 +129,7 @@
     for request in &requests {
         if suspects.ended(*request, life, now) {
             log_held(gateway, *request, "own");
+            task::spawn_local(keep::write(gateway.clone(), *request));
         }
     }
 }
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod follow;
 mod forward;
 mod held;
+mod keep;
 mod listen;
 pub mod message;
 mod peers;
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -20,9 +20,15 @@
     collections::HashMap,
     net::{IpAddr, SocketAddr},
     rc::Rc,
+    time::Duration,
 };
 use tokio::sync::{Notify, watch};
 
+/// A gateway that has just started waits this long to hear which requests are held back,
+/// before it calls itself ready without: where it reaches neither the store nor another
+/// gateway, nobody can tell it.
+const CATCHES_UP: Duration = Duration::from_millis(1_000);
+
 /// What a gateway is made from.
 #[derive(Clone, Debug)]
 pub struct GatewayOptions {
@@ -91,6 +97,8 @@
     pub news: Notify,
     /// Requests under which servers ended.
     pub suspects: RefCell<Suspects>,
+    /// Whether it has heard which requests are held back.
+    pub caught_up: Cell<bool>,
     /// Servers that broke requests off, and are looked at.
     pub looks: Looks,
     /// How long callers wait.
@@ -130,6 +138,7 @@
             watches: watch::Sender::new(false),
             news: Notify::new(),
             suspects: RefCell::default(),
+            caught_up: Cell::new(false),
             looks: Looks::default(),
             waits: RefCell::default(),
             held: Cell::new(0),
@@ -154,7 +163,9 @@
     /// Whether callers may come.
     pub fn is_ready(&self) -> bool {
         let known = self.version() > 0 && self.fleet.borrow().directory().revision > 0;
-        known && !self.stopping.get()
+        let waits = self.clock.now().since(Uptime::default()) < CATCHES_UP;
+        let is_behind = waits && !self.caught_up.get();
+        known && !is_behind && !self.stopping.get()
     }
 
     /// Takes a configuration into force if it is newer.
--- a/src/mastweir/gateway/suspects.rs
+++ b/src/mastweir/gateway/suspects.rs
@@ -68,12 +68,12 @@
     hearers
 }
 
-/// Takes in what another gateway tells.
-pub fn told(gateway: &Gateway, all: &[Accused], from: IpAddr) {
+/// Takes in what another gateway, or the store, tells.
+pub fn told(gateway: &Gateway, all: &[Accused], from: &str) {
     let now = gateway.clock.now();
     for accused in all {
         if gateway.suspects.borrow_mut().told(accused, now) {
-            log_held(gateway, accused.request, &from.to_string());
+            log_held(gateway, accused.request, from);
         }
     }
 }
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -1,7 +1,9 @@
-//! What a gateway follows in the platform's store: the configuration and the servers.
+//! What a gateway follows in the platform's store: the configuration, the servers, and the
+//! requests that are held back.
 
 use super::{
     follow::{Source, follow},
+    keep,
     state::Gateway,
     unread::Noted,
 };
@@ -35,6 +37,11 @@
     .await;
 }
 
+/// Follows the requests that are held back, for ever, while this gateway watches the store.
+pub async fn holds(gateway: Rc<Gateway>) {
+    while_watching(&gateway, async || keep::follow(&gateway).await).await;
+}
+
 /// What others fetch from it, a gateway that does not watch fetches from others: a hall
 /// of thirty costs the store as much as one of two.
 async fn while_watching(gateway: &Gateway, follow: impl AsyncFn()) {
--- a/src/mastweir/platform/mod.rs
+++ b/src/mastweir/platform/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! - [`settings`]: the file that tells a process where it runs;
 //! - [`headers`]: what requests and answers carry;
-//! - [`config`] and [`servers`]: objects of the store, read into our types;
+//! - [`config`], [`servers`] and [`holds`]: objects of the store, read into our types;
 //! - [`objects`]: objects of the store, each read by itself;
 //! - [`store`]: calls to the store;
 //! - [`engine`]: calls to a model server.
@@ -14,6 +14,7 @@
 pub mod config;
 pub mod engine;
 pub mod headers;
+pub mod holds;
 pub mod objects;
 pub mod servers;
 pub mod settings;
--- a/src/mastweir/platform/store.rs
+++ b/src/mastweir/platform/store.rs
@@ -6,6 +6,7 @@
 
 use super::{
     config,
+    holds::{self, StoredHold},
     objects::{self, Changes, Listed, Read, ReadPage, Unread},
     servers,
 };
@@ -13,7 +14,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, header};
-use mastweir_core::gateway::{Config, PROBE_LASTS, Server};
+use mastweir_core::gateway::{Accused, Config, PROBE_LASTS, Server};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -176,6 +177,39 @@
         self.call(method, &path, Some(&body), CALL_LASTS).await.map(drop)
     }
 
+    /// Requests that are held back.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`].
+    pub async fn holds(&self) -> Result<Listed<StoredHold>, StoreError> {
+        self.list(holds::KIND, holds::read).await
+    }
+
+    /// Writes a request that is held back.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Conflict`] if it is there already.
+    pub async fn write_hold(&self, accused: &Accused) -> Result<(), StoreError> {
+        let metadata = json!({ "name": holds::name(accused.request) });
+        let body = json!({ "metadata": metadata, "spec": holds::body(accused)? });
+        let path = format!("/objects/{}", holds::KIND);
+        self.call(Method::POST, &path, Some(&body), CALL_LASTS).await.map(drop)
+    }
+
+    /// Deletes one, under the condition that it is as it was read.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Conflict`] if it was written again.
+    pub async fn drop_hold(&self, hold: &StoredHold) -> Result<(), StoreError> {
+        let StoredHold { accused, revision } = hold;
+        let name = holds::name(accused.request);
+        let path = format!("/objects/{}/{name}?revision={revision}", holds::KIND);
+        self.call(Method::DELETE, &path, None, CALL_LASTS).await.map(drop)
+    }
+
     /// Whether the configuration has changed since a revision, from a cheap answer that
     /// may be seconds old.
     ///
--- a/tests/testsuite/crashing_request.rs
+++ b/tests/testsuite/crashing_request.rs
@@ -27,6 +27,7 @@
     scripted::{Act, Got, Scripted},
     site::{Answer, Running, Site, exchange, request, route, wait_for},
 };
+use serde_json::json;
 use std::time::Duration;
 use tokio::time;
 
@@ -39,6 +40,8 @@
 /// each other.
 const COMES_AGAIN: Duration = Duration::from_millis(700);
 
+/// Kind of the store's objects that keep what is held back.
+const HOLDS: &str = "mastweir-holds";
 const CRASHES: &[u8] = b"crashes";
 
 /// What a server does: it ends under that request, of a stream behind the head of its answer.
@@ -48,6 +51,7 @@
         "streaming" if ends => vec![stream_head(got), Act::End],
         "streaming" => vec![stream_head(got), chunk("id: 1\ndata: a\n\n"), last_chunk()],
         _ if ends => vec![Act::End],
+        _ if got.body == b"breaks" => vec![Act::Reset],
         _ => vec![answer(got, "200 OK", "whole")],
     }
 }
@@ -171,3 +175,54 @@
     expect_that!(world.ends, eq(ends));
     Ok(())
 }
+
+/// Servers that break answers off and live on accuse nobody: a group that lost a rank does so
+/// with all its streams.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn is_not_held_back_where_servers_live_on() -> Result<()> {
+    let mut world = World::new(1, "safe").await?;
+    for attempt in 0..6 {
+        let last = world.call(0, &format!("b-{attempt}"), "breaks").await?;
+        expect_that!(last.status, eq(502), "{attempt}");
+        // Two looks find the server alive.
+        time::sleep(COMES_AGAIN).await;
+    }
+    world.restart_ended().await?;
+    expect_that!(world.ends, eq(0));
+    Ok(())
+}
+
+/// All gateways lose what they know, and find it in the store; what nobody has asked for
+/// during an hour they clear away.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn is_held_back_when_all_gateways_start_anew() -> Result<()> {
+    let mut world = World::new(2, "unsafe").await?;
+    let lapsed = json!({ "spec": { "ends": ["1", "2"], "finished": false, "written_s": 9 } });
+    world.site.platform.put(HOLDS, "00000000000000ff", lapsed);
+    for attempt in 0..3 {
+        world.call(attempt % 2, &format!("c-{attempt}"), "crashes").await?;
+        world.restart_ended().await?;
+        time::sleep(COMES_AGAIN).await;
+    }
+    let ends = world.ends;
+    for gateway in &mut world.gateways {
+        gateway.ask_to_stop();
+        gateway.ended().await?;
+    }
+    let (_, served) = world.site.door().await?;
+    for number in 0..2 {
+        world.gateways[number] = world.site.gateway(number, served.addr)?;
+    }
+    for gateway in &world.gateways {
+        gateway.wait_ready().await?;
+    }
+    for number in 0..2 {
+        expect_that!(world.call(number, "c-9", "crashes").await?.status, eq(503));
+    }
+    world.restart_ended().await?;
+    expect_that!(world.ends, all!(eq(ends), le(ENDS)));
+    wait_for(async || !world.site.platform.has(HOLDS, "00000000000000ff")).await?;
+    Ok(())
+}
