Count the time for which a machine was suspended

Cause: deadlines, ages and leases were told by the steady clock, which stands still while the machine is suspended: a coordinator took states that were seconds old for fresh, and a server was given time that its caller no longer had. How long the store did not answer stays by the steady clock: it was not away meanwhile.

--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -3,9 +3,12 @@
 
 use crate::{Served, doors::Door, forks, platform::Platform, scripted::Scripted};
 use eyre::ensure;
-use mastweir::gateway::{
-    self, GatewayOptions,
-    settings::{Bounds, Settings},
+use mastweir::{
+    gateway::{
+        self, GatewayOptions,
+        settings::{Bounds, Settings},
+    },
+    util::clock::Clock,
 };
 use serde_json::{Value, json};
 use slog::{Logger, o};
@@ -44,6 +47,8 @@
     pub callers: SocketAddr,
     /// Where its readiness is asked for.
     pub ready: SocketAddr,
+    /// Its clock.
+    pub clock: Clock,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<eyre::Result<()>>>,
 }
@@ -191,12 +196,14 @@
             },
         };
         let (sender, receiver) = watch::channel(settings);
+        let clock = Clock::start();
         let options = GatewayOptions {
             settings: receiver,
             callers,
             ready,
             metrics_port: None,
             seed: Some(7),
+            clock: clock.clone(),
             log: Logger::root(slog::Discard, o!()),
         };
         let (stop, stopped) = oneshot::channel::<()>();
@@ -213,7 +220,7 @@
             }
             ended
         });
-        Ok(Running { callers, ready, stop: Some(stop), thread: Some(thread) })
+        Ok(Running { callers, ready, clock, stop: Some(stop), thread: Some(thread) })
     }
 }
 
--- a/src/mastweir/agent/work.rs
+++ b/src/mastweir/agent/work.rs
@@ -23,9 +23,10 @@
 /// Runs a request in the engine, then lets the next one begin.
 async fn run(shared: Arc<Shared>, job: Arc<Job>) {
     let begun = shared.context.clock.now();
-    let left = job.deadline.since(begun);
     let end = tokio::select! {
-        end = time::timeout(left, engine::answer(&shared.engine, &job)) => end.unwrap_or(End::Broken),
+        end = shared.context.clock.timeout_at(job.deadline, engine::answer(&shared.engine, &job)) => {
+            end.unwrap_or(End::Broken)
+        }
         () = job.answer.cancelled() => End::Broken,
     };
     let took = shared.context.clock.now().since(begun);
--- a/src/mastweir/context.rs
+++ b/src/mastweir/context.rs
@@ -39,7 +39,7 @@
     pub incarnation: Incarnation,
     /// Secret shared by the fleet's processes.
     pub secret: Secret,
-    /// Monotonic clock of this process.
+    /// Clock of this process.
     pub clock: Clock,
     /// Object API.
     pub platform: Platform,
--- a/src/mastweir/entry/calls.rs
+++ b/src/mastweir/entry/calls.rs
@@ -233,10 +233,12 @@
 
     async fn read(&mut self, call: &mut Call) -> Action {
         let Some(link) = &mut self.link else { return self.feed(call, Event::Lost) };
-        let left = self.deadline.since(self.shared.context.clock.now());
+        let clock = &self.shared.context.clock;
+        let left = self.deadline.since(clock.now());
         let resumable = self.order.service.resumable && self.stream.is_some();
         let patience = if resumable { left.min(STALL) } else { left };
-        let Ok(came) = time::timeout(patience, link.next(&self.shared)).await else {
+        let next = clock.timeout_at(clock.now() + patience, link.next(&self.shared));
+        let Ok(came) = next.await else {
             return self.silence(call, patience < left).await;
         };
         self.take(call, came)
@@ -301,8 +303,7 @@
             return self.read(call).await;
         };
         let unit = Bytes::from(std::mem::take(&mut self.body));
-        let left = self.deadline.since(self.shared.context.clock.now());
-        match time::timeout(left, stream.send(unit)).await {
+        match self.shared.context.clock.timeout_at(self.deadline, stream.send(unit)).await {
             Ok(Ok(())) => self.read(call).await,
             Ok(Err(_)) => self.feed(call, Event::CallerGone),
             Err(_) => self.feed(call, Event::Deadline),
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -81,7 +81,7 @@
     progress: &mut Progress,
 ) -> Result<Got, Answer> {
     progress.tried.push(server.id.clone());
-    progress.waited.get_or_insert(call.arrived.elapsed());
+    progress.waited.get_or_insert(call.age());
     let place = Place::take(gateway, server);
     let addr = place.server.addr;
     let idle = if call.route().repeatable() { gateway.servers.reuse(addr) } else { None };
@@ -105,7 +105,7 @@
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = headers::for_server(&call.headers, added);
     let sent = tokio::select! {
-        sent = time::timeout_at(call.deadline, exchange.send(request)) => sent,
+        sent = gateway.clock.timeout_at(call.deadline, exchange.send(request)) => sent,
         reason = stuck(gateway, call, &place, false) => {
             progress.runs += 1;
             place.fail();
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -1,15 +1,17 @@
 //! A request that was read, and what became of it so far.
 
 use super::state::Active;
-use crate::platform::headers::CallHead;
+use crate::{platform::headers::CallHead, util::clock::Clock};
 use bytes::Bytes;
 use hyper::{
     HeaderMap, Method, Uri,
     header::{HOST, HeaderValue},
 };
-use mastweir_core::gateway::{Asked, Fingerprint, Needs, Route, Stream};
+use mastweir_core::{
+    gateway::{Asked, Fingerprint, Needs, Route, Stream},
+    time::Uptime,
+};
 use std::{cell::OnceCell, rc::Rc, time::Duration};
-use tokio::time::Instant;
 
 /// A request that was read whole.
 #[derive(Debug)]
@@ -33,9 +35,11 @@
     /// The customer whose key it carried.
     pub customer: Option<String>,
     /// When it was read.
-    pub arrived: Instant,
+    pub arrived: Uptime,
     /// When its answer is due.
-    pub deadline: Instant,
+    pub deadline: Uptime,
+    /// The gateway's clock.
+    pub clock: Clock,
     /// Drawn for it, 0 to 1: who is taken on first while not all are.
     pub chance: f64,
     /// Whether its caller was refused before, as far as that shows.
@@ -83,7 +87,12 @@
 
     /// Time that is left.
     pub fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.since(self.clock.now())
+    }
+
+    /// Time since it was read.
+    pub fn age(&self) -> Duration {
+        self.clock.now().since(self.arrived)
     }
 }
 
--- a/src/mastweir/gateway/follow.rs
+++ b/src/mastweir/gateway/follow.rs
@@ -78,7 +78,8 @@
     kind: &'static str,
     log: &'a Logger,
     tally: &'a Tally,
-    /// When it answered last, to a watch, a list or a probe.
+    /// When it answered last, to a watch, a list or a probe. Not by the clock that counts
+    /// suspensions: while this machine was suspended the store was not away.
     answered: Cell<Instant>,
     lost: Cell<bool>,
     pause: Cell<Duration>,
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -15,8 +15,12 @@
     body::Incoming,
     header::{CONNECTION, HOST, HeaderValue},
 };
-use mastweir_core::gateway::{
-    Answer, Candidate, HELD_BACK_FOR, Hold, Kind, Next, Refusal, Route, Step, ending, held, next,
+use mastweir_core::{
+    gateway::{
+        Answer, Candidate, HELD_BACK_FOR, Hold, Kind, Next, Refusal, Route, Step, ending, held,
+        next,
+    },
+    time::Uptime,
 };
 use rand::Rng;
 use slog::info;
@@ -26,7 +30,7 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::time::{self, Instant};
+use tokio::time;
 
 /// Largest answer that is held back until it is whole. Usual ones are some KB.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
@@ -86,7 +90,7 @@
 
 /// Finds route and customer, and reads the body.
 async fn admit(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Result<Call, Reply> {
-    let arrived = Instant::now();
+    let arrived = gateway.clock.now();
     let (parts, body) = request.into_parts();
     let head = headers::read_call(&parts.headers);
     let Some(active) = gateway.active() else {
@@ -113,7 +117,7 @@
     let returned =
         head.wait.is_some_and(|wait| gateway.waits.borrow_mut().has_returned(&route.name, wait));
     let limit = active.config.limits.body_bytes;
-    let body = time::timeout_at(deadline, Limited::new(body, limit).collect()).await;
+    let body = gateway.clock.timeout_at(deadline, Limited::new(body, limit).collect()).await;
     let body = match body {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
@@ -133,6 +137,7 @@
         customer,
         arrived,
         deadline,
+        clock: gateway.clock.clone(),
         active,
         chance: gateway.rng.borrow_mut().random(),
         returned,
@@ -223,8 +228,9 @@
             Ok(_) => None,
             Err(refusal) => Some(refusal),
         };
-        let is_final =
-            |refusal: &Refusal| Instant::now() + LOOK_AGAIN >= held_until(gateway, call, *refusal);
+        let is_final = |refusal: &Refusal| {
+            gateway.clock.now() + LOOK_AGAIN >= held_until(gateway, call, *refusal)
+        };
         if let Some(refusal) = refusal.filter(is_final) {
             return Err(refusal);
         }
@@ -239,7 +245,7 @@
 /// find that caller. While a group stands still nothing is waited for: held meanwhile,
 /// returned requests served no more callers (60.4 in 100 of what was owed on a simulated day
 /// with a hall cut off, 62.3 without), since all of them met the group at once.
-fn held_until(gateway: &Gateway, call: &Call, refusal: Refusal) -> Instant {
+fn held_until(gateway: &Gateway, call: &Call, refusal: Refusal) -> Uptime {
     let route = call.route();
     let objective = Duration::from_millis(route.objective_ms);
     let mut held = objective.mul_f64(HELD_PART);
@@ -258,7 +264,7 @@
     let route = call.route();
     let objective = Duration::from_millis(route.objective_ms);
     let held = held(server.pass_ms, route.gap_ms as f64, objective);
-    progress.waited.is_some() || call.arrived.elapsed() + LOOK_AGAIN > held
+    progress.waited.is_some() || call.age() + LOOK_AGAIN > held
 }
 
 /// Reads an answer to its end before any of it goes to the caller.
@@ -270,7 +276,7 @@
 ) -> Result<Reply, Answer> {
     let Got { parts, head, body, exchange, place } = got;
     let read = Limited::new(body, ANSWER_BYTES_MAX).collect();
-    let read = time::timeout_at(call.deadline, read).await;
+    let read = gateway.clock.timeout_at(call.deadline, read).await;
     let is_broken = matches!(read, Ok(Err(_)));
     let Ok(Ok(body)) = read else {
         place.fail();
@@ -393,7 +399,7 @@
     outcome: &'static str,
     status: StatusCode,
 ) {
-    let took = call.arrived.elapsed();
+    let took = call.age();
     gateway.tally.count("requests_total", outcome);
     gateway.tally.observe("request_seconds", took);
     info!(gateway.log, "request"; "id" => &call.head.id, "route" => &call.route().name,
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -42,6 +42,8 @@
     pub metrics_port: Option<u16>,
     /// Seed of random choices; drawn if none is given.
     pub seed: Option<u64>,
+    /// Its clock.
+    pub clock: Clock,
     /// The log.
     pub log: Logger,
 }
@@ -67,7 +69,7 @@
 pub struct Gateway {
     /// Where it runs; may change.
     pub settings: watch::Receiver<Settings>,
-    /// Monotonic clock.
+    /// Its clock.
     pub clock: Clock,
     /// The log.
     pub log: Logger,
@@ -119,7 +121,7 @@
         let settings = options.settings.borrow().clone();
         let seeded = options.seed.map(SmallRng::seed_from_u64);
         Self {
-            clock: Clock::start(),
+            clock: options.clock.clone(),
             log: options.log.new(slog::o!("instance" => settings.name.clone())),
             tally: Tally::default(),
             store: Store::new(settings.store, Rc::new(Pool::default())),
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -18,7 +18,6 @@
 use mastweir_core::gateway::{Answer, Events, Pauses, Told};
 use slog::info;
 use std::{pin::Pin, rc::Rc, time::Duration};
-use tokio::time;
 
 /// The body of a stream's answer.
 pub type StreamReply = StreamBody<Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, StreamCut>>>>>;
@@ -77,7 +76,7 @@
     let head = headers::for_caller(&got.parts.headers);
     let events = Events::after(call.head.last_event.clone());
     let source = Some(source(got));
-    let pauses = Pauses::new(gateway.clock.now(), call.arrived.elapsed());
+    let pauses = Pauses::new(gateway.clock.now(), call.age());
     let relay = Relay {
         gateway,
         call,
@@ -114,7 +113,7 @@
         loop {
             let Some(source) = &mut self.source else { return Piece::Cut };
             let frame = tokio::select! {
-                frame = time::timeout_at(self.call.deadline, source.body.frame()) => frame,
+                frame = self.call.clock.timeout_at(self.call.deadline, source.body.frame()) => frame,
                 reason = stuck(&self.gateway, &self.call, &source.place, true) => {
                     if !self.take_up_elsewhere(reason).await {
                         return self.cut("not taken up");
@@ -186,7 +185,7 @@
     fn finish(&mut self) -> Piece {
         let Some(source) = self.source.take() else { return Piece::Cut };
         self.gateway.servers.give_back(source.exchange, source.keep);
-        let took = self.call.arrived.elapsed();
+        let took = self.call.age();
         self.gateway.finished(&self.call);
         self.gateway.tally.count("streams_total", "complete");
         self.log_pace("complete");
@@ -202,7 +201,7 @@
         self.log_pace("cut");
         info!(self.gateway.log, "stream cut"; "id" => &self.call.head.id, "reason" => reason,
             "last_event" => self.events.last_id(), "tried" => self.progress.tried.join(","),
-            "took_ms" => self.call.arrived.elapsed().as_millis() as u64);
+            "took_ms" => self.call.age().as_millis() as u64);
         Piece::Cut
     }
 
--- a/src/mastweir/net/http.rs
+++ b/src/mastweir/net/http.rs
@@ -6,6 +6,7 @@
 //! it back to the [`Pool`] only after a whole answer. Everything runs on one
 //! thread.
 
+use crate::util::clock::{Clock, Late};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -14,19 +15,10 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use mastweir_core::time::Uptime;
 use socket2::SockRef;
-use std::{
-    cell::RefCell,
-    collections::HashMap,
-    io,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
-use tokio::{
-    net::TcpStream,
-    task,
-    time::{self, error::Elapsed},
-};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration};
+use tokio::{net::TcpStream, task, time};
 
 /// Idle connections that are kept to one address.
 const IDLE_MAX: usize = 8;
@@ -65,7 +57,7 @@
     },
     /// No answer in time.
     #[error("no answer in time; whether it was carried out is unknown")]
-    Late(#[from] Elapsed),
+    Late(#[from] Late),
 }
 
 impl CallError {
@@ -113,11 +105,11 @@
 #[derive(Debug)]
 struct Idle {
     exchange: Exchange,
-    until: Instant,
+    until: Uptime,
 }
 
 impl Idle {
-    fn is_usable(&self, now: Instant) -> bool {
+    fn is_usable(&self, now: Uptime) -> bool {
         self.until > now && !self.exchange.is_closed()
     }
 }
@@ -126,6 +118,7 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    clock: Clock,
 }
 
 impl Pool {
@@ -133,7 +126,7 @@
     pub fn reuse(&self, addr: SocketAddr) -> Option<Exchange> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&addr)?;
-        let now = Instant::now();
+        let now = self.clock.now();
         while let Some(last) = list.pop() {
             if last.is_usable(now) && last.exchange.sender.is_ready() {
                 return Some(last.exchange);
@@ -171,7 +164,7 @@
     /// its server keeps it, if it said so.
     pub fn give_back(&self, exchange: Exchange, keep: Option<Duration>) {
         let lasts = keep.map_or(IDLE_LASTS, |keep| keep.saturating_sub(IDLE_MARGIN));
-        let now = Instant::now();
+        let now = self.clock.now();
         let until = now + lasts.min(IDLE_LASTS);
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(exchange.addr).or_default();
@@ -189,7 +182,7 @@
     /// Closes idle connections that are past their time, and forgets addresses
     /// that have none.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         for list in idle.values_mut() {
             list.retain(|idle| idle.is_usable(now));
@@ -225,15 +218,15 @@
         wait: Duration,
         limit: usize,
     ) -> Result<(u16, Bytes), CallError> {
-        let deadline = time::Instant::now() + wait;
+        let deadline = self.clock.now() + wait;
         let mut exchange = match self.reuse(addr) {
             Some(exchange) => exchange,
             None => self.open(addr, wait).await?,
         };
-        let answer = time::timeout_at(deadline, exchange.send(request)).await??;
+        let answer = self.clock.timeout_at(deadline, exchange.send(request)).await??;
         let status = answer.status().as_u16();
         let body = Limited::new(answer.into_body(), limit).collect();
-        let body = time::timeout_at(deadline, body).await?;
+        let body = self.clock.timeout_at(deadline, body).await?;
         let body = body.map_err(|_| CallError::Unread { limit })?.to_bytes();
         self.give_back(exchange, None);
         Ok((status, body))
--- a/src/mastweir/net/pool.rs
+++ b/src/mastweir/net/pool.rs
@@ -1,11 +1,13 @@
 //! Open channels that wait for their next use.
 
 use super::{Channel, ChannelError, Secret};
+use crate::util::clock::Clock;
+use mastweir_core::time::Uptime;
 use std::{
     collections::HashMap,
     net::SocketAddr,
     sync::{Mutex, PoisonError},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Idle channels kept to one peer at most.
@@ -19,13 +21,14 @@
 #[derive(Debug)]
 pub struct Pool {
     secret: Secret,
-    idle: Mutex<HashMap<SocketAddr, Vec<(Channel, Instant)>>>,
+    idle: Mutex<HashMap<SocketAddr, Vec<(Channel, Uptime)>>>,
+    clock: Clock,
 }
 
 impl Pool {
     /// A pool without channels.
     pub fn new(secret: Secret) -> Self {
-        Self { secret, idle: Mutex::default() }
+        Self { secret, idle: Mutex::default(), clock: Clock::start() }
     }
 
     /// An idle channel, or a new one.
@@ -44,9 +47,10 @@
     pub fn put(&self, addr: SocketAddr, channel: Channel) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let channels = idle.entry(addr).or_default();
-        channels.retain(|(_, since)| since.elapsed() < IDLE_TIME);
+        let now = self.clock.now();
+        channels.retain(|(_, since)| now.since(*since) < IDLE_TIME);
         if channels.len() < IDLE_MAX {
-            channels.push((channel, Instant::now()));
+            channels.push((channel, now));
         }
     }
 
@@ -54,7 +58,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let channels = idle.get_mut(&addr)?;
         while let Some((mut channel, since)) = channels.pop() {
-            if since.elapsed() < IDLE_TIME && channel.is_quiet() {
+            if self.clock.now().since(since) < IDLE_TIME && channel.is_quiet() {
                 return Some(channel);
             }
         }
--- a/src/mastweir/ops/gateway.rs
+++ b/src/mastweir/ops/gateway.rs
@@ -5,6 +5,7 @@
     platform::settings as file,
     sidecar::{self, SidecarOptions},
     util::{
+        clock::Clock,
         log::{self, Format},
         settings::SettingsError,
     },
@@ -62,6 +63,7 @@
         ready,
         metrics_port: options.metrics_port,
         seed: options.seed,
+        clock: Clock::start(),
         log: log.clone(),
     };
     on_one_thread(async {
--- a/src/mastweir/sidecar/state.rs
+++ b/src/mastweir/sidecar/state.rs
@@ -67,7 +67,7 @@
     pub port: u16,
     /// Where the model server listens.
     pub server: SocketAddr,
-    /// Monotonic clock.
+    /// Its clock.
     pub clock: Clock,
     /// The log.
     pub log: Logger,
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -9,7 +9,7 @@
         objects::{Change, Changes},
         store::StoreError,
     },
-    util::tally::Tally,
+    util::{clock::Late, tally::Tally},
 };
 use slog::{Logger, o};
 use std::{
@@ -125,8 +125,8 @@
 }
 
 async fn late(lasts: Duration) -> StoreError {
-    let Err(elapsed) = time::timeout(lasts, pending::<Infallible>()).await;
-    StoreError::Call(CallError::Late(elapsed))
+    time::sleep(lasts).await;
+    StoreError::Call(CallError::Late(Late))
 }
 
 impl Source for Store {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,4 +33,5 @@
 mod sight;
 mod soak;
 mod suspects;
+mod suspension;
 mod unreadable;
--- /dev/null
+++ b/tests/testsuite/suspension.rs
@@ -0,0 +1,91 @@
+//! A machine that was suspended: time has gone on, and timers have stood still.
+
+use crate::gateway::answer;
+use eyre::Result;
+use googletest::prelude::*;
+use mastweir::util::clock::Clock;
+use mastweir_core::time::Uptime;
+use mastweir_test_support::{
+    scripted::{Act, Scripted},
+    site::{Site, exchange, request, route, wait_for},
+};
+use std::time::Duration;
+use tokio::time;
+
+const SUSPENDED: Duration = Duration::from_secs(3);
+
+/// A request is sent to its second server with what its caller has left by then, not with
+/// what the gateway's timers have counted.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_are_given_no_time_that_has_passed_meanwhile() -> Result<()> {
+    let site = Site::new(1)?;
+    let breaks = Scripted::start(|got| match got.header("request-id") {
+        Some("r-1") => vec![Act::Wait(Duration::from_millis(600)), Act::Reset],
+        _ => vec![answer(got, "200 OK", "")],
+    })
+    .await?;
+    site.list("i-0", &breaks, "ready");
+    site.configure(1, &[route("/safe/", "safe")]);
+    let (_, served) = site.door().await?;
+    let gateway = site.gateway(0, served.addr)?;
+    gateway.wait_ready().await?;
+    let bytes = request("GET", "/safe/a", "r-1", "Request-Deadline: 4500\r\n", "");
+    let calling = tokio::spawn(exchange_owned(gateway.callers, bytes));
+    wait_for(async || breaks.got().len() == 1).await?;
+    let other = Scripted::start(|got| vec![answer(got, "200 OK", "")]).await?;
+    site.list("i-1", &other, "ready");
+    gateway.clock.suspend(SUSPENDED);
+    expect_that!(calling.await??.status, eq(200));
+    let got = other.got();
+    let left: u64 = got[0].header("request-deadline").unwrap_or_default().parse()?;
+    expect_that!(left, all!(gt(0), le(1_500)));
+    Ok(())
+}
+
+/// A request that waits for its server ends at its deadline, a second later at most.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deadline_that_passed_meanwhile_ends_a_request() -> Result<()> {
+    let site = Site::new(1)?;
+    let server = Scripted::start(|_| vec![Act::Hang]).await?;
+    site.list("i-0", &server, "ready");
+    site.configure(1, &[route("/once/", "unsafe")]);
+    let (_, served) = site.door().await?;
+    let gateway = site.gateway(0, served.addr)?;
+    gateway.wait_ready().await?;
+    let bytes = request("POST", "/once/a", "r-1", "Request-Deadline: 4900\r\n", "x");
+    let calling = tokio::spawn(exchange_owned(gateway.callers, bytes));
+    wait_for(async || server.got().len() == 1).await?;
+    let begun = gateway.clock.now();
+    gateway.clock.suspend(Duration::from_secs(60));
+    expect_that!(calling.await??.status, eq(504));
+    let waited = gateway.clock.now().since(begun).saturating_sub(Duration::from_secs(60));
+    expect_that!(waited, lt(Duration::from_millis(2_500)));
+    Ok(())
+}
+
+async fn exchange_owned(
+    addr: std::net::SocketAddr,
+    bytes: Vec<u8>,
+) -> Result<mastweir_test_support::site::Answer> {
+    exchange(addr, &bytes).await
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn a_wait_ends_by_the_clock_not_by_the_timer() {
+    let clock = Clock::start();
+    let until = clock.now() + Duration::from_secs(3_600);
+    let begun = time::Instant::now();
+    let suspending = clock.clone();
+    let suspend = async move {
+        time::sleep(Duration::from_secs(2)).await;
+        suspending.suspend(Duration::from_secs(3_600));
+    };
+    tokio::join!(clock.sleep_until(until), suspend);
+    expect_that!(begun.elapsed(), le(Duration::from_secs(4)));
+    expect_that!(clock.timeout_at(until, std::future::pending::<()>()).await, err(anything()));
+    expect_that!(clock.timeout_at(until, async { 7 }).await, ok(eq(7)));
+    expect_that!(clock.now() > Uptime::from_secs(3_600), eq(true));
+}
