Hold requests back at entries too, where an agent tells of its engine's end

Cause: the same at the second pair of programs: an entry kept what was lost under a call with that call, and a caller without a key submitted it anew, to five engines. Change: an agent whose engine breaks an answer off looks at its port twice, 50 ms apart, and says that the engine ended; entries keep that by fingerprint (`Suspects`), tell each other beside heartbeats, and refuse with what to do. Entries keep nothing in the object API: when all start anew two more engines end.

--- a/crates/mastweir-core/src/gateway/suspects.rs
+++ b/crates/mastweir-core/src/gateway/suspects.rs
@@ -33,8 +33,9 @@
 /// A request that nobody has sent for this long is forgotten, and may be tried again: what
 /// servers run changes in hours.
 pub const HELD_BACK_FOR: Duration = Duration::from_secs(3_600);
-/// What is new is told on for this long, six times: one in a hundred datagrams is lost.
-const NEWS_LASTS: Duration = Duration::from_millis(1_000);
+/// What is new is told on for this long, eight times by gateways and once by entries, which
+/// tell what is held back each time: one in a hundred datagrams is lost.
+const NEWS_LASTS: Duration = Duration::from_millis(1_200);
 /// Requests that are remembered: some 0.5 MB. A server that ends accuses a dozen.
 const SUSPECTS_MAX: usize = 4_096;
 /// Requests answered whole that are remembered, twice at most: two minutes of a gateway that
--- a/crates/mastweir-core/src/wire.rs
+++ b/crates/mastweir-core/src/wire.rs
@@ -6,6 +6,7 @@
 //! handshake and datagram, and a process that reads another version drops it.
 
 use crate::{
+    gateway::Accused,
     id::{Fence, Incarnation, OpId},
     member::Heard,
     outcome::Refusal,
@@ -154,6 +155,8 @@
     Broken(Load),
     /// Answer to [`ToAgent::Rank`].
     Rank(RankReply),
+    /// The answer will never be whole: the engine ended under it.
+    EngineEnded(Load),
 }
 
 /// Between entries.
@@ -194,6 +197,8 @@
     },
     /// Service that customers received, for the fleet-wide share.
     Usage(Usage),
+    /// Requests under which engines ended.
+    Accused(Vec<Accused>),
 }
 
 /// A datagram: who sent it, and in which order.
--- a/crates/mastweir-test-support/src/fleet.rs
+++ b/crates/mastweir-test-support/src/fleet.rs
@@ -51,6 +51,8 @@
     pub runs: Arc<Runs>,
     /// Servers.
     pub servers: Vec<Server>,
+    /// Agents before engines of a test's own.
+    pub agents: Vec<Agent>,
     /// Entries.
     pub entries: Vec<EntryInstance>,
     /// Rank groups.
@@ -89,6 +91,7 @@
             served,
             runs: Arc::default(),
             servers: Vec::new(),
+            agents: Vec::new(),
             entries: Vec::new(),
             groups: Vec::new(),
             seed,
@@ -159,6 +162,44 @@
         Ok(())
     }
 
+    /// Adds an agent before an engine of the test's own, and lists it.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub async fn add_agent(
+        &mut self,
+        name: &str,
+        hall: &str,
+        service: &str,
+        engine: &str,
+    ) -> eyre::Result<()> {
+        let services = vec![service.to_owned()];
+        let options = AgentOptions {
+            listen: loopback(),
+            engine: engine.to_owned(),
+            services: services.clone(),
+            slots: 4,
+            queue: 16,
+            group: None,
+            grace: GRACE,
+        };
+        let agent = Agent::start(self.context(name, hall)?, options).await?;
+        let spec = InstanceSpec {
+            role: InstanceRole::Server,
+            hall: hall.to_owned(),
+            tcp: agent.tcp,
+            udp: agent.udp,
+            http: None,
+            state: InstanceState::Live,
+            services,
+            group: None,
+        };
+        self.platform.list_instance(name, &spec);
+        self.agents.push(agent);
+        Ok(())
+    }
+
     /// Adds an entry, and lists it.
     ///
     /// # Errors
--- a/src/mastweir/agent/answer.rs
+++ b/src/mastweir/agent/answer.rs
@@ -22,6 +22,8 @@
     Whole(Spent),
     /// Never whole.
     Broken,
+    /// Never whole: the engine ended under it.
+    EngineEnded,
     /// Never begun.
     Refused(Refusal),
 }
--- a/src/mastweir/agent/engine.rs
+++ b/src/mastweir/agent/engine.rs
@@ -11,7 +11,11 @@
 use reqwest::{Client, Method, RequestBuilder, Response, header};
 use serde::Deserialize;
 use std::time::Duration;
+use tokio::time;
 
+/// Looks at an engine that broke an answer off, and the pause before each of them.
+const ENDED_LOOKS: u32 = 2;
+const ENDED_LOOK: Duration = Duration::from_millis(50);
 /// Time for it to carry out a rank order.
 const ORDER_TIME: Duration = Duration::from_secs(2);
 const EVENT_STREAM: &str = "text/event-stream";
@@ -60,6 +64,19 @@
         response.json().await.ok()
     }
 
+    /// Whether nobody listens at its port, at two looks in a row: a process that ends closes
+    /// its port behind its connections.
+    pub async fn has_ended(&self) -> bool {
+        for _ in 0..ENDED_LOOKS {
+            time::sleep(ENDED_LOOK).await;
+            let look = self.client.get(format!("{}/load", self.base)).timeout(ENDED_LOOK).send();
+            if !look.await.is_err_and(|error| error.is_connect()) {
+                return false;
+            }
+        }
+        true
+    }
+
     fn call(&self, job: &Job) -> Option<RequestBuilder> {
         let start = &job.start;
         let method = Method::from_bytes(start.method.as_bytes()).ok()?;
--- a/src/mastweir/agent/jobs.rs
+++ b/src/mastweir/agent/jobs.rs
@@ -146,7 +146,9 @@
             End::Whole(spent) => spent.units,
             // Charged for what it used. Its first units may have come from
             // another server, and were charged there.
-            End::Broken => job.start.units(job.answer.units().saturating_sub(job.start.from)),
+            End::Broken | End::EngineEnded => {
+                job.start.units(job.answer.units().saturating_sub(job.start.from))
+            }
             End::Refused(_) => 0,
         };
         let customer = CustomerTag::of(&job.start.customer);
@@ -278,7 +280,7 @@
 fn note(ledger: &mut Ledger<Arc<Answer>>, op: OpId, end: End, size: usize) {
     match end {
         End::Whole(_) => ledger.finish(op, size),
-        End::Broken => ledger.break_off(op),
+        End::Broken | End::EngineEnded => ledger.break_off(op),
         End::Refused(why) => {
             if !ledger.withdraw(op, why) {
                 ledger.revoke(op, why);
--- a/src/mastweir/agent/serve.rs
+++ b/src/mastweir/agent/serve.rs
@@ -144,6 +144,7 @@
     match end {
         End::Whole(spent) => FromAgent::End(spent, load),
         End::Broken => FromAgent::Broken(load),
+        End::EngineEnded => FromAgent::EngineEnded(load),
         End::Refused(why) => FromAgent::Refused(why, load),
     }
 }
--- a/src/mastweir/agent/work.rs
+++ b/src/mastweir/agent/work.rs
@@ -20,11 +20,24 @@
     }
 }
 
+/// A request's answer. Where that broke off it tells whether the engine ended under it, so
+/// that the entry sends it to no other behind two of them.
+async fn answer(shared: &Shared, job: &Job) -> End {
+    match engine::answer(&shared.engine, job).await {
+        End::Broken if shared.engine.has_ended().await => {
+            slog::warn!(shared.context.log, "engine ended under a request";
+                "request" => &job.start.request, "customer" => &job.start.customer);
+            End::EngineEnded
+        }
+        end => end,
+    }
+}
+
 /// Runs a request in the engine, then lets the next one begin.
 async fn run(shared: Arc<Shared>, job: Arc<Job>) {
     let begun = shared.context.clock.now();
     let end = tokio::select! {
-        end = shared.context.clock.timeout_at(job.deadline, engine::answer(&shared.engine, &job)) => {
+        end = shared.context.clock.timeout_at(job.deadline, answer(&shared, &job)) => {
             end.unwrap_or(End::Broken)
         }
         () = job.answer.cancelled() => End::Broken,
--- a/src/mastweir/entry/attempt.rs
+++ b/src/mastweir/entry/attempt.rs
@@ -3,6 +3,7 @@
 use super::{Shared, lock};
 use crate::net::{Channel, ChannelError};
 use mastweir_core::{
+    gateway::Fingerprint,
     outcome::Event,
     wire::{FromAgent, Load, PIECE_MAX, Spent, Start, ToAgent},
 };
@@ -27,11 +28,13 @@
     pub head: Option<(u16, Option<String>)>,
     /// What the request has cost, at its end.
     pub spent: Option<Spent>,
+    /// The life of an engine that ended under it.
+    pub ended: Option<Fingerprint>,
 }
 
 impl Came {
     const fn bare(event: Event) -> Self {
-        Self { event, bytes: Vec::new(), head: None, spent: None }
+        Self { event, bytes: Vec::new(), head: None, spent: None, ended: None }
     }
 }
 
@@ -90,6 +93,12 @@
                 self.report(shared, &load);
                 Came::bare(Event::Lost)
             }
+            FromAgent::EngineEnded(load) => {
+                self.report(shared, &load);
+                // An engine says nothing of its lives; one that ends does so at one moment.
+                let life = format!("{} {} {}", self.server, load.incarnation.0, load.uptime.0);
+                Came { ended: Some(Fingerprint::of_life(&life)), ..Came::bare(Event::Lost) }
+            }
             FromAgent::Rank(_) => Came::bare(Event::Lost),
         }
     }
--- a/src/mastweir/entry/calls.rs
+++ b/src/mastweir/entry/calls.rs
@@ -92,6 +92,10 @@
 
 impl Driver {
     async fn run(&mut self) {
+        // Its caller may have submitted it before, here or at another entry.
+        if self.is_held() {
+            return self.refuse(Kind::HeldBack).await;
+        }
         if self.order.service.repeatable {
             let resumable = self.order.service.resumable && self.order.streamed;
             let end = self.drive(Call::new(Plan::Repeatable { resumable })).await;
@@ -159,7 +163,23 @@
         }
     }
 
+    /// Whether engines ended under the request, so that it goes to no other.
+    fn is_held(&self) -> bool {
+        let now = self.shared.context.clock.now();
+        let mut suspects = lock(&self.shared.suspects);
+        let hold = suspects.hold(self.order.fingerprint(), now);
+        if let Some(hold) = hold {
+            slog::info!(self.shared.context.log, "request held back"; "request" => &self.order.id,
+                "fingerprint" => %self.order.fingerprint(), "ends" => hold.ends,
+                "age_ms" => hold.age.as_millis() as u64);
+        }
+        hold.is_some()
+    }
+
     fn route(&mut self) -> Option<Fence> {
+        if self.is_held() {
+            return None;
+        }
         let chosen = {
             let view = lock(&self.shared.view);
             let now = self.shared.context.clock.now();
@@ -248,6 +268,10 @@
         if let Some(head) = came.head {
             self.head = head;
         }
+        if let Some(life) = came.ended {
+            let now = self.shared.context.clock.now();
+            lock(&self.shared.suspects).ended(self.order.fingerprint(), life, now);
+        }
         if let Some(spent) = came.spent {
             self.admitted.settle(spent.units);
         }
@@ -326,6 +350,8 @@
             && let Some(server) = self.tried.last().cloned()
         {
             self.signal(&server, Signal::Good);
+            let now = self.shared.context.clock.now();
+            lock(&self.shared.suspects).finished(self.order.fingerprint(), now);
         }
     }
 
--- a/src/mastweir/entry/fleet.rs
+++ b/src/mastweir/entry/fleet.rs
@@ -56,6 +56,13 @@
                     fetch_from(&shared, &datagram.from);
                 }
             }
+            Packet::Accused(all) => {
+                let mut suspects = lock(&shared.suspects);
+                all.iter().filter(|accused| suspects.told(accused, now)).for_each(|accused| {
+                    slog::info!(shared.context.log, "request to be held back";
+                        "fingerprint" => %accused.request, "from" => &datagram.from);
+                });
+            }
             Packet::Usage(rows) => usage::receive(&shared, &datagram.from, rows),
             Packet::Report(_) | Packet::Subscribe { .. } => (),
         }
@@ -68,6 +75,7 @@
         let jitter = lock(&shared.rng).random_range(0.9..1.1);
         time::sleep(BEAT.mul_f64(jitter)).await;
         lock(&shared.members).tick(shared.context.clock.now());
+        lock(&shared.suspects).expire(shared.context.clock.now());
         heartbeat::tell_some(&shared).await;
         subscribe(&shared).await;
     }
--- a/src/mastweir/entry/heartbeat.rs
+++ b/src/mastweir/entry/heartbeat.rs
@@ -2,12 +2,14 @@
 
 use super::{Shared, lock};
 use crate::objects::InstanceRole;
-use mastweir_core::wire::Packet;
+use mastweir_core::{gateway::Accused, wire::Packet};
 use rand::seq::{IndexedRandom, IteratorRandom};
 use std::{net::SocketAddr, sync::atomic::Ordering};
 
 /// Peers that a heartbeat goes to.
 const FANOUT: usize = 3;
+/// Requests told beside a heartbeat, of 80 bytes at most.
+const ACCUSED: usize = 13;
 /// Members named in a heartbeat.
 const NAMED: usize = 6;
 
@@ -18,11 +20,25 @@
         return;
     }
     let packet = heartbeat(shared);
+    let accused = accused(shared);
     for addr in peers {
         shared.socket.send(addr, &packet).await;
+        if !accused.is_empty() {
+            shared.socket.send(addr, &Packet::Accused(accused.clone())).await;
+        }
     }
 }
 
+/// Requests under which engines ended: what is new, and what is held back.
+fn accused(shared: &Shared) -> Vec<Accused> {
+    let now = shared.context.clock.now();
+    let suspects = lock(&shared.suspects);
+    let mut accused = suspects.news(now);
+    accused.extend(suspects.held(ACCUSED, now));
+    accused.truncate(ACCUSED);
+    accused
+}
+
 fn pick_peers(shared: &Shared) -> Vec<SocketAddr> {
     let view = lock(&shared.view);
     let own = &shared.context;
--- a/src/mastweir/entry/mod.rs
+++ b/src/mastweir/entry/mod.rs
@@ -37,7 +37,9 @@
     Context,
     net::{Pool, Socket, Traffic},
 };
-use mastweir_core::{member::Members, route::RetryBudget, switch::MapVersion, table::Table};
+use mastweir_core::{
+    gateway::Suspects, member::Members, route::RetryBudget, switch::MapVersion, table::Table,
+};
 use rand::{SeedableRng, rngs::StdRng};
 use rocket::Shutdown;
 use std::{
@@ -100,6 +102,8 @@
     limits: Mutex<admit::Limits>,
     usage: Mutex<usage::Exchange>,
     budget: Mutex<RetryBudget>,
+    /// Requests under which engines ended.
+    suspects: Mutex<Suspects>,
     rng: Mutex<StdRng>,
     decisions: decisions::Decisions,
     /// Maps that operators or the planner want, by group.
@@ -206,6 +210,7 @@
             limits: Mutex::default(),
             usage: Mutex::default(),
             budget: Mutex::default(),
+            suspects: Mutex::default(),
             rng: Mutex::new(rng),
             decisions: decisions::Decisions::default(),
             wanted: Mutex::default(),
--- a/src/mastweir/entry/order.rs
+++ b/src/mastweir/entry/order.rs
@@ -1,6 +1,10 @@
 //! A request on its way through an entry.
 
-use mastweir_core::{route::Request, table::Service};
+use mastweir_core::{
+    gateway::{Asked, Fingerprint},
+    route::Request,
+    table::Service,
+};
 
 /// A request that was read and let in.
 #[derive(Clone, Debug)]
@@ -36,6 +40,16 @@
 }
 
 impl Order {
+    /// What it has in common with other submissions of the same request.
+    pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(Asked {
+            customer: &self.customer,
+            host: &self.service_name,
+            path: self.path.split('?').next().unwrap_or_default(),
+            body: &self.body,
+        })
+    }
+
     /// What the router looks at.
     pub fn routing<'a>(&self, tried: &'a [String]) -> Request<'a> {
         Request { prefix: self.prefix, saves: self.prefill / 2, cost: self.cost, tried }
--- a/src/mastweir/entry/problem.rs
+++ b/src/mastweir/entry/problem.rs
@@ -51,6 +51,8 @@
     BadTicket,
     /// It ran, and its answer is not kept.
     AnswerGone,
+    /// Engines ended under it.
+    HeldBack,
     /// This entry leaves, or has not caught up yet.
     NotReady,
 }
@@ -144,6 +146,12 @@
                 "it has run, and its answer is not kept any more",
                 "do not submit it again; look the result up where it took effect",
             ),
+            Self::HeldBack => (
+                "held-back",
+                503,
+                "servers have ended under this request, and it is sent to no other",
+                "change it; unchanged it is tried again an hour after it was last submitted",
+            ),
             Self::NotReady => (
                 "not-ready",
                 503,
--- a/tests/testsuite/crashing_request.rs
+++ b/tests/testsuite/crashing_request.rs
@@ -24,6 +24,7 @@
 use eyre::Result;
 use googletest::prelude::*;
 use mastweir_test_support::{
+    fleet::{Fleet, customer, model, wait_informed},
     scripted::{Act, Got, Scripted},
     site::{Answer, Running, Site, exchange, request, route, wait_for},
 };
@@ -176,6 +177,45 @@
     Ok(())
 }
 
+/// The same at entries, whose servers have agents: an engine that ends is told by its agent.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn is_held_back_by_all_entries_once_engines_have_ended_under_it() -> Result<()> {
+    let mut fleet = Fleet::new(31).await?;
+    fleet.row("quaystep", &customer("quaystep", 1.0));
+    fleet.row("assistant", &model());
+    let mut engines = Vec::new();
+    for name in ["s1", "s2", "s3", "s4", "s5"] {
+        let engine = Scripted::start(|got| match String::from_utf8_lossy(&got.body) {
+            body if body.contains("crashes") => vec![Act::End],
+            _ => vec![answer(got, "404 Not Found", "")],
+        })
+        .await?;
+        fleet.add_agent(name, "north", "assistant", &format!("http://{}", engine.addr)).await?;
+        engines.push(engine);
+    }
+    fleet.add_entry("e1", "north").await?;
+    fleet.add_entry("e2", "north").await?;
+    for entry in &fleet.entries {
+        wait_informed(&reqwest::Client::new(), entry.http, engines.len()).await?;
+    }
+    let client = reqwest::Client::new();
+    let body = json!({"model": "assistant", "prompt": "crashes", "stream": true});
+    let mut told = Vec::new();
+    for attempt in 0..6 {
+        let request = client.post(format!("{}/v1/completions", fleet.url(attempt % 2))).json(&body);
+        let reply: serde_json::Value =
+            request.bearer_auth("quaystep").send().await?.json().await.unwrap_or_default();
+        told.push(reply["type"].as_str().unwrap_or_default().to_owned());
+        // A heartbeat goes from entry to entry.
+        time::sleep(Duration::from_millis(1_300)).await;
+    }
+    let ended = engines.iter().filter(|engine| engine.has_ended()).count();
+    expect_that!(ended, all!(ge(1), le(ENDS)));
+    expect_that!(told.last().map(String::as_str), some(eq("urn:mastweir:problem:held-back")));
+    Ok(())
+}
+
 /// Servers that break answers off and live on accuse nobody: a group that lost a rank does so
 /// with all its streams.
 #[googletest::test]
