--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -3,6 +3,7 @@
 use super::{
     attempt::{Got, attempt, may_retry},
     call::{Call, Progress},
+    ending::{BACK_FULL, end, held_back, log_end, no_server, refuse},
     examine::broke_off,
     held::Held,
     state::Gateway,
@@ -16,17 +17,13 @@
     header::{CONNECTION, HOST, HeaderValue},
 };
 use mastweir_core::{
-    gateway::{
-        Answer, Candidate, HELD_BACK_FOR, Hold, Kind, Next, Refusal, Route, Step, ending, held,
-        next,
-    },
+    gateway::{Answer, Candidate, Kind, Next, Refusal, Route, Step, ending, held, next},
     time::Uptime,
 };
 use rand::Rng;
 use slog::info;
 use std::{
     cell::{Cell, OnceCell},
-    ops::Range,
     rc::Rc,
     time::Duration,
 };
@@ -56,15 +53,6 @@
 /// Least pause between two looks for room, and the longest without news of any server.
 const LOOK_AGAIN: Duration = Duration::from_millis(8);
 const LOOK_LAST: Duration = Duration::from_millis(40);
-/// When a caller that a plain service had no room for is told to come back: its requests
-/// take some ten milliseconds.
-const BACK_FULL: Duration = Duration::from_millis(400);
-/// The same for a model's streams, which take seconds: drawn between these, so that those
-/// who were refused together do not come back together.
-const BACK_CROWD: Range<Duration> = Duration::from_millis(600)..Duration::from_millis(2_400);
-/// The same while no server can serve: a group opens again, and a server
-/// comes back, in seconds. Callers wait a third of their time at most.
-const BACK_DOWN: Duration = Duration::from_millis(2_500);
 /// Waits for a caller whose request has no deadline of its own.
 const WAIT_USUAL: Duration = Duration::from_secs(30);
 /// Largest wait that is taken from a caller.
@@ -324,88 +312,3 @@
     ];
     promises.contains(&status)
 }
-
-/// The final answer where no server is left to try.
-fn no_server(gateway: &Gateway, call: &Call, progress: &Progress, refusal: Refusal) -> Reply {
-    let reason = match refusal {
-        Refusal::Full => "full",
-        Refusal::Standing => "standing",
-        Refusal::NoServer => "no_server",
-    };
-    gateway.tally.count("refusals_total", reason);
-    info!(gateway.log, "no server found"; "id" => &call.head.id, "service" => &call.service,
-        "reason" => reason, "tried" => progress.tried.join(","),
-        "returned" => call.returned, "left_ms" => call.left().as_millis() as u64,
-        "directory" => gateway.fleet.borrow().directory().revision);
-    end(gateway, call, progress, unsent(progress), back_after(gateway, call, refusal))
-}
-
-/// The final answer of a request that servers end under. Its caller is told when it would be
-/// tried again, and nothing that would have it come sooner.
-fn held_back(gateway: &Gateway, call: &Call, progress: &Progress, hold: Hold) -> Reply {
-    gateway.tally.count("refusals_total", "held_back");
-    info!(gateway.log, "request held back"; "id" => &call.head.id, "ends" => hold.ends,
-        "fingerprint" => %call.fingerprint(), "age_ms" => hold.age.as_millis() as u64,
-        "tried" => progress.tried.join(","));
-    end(gateway, call, progress, unsent(progress), HELD_BACK_FOR)
-}
-
-/// How a request ends that goes to no other server.
-const fn unsent(progress: &Progress) -> Next {
-    if progress.runs > 0 { Next::EndUnknown } else { Next::EndNotRun }
-}
-
-/// When a refused caller is told to come back.
-fn back_after(gateway: &Gateway, call: &Call, refusal: Refusal) -> Duration {
-    match refusal {
-        Refusal::Full if call.is_model() => gateway.rng.borrow_mut().random_range(BACK_CROWD),
-        Refusal::Full => BACK_FULL,
-        Refusal::Standing | Refusal::NoServer => BACK_DOWN,
-    }
-}
-
-/// The final answer of the gateway's own.
-fn end(gateway: &Gateway, call: &Call, progress: &Progress, next: Next, back: Duration) -> Reply {
-    let late = call.left().is_zero();
-    let (status, retry_after) = match next {
-        Next::EndNotRun => (StatusCode::SERVICE_UNAVAILABLE, Some(back)),
-        _ if late => (StatusCode::GATEWAY_TIMEOUT, None),
-        _ => (StatusCode::BAD_GATEWAY, None),
-    };
-    log_end(gateway, call, progress, "ended", status);
-    own(&call.head.id, status, retry_after)
-}
-
-fn refuse(gateway: &Gateway, id: &str, status: StatusCode, reason: &'static str) -> Reply {
-    gateway.tally.count("refusals_total", reason);
-    info!(gateway.log, "request refused"; "id" => id, "status" => status.as_u16(),
-        "reason" => reason, "config" => gateway.version());
-    let retry = (status == StatusCode::SERVICE_UNAVAILABLE).then_some(BACK_FULL);
-    own(id, status, retry)
-}
-
-fn own(id: &str, status: StatusCode, retry_after: Option<Duration>) -> Reply {
-    let mut reply = Response::new(Either::Left(Full::default()));
-    *reply.status_mut() = status;
-    *reply.headers_mut() = headers::own_answer(id, retry_after);
-    reply
-}
-
-/// The line of a request that has its answer, or its stream's head.
-fn log_end(
-    gateway: &Gateway,
-    call: &Call,
-    progress: &Progress,
-    outcome: &'static str,
-    status: StatusCode,
-) {
-    let took = call.age();
-    gateway.tally.count("requests_total", outcome);
-    gateway.tally.observe("request_seconds", took);
-    info!(gateway.log, "request"; "id" => &call.head.id, "route" => &call.route().name,
-        "outcome" => outcome, "status" => status.as_u16(), "took_ms" => took.as_millis() as u64,
-        "late" => if took.as_millis() > u128::from(call.route().objective_ms) { "yes" } else { "no" },
-        "waited_ms" => progress.waited.map(|waited| waited.as_millis() as u64),
-        "sends" => progress.tried.len(), "server" => progress.tried.last(),
-        "config" => call.active.config.version);
-}
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! One process an instance, one thread. The way of a request: `listen` accepts
 //! its connection, `forward` finds route, customer and server and carries the
-//! `call` to its end in one `attempt` or more, `stream` passes events on and has
+//! `call` to its end (`ending`) in one `attempt` or more, `stream` passes events on and has
 //! another server take a stream up; `examine` looks whether a server ended under what it
 //! broke off. `watch` says what is followed in the platform's
 //! store, `follow` how; `peers` are the other gateways, `fetch` is what they have newer,
@@ -12,6 +12,7 @@
 mod attempt;
 mod call;
 mod datagrams;
+mod ending;
 mod examine;
 mod fetch;
 pub mod follow;
