Call what is kept from servers a quarantine

Cause: `hold` already names a group's pass that does not begin, and `held` what a gateway has open; a newcomer met three meanings. Change: names, log lines, the kind in the store (`mastweir-quarantine`, never landed under the other name); behaviour as it was.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -48,6 +48,6 @@
 pub use peers::{Named, Peers, Said};
 pub use proof::{Answer, Next, Proof, Step, ending, next};
 pub use seen::Told;
-pub use suspects::{Accused, HELD_BACK_FOR, Hold, Suspects};
+pub use suspects::{QUARANTINE_LASTS, Quarantine, Suspected, Suspects};
 pub use waits::Waits;
 pub use window::RetryWindow;
--- a/crates/mastweir-core/src/gateway/suspects.rs
+++ b/crates/mastweir-core/src/gateway/suspects.rs
@@ -4,11 +4,11 @@
 //! attempt, through any gateway. So what is known of it can't be kept with an attempt, nor
 //! at one gateway: each keeps, by the request's [`Fingerprint`], which lives of servers
 //! ended under it, and tells the others. A request under which [`ENDS_MAX`] of them ended
-//! is held back, that is, sent to none any more.
+//! is quarantined: sent to none any more.
 //!
 //! A server that ends takes with it all that it runs, so one end accuses many, most of them
 //! falsely; two lives that ended under the same request are rarely chance. Where the same is
-//! asked often, it is: what was once answered whole is held back only behind
+//! asked often, it is: what was once answered whole is quarantined only behind
 //! [`ENDS_FINISHED`].
 //!
 //! Ends only become more, and one that was answered stays so, so what gateways tell each
@@ -25,16 +25,16 @@
 
 /// Lives of servers under whose end a request is sent to no other one. With three, a request
 /// that ends each server takes a third group of ranks with it (nine servers ended under one
-/// that was never held back, and their groups stood still for 17 s of a simulated day).
+/// that was never quarantined, and their groups stood still for 17 s of a simulated day).
 pub const ENDS_MAX: usize = 2;
 /// The same for a request that was once answered whole: as many servers of one hall may end
 /// at once, by no fault of what they ran.
 pub const ENDS_FINISHED: usize = 8;
 /// A request that nobody has sent for this long is forgotten, and may be tried again: what
 /// servers run changes in hours.
-pub const HELD_BACK_FOR: Duration = Duration::from_secs(3_600);
+pub const QUARANTINE_LASTS: Duration = Duration::from_secs(3_600);
 /// What is new is told on for this long, eight times by gateways and once by entries, which
-/// tell what is held back each time: one in a hundred datagrams is lost.
+/// tell what is quarantined each time: one in a hundred datagrams is lost.
 const NEWS_LASTS: Duration = Duration::from_millis(1_200);
 /// Requests that are remembered: some 0.5 MB. A server that ends accuses a dozen.
 const SUSPECTS_MAX: usize = 4_096;
@@ -44,23 +44,23 @@
 
 /// What gateways tell each other of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Accused {
+pub struct Suspected {
     /// The request.
     pub request: Fingerprint,
     /// Lives of servers that ended under it.
     pub ends: Vec<Fingerprint>,
     /// Whether it was once answered whole.
     pub finished: bool,
-    /// Milliseconds since one of those ends, or since it was last held back.
+    /// Milliseconds since one of those ends, or since it was last refused.
     pub age_ms: u32,
 }
 
-/// Why a request is held back.
+/// Why a request is quarantined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Hold {
+pub struct Quarantine {
     /// Servers that ended under it, as far as is known here.
     pub ends: usize,
-    /// Time since the last of them, or since it was last held back.
+    /// Time since the last of them, or since it was last refused.
     pub age: Duration,
 }
 
@@ -71,7 +71,7 @@
     /// Lives that may have: they broke off and are being looked at.
     unproven: Vec<Fingerprint>,
     finished: bool,
-    /// When a server last ended under it, or it was last held back, here or elsewhere.
+    /// When a server last ended under it, or it was last refused, here or elsewhere.
     seen: Uptime,
     /// When something was last learned of it.
     changed: Uptime,
@@ -82,7 +82,7 @@
         if self.finished { ENDS_FINISHED } else { ENDS_MAX }
     }
 
-    fn is_held(&self) -> bool {
+    fn is_quarantined(&self) -> bool {
         self.ends.len() >= self.limit()
     }
 
@@ -148,7 +148,7 @@
         }
     }
 
-    /// A server ended under a request. Whether it is held back from now on.
+    /// A server ended under a request. Whether it is quarantined from now on.
     pub fn ended(&mut self, request: Fingerprint, life: Fingerprint, now: Uptime) -> bool {
         let suspect = self.entry(request, now);
         suspect.seen = now;
@@ -163,30 +163,30 @@
         }
     }
 
-    /// Takes in what another gateway tells. Whether the request is held back from now on.
-    pub fn told(&mut self, accused: &Accused, now: Uptime) -> bool {
-        let age = Duration::from_millis(u64::from(accused.age_ms));
-        if accused.ends.is_empty() || age >= HELD_BACK_FOR {
+    /// Takes in what another gateway tells. Whether the request is quarantined from now on.
+    pub fn told(&mut self, suspected: &Suspected, now: Uptime) -> bool {
+        let age = Duration::from_millis(u64::from(suspected.age_ms));
+        if suspected.ends.is_empty() || age >= QUARANTINE_LASTS {
             return false;
         }
-        let suspect = self.entry(accused.request, now);
+        let suspect = self.entry(suspected.request, now);
         suspect.seen = suspect.seen.max(now - age);
-        let is_held = Self::learn(suspect, &accused.ends, accused.finished, now);
+        let is_quarantined = Self::learn(suspect, &suspected.ends, suspected.finished, now);
         // Who tells it lacks something: news that was lost, or told before it started.
-        if suspect.ends.len() > accused.ends.len() || suspect.finished != accused.finished {
+        if suspect.ends.len() > suspected.ends.len() || suspect.finished != suspected.finished {
             suspect.changed = now;
         }
-        is_held
+        is_quarantined
     }
 
     fn learn(suspect: &mut Suspect, ends: &[Fingerprint], finished: bool, now: Uptime) -> bool {
-        let was_held = suspect.is_held();
+        let was_quarantined = suspect.is_quarantined();
         let finishes = finished && !suspect.finished;
         suspect.finished |= finished;
         if suspect.join(ends) || finishes {
             suspect.changed = now;
         }
-        !was_held && suspect.is_held()
+        !was_quarantined && suspect.is_quarantined()
     }
 
     /// The request, which is new if it isn't known.
@@ -213,15 +213,15 @@
         self.suspects.retain(|request, suspect| rank(request, suspect) > middle);
     }
 
-    /// Why a request is held back now, if it is; one that is has been asked for again.
-    pub fn hold(&mut self, request: Fingerprint, now: Uptime) -> Option<Hold> {
+    /// Why a request is quarantined now, if it is; one that is has been asked for again.
+    pub fn quarantine(&mut self, request: Fingerprint, now: Uptime) -> Option<Quarantine> {
         let suspect = self.suspects.get_mut(&request)?;
         let ends = suspect.ends.len() + suspect.unproven.len();
-        if ends < suspect.limit() || now.since(suspect.seen) >= HELD_BACK_FOR {
+        if ends < suspect.limit() || now.since(suspect.seen) >= QUARANTINE_LASTS {
             return None;
         }
         let age = now.since(std::mem::replace(&mut suspect.seen, now));
-        Some(Hold { ends, age })
+        Some(Quarantine { ends, age })
     }
 
     /// Whether none is known.
@@ -231,43 +231,43 @@
 
     /// Forgets those that nobody has asked for.
     pub fn expire(&mut self, now: Uptime) {
-        self.suspects.retain(|_, suspect| now.since(suspect.seen) < HELD_BACK_FOR);
+        self.suspects.retain(|_, suspect| now.since(suspect.seen) < QUARANTINE_LASTS);
     }
 
     /// What is known of a request, if a server ended under it.
-    pub fn accused_of(&self, request: Fingerprint, now: Uptime) -> Option<Accused> {
+    pub fn suspected_of(&self, request: Fingerprint, now: Uptime) -> Option<Suspected> {
         let suspect = self.suspects.get(&request).filter(|suspect| !suspect.ends.is_empty())?;
-        Some(accused(request, suspect, now))
+        Some(suspected(request, suspect, now))
     }
 
     /// What was learned of late, and is to be told to other gateways.
-    pub fn news(&self, now: Uptime) -> Vec<Accused> {
+    pub fn news(&self, now: Uptime) -> Vec<Suspected> {
         let is_new = |suspect: &Suspect| now.since(suspect.changed) < NEWS_LASTS;
-        self.accused(now, is_new).collect()
+        self.suspected(now, is_new).collect()
     }
 
-    /// What to tell those who may not have heard it: at most `count` that are held back,
+    /// What to tell those who may not have heard it: at most `count` that are quarantined,
     /// those that were last asked for.
-    pub fn held(&self, count: usize, now: Uptime) -> Vec<Accused> {
-        let mut held: Vec<Accused> = self.accused(now, Suspect::is_held).collect();
-        held.sort_by_key(|accused| accused.age_ms);
+    pub fn quarantined(&self, count: usize, now: Uptime) -> Vec<Suspected> {
+        let mut held: Vec<Suspected> = self.suspected(now, Suspect::is_quarantined).collect();
+        held.sort_by_key(|suspected| suspected.age_ms);
         held.truncate(count);
         held
     }
 
-    fn accused(
+    fn suspected(
         &self,
         now: Uptime,
         fits: impl Fn(&Suspect) -> bool,
-    ) -> impl Iterator<Item = Accused> {
+    ) -> impl Iterator<Item = Suspected> {
         let proven = self.suspects.iter().filter(|(_, suspect)| !suspect.ends.is_empty());
         let fitting = proven.filter(move |(_, suspect)| fits(suspect));
-        fitting.map(move |(request, suspect)| accused(*request, suspect, now))
+        fitting.map(move |(request, suspect)| suspected(*request, suspect, now))
     }
 }
 
-fn accused(request: Fingerprint, suspect: &Suspect, now: Uptime) -> Accused {
-    Accused {
+fn suspected(request: Fingerprint, suspect: &Suspect, now: Uptime) -> Suspected {
+    Suspected {
         request,
         ends: suspect.ends.clone(),
         finished: suspect.finished,
--- a/src/mastweir/entry/calls.rs
+++ b/src/mastweir/entry/calls.rs
@@ -19,6 +19,7 @@
 };
 use bytes::Bytes;
 use mastweir_core::{
+    gateway::Quarantine,
     id::{Fence, OpId},
     outcome::{Action, Binding, Call, Event, Evidence, Outcome, Plan},
     route::Signal,
@@ -93,8 +94,8 @@
 impl Driver {
     async fn run(&mut self) {
         // Its caller may have submitted it before, here or at another entry.
-        if self.is_held() {
-            return self.refuse(Kind::HeldBack).await;
+        if self.is_quarantined() {
+            return self.refuse(Kind::Quarantined).await;
         }
         if self.order.service.repeatable {
             let resumable = self.order.service.resumable && self.order.streamed;
@@ -164,20 +165,20 @@
     }
 
     /// Whether engines ended under the request, so that it goes to no other.
-    fn is_held(&self) -> bool {
+    fn is_quarantined(&self) -> bool {
         let now = self.shared.context.clock.now();
         let mut suspects = lock(&self.shared.suspects);
-        let hold = suspects.hold(self.order.fingerprint(), now);
-        if let Some(hold) = hold {
-            slog::info!(self.shared.context.log, "request held back"; "request" => &self.order.id,
-                "fingerprint" => %self.order.fingerprint(), "ends" => hold.ends,
-                "age_ms" => hold.age.as_millis() as u64);
+        let quarantine = suspects.quarantine(self.order.fingerprint(), now);
+        if let Some(Quarantine { ends, age }) = quarantine {
+            slog::info!(self.shared.context.log, "quarantined request refused"; "request" => &self.order.id,
+                "fingerprint" => %self.order.fingerprint(), "ends" => ends,
+                "age_ms" => age.as_millis() as u64);
         }
-        hold.is_some()
+        quarantine.is_some()
     }
 
     fn route(&mut self) -> Option<Fence> {
-        if self.is_held() {
+        if self.is_quarantined() {
             return None;
         }
         let chosen = {
--- a/src/mastweir/entry/fleet.rs
+++ b/src/mastweir/entry/fleet.rs
@@ -56,12 +56,14 @@
                     fetch_from(&shared, &datagram.from);
                 }
             }
-            Packet::Accused(all) => {
+            Packet::Suspected(all) => {
                 let mut suspects = lock(&shared.suspects);
-                all.iter().filter(|accused| suspects.told(accused, now)).for_each(|accused| {
-                    slog::info!(shared.context.log, "request to be held back";
-                        "fingerprint" => %accused.request, "from" => &datagram.from);
-                });
+                all.iter().filter(|suspected| suspects.told(suspected, now)).for_each(
+                    |suspected| {
+                        slog::info!(shared.context.log, "request quarantined";
+                        "fingerprint" => %suspected.request, "from" => &datagram.from);
+                    },
+                );
             }
             Packet::Usage(rows) => usage::receive(&shared, &datagram.from, rows),
             Packet::Report(_) | Packet::Subscribe { .. } => (),
--- a/src/mastweir/entry/heartbeat.rs
+++ b/src/mastweir/entry/heartbeat.rs
@@ -2,7 +2,7 @@
 
 use super::{Shared, lock};
 use crate::objects::InstanceRole;
-use mastweir_core::{gateway::Accused, wire::Packet};
+use mastweir_core::{gateway::Suspected, wire::Packet};
 use rand::seq::{IndexedRandom, IteratorRandom};
 use std::{net::SocketAddr, sync::atomic::Ordering};
 
@@ -20,23 +20,23 @@
         return;
     }
     let packet = heartbeat(shared);
-    let accused = accused(shared);
+    let suspected = suspected(shared);
     for addr in peers {
         shared.socket.send(addr, &packet).await;
-        if !accused.is_empty() {
-            shared.socket.send(addr, &Packet::Accused(accused.clone())).await;
+        if !suspected.is_empty() {
+            shared.socket.send(addr, &Packet::Suspected(suspected.clone())).await;
         }
     }
 }
 
 /// Requests under which engines ended: what is new, and what is held back.
-fn accused(shared: &Shared) -> Vec<Accused> {
+fn suspected(shared: &Shared) -> Vec<Suspected> {
     let now = shared.context.clock.now();
     let suspects = lock(&shared.suspects);
-    let mut accused = suspects.news(now);
-    accused.extend(suspects.held(ACCUSED, now));
-    accused.truncate(ACCUSED);
-    accused
+    let mut suspected = suspects.news(now);
+    suspected.extend(suspects.quarantined(ACCUSED, now));
+    suspected.truncate(ACCUSED);
+    suspected
 }
 
 fn pick_peers(shared: &Shared) -> Vec<SocketAddr> {
--- a/src/mastweir/entry/problem.rs
+++ b/src/mastweir/entry/problem.rs
@@ -52,7 +52,7 @@
     /// It ran, and its answer is not kept.
     AnswerGone,
     /// Engines ended under it.
-    HeldBack,
+    Quarantined,
     /// This entry leaves, or has not caught up yet.
     NotReady,
 }
@@ -146,8 +146,8 @@
                 "it has run, and its answer is not kept any more",
                 "do not submit it again; look the result up where it took effect",
             ),
-            Self::HeldBack => (
-                "held-back",
+            Self::Quarantined => (
+                "quarantined",
                 503,
                 "servers have ended under this request, and it is sent to no other",
                 "change it; unchanged it is tried again an hour after it was last submitted",
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -195,8 +195,8 @@
     if sends >= call.route().attempts + SENDS_SPARE {
         return false;
     }
-    if gateway.hold(call).is_some() {
-        gateway.tally.count("retries_denied_total", "held_back");
+    if gateway.quarantine(call).is_some() {
+        gateway.tally.count("retries_denied_total", "quarantined");
         return false;
     }
     let unsent = answer == Answer::NotRun(Proof::NeverSent);
--- a/src/mastweir/gateway/ending.rs
+++ b/src/mastweir/gateway/ending.rs
@@ -8,7 +8,7 @@
 use crate::platform::headers;
 use http_body_util::{Either, Full};
 use hyper::{Response, StatusCode};
-use mastweir_core::gateway::{HELD_BACK_FOR, Hold, Next, Refusal};
+use mastweir_core::gateway::{Next, QUARANTINE_LASTS, Quarantine, Refusal};
 use rand::Rng;
 use slog::info;
 use std::{ops::Range, time::Duration};
@@ -40,12 +40,17 @@
 
 /// The final answer of a request that servers end under. Its caller is told when it would be
 /// tried again, and nothing that would have it come sooner.
-pub fn held_back(gateway: &Gateway, call: &Call, progress: &Progress, hold: Hold) -> Reply {
-    gateway.tally.count("refusals_total", "held_back");
-    info!(gateway.log, "request held back"; "id" => &call.head.id, "ends" => hold.ends,
-        "fingerprint" => %call.fingerprint(), "age_ms" => hold.age.as_millis() as u64,
+pub fn quarantined(
+    gateway: &Gateway,
+    call: &Call,
+    progress: &Progress,
+    quarantine: Quarantine,
+) -> Reply {
+    gateway.tally.count("refusals_total", "quarantined");
+    info!(gateway.log, "quarantined request refused"; "id" => &call.head.id, "ends" => quarantine.ends,
+        "fingerprint" => %call.fingerprint(), "age_ms" => quarantine.age.as_millis() as u64,
         "tried" => progress.tried.join(","));
-    end(gateway, call, progress, unsent(progress), HELD_BACK_FOR)
+    end(gateway, call, progress, unsent(progress), QUARANTINE_LASTS)
 }
 
 /// How a request ends that goes to no other server.
--- a/src/mastweir/gateway/examine.rs
+++ b/src/mastweir/gateway/examine.rs
@@ -6,7 +6,7 @@
 //! process that ends closes its port behind its connections, and one that lives turns some
 //! away when it has too many.
 
-use super::{keep, state::Gateway};
+use super::{quarantine, state::Gateway};
 use crate::net::http::Exchange;
 use mastweir_core::gateway::{Candidate, Fingerprint};
 use slog::info;
@@ -128,14 +128,14 @@
         "requests" => requests.len(), "first" => requests.first().map(Fingerprint::to_string));
     for request in &requests {
         if suspects.ended(*request, life, now) {
-            log_held(gateway, *request, "own");
-            task::spawn_local(keep::write(gateway.clone(), *request));
+            log_quarantined(gateway, *request, "own");
+            task::spawn_local(quarantine::write(gateway.clone(), *request));
         }
     }
 }
 
-/// The line of a request that is held back from now on; `from` says who told it.
-pub fn log_held(gateway: &Gateway, request: Fingerprint, from: &str) {
-    gateway.tally.count("requests_held_total", "first");
-    info!(gateway.log, "request to be held back"; "fingerprint" => %request, "from" => from);
+/// The line of a request that is quarantined from now on; `from` says who told it.
+pub fn log_quarantined(gateway: &Gateway, request: Fingerprint, from: &str) {
+    gateway.tally.count("requests_quarantined_total", "first");
+    info!(gateway.log, "request quarantined"; "fingerprint" => %request, "from" => from);
 }
--- a/src/mastweir/gateway/fetch.rs
+++ b/src/mastweir/gateway/fetch.rs
@@ -7,22 +7,22 @@
     suspects,
 };
 use crate::net::internal;
-use mastweir_core::gateway::{Accused, Config, DirectoryChange};
+use mastweir_core::gateway::{Config, DirectoryChange, Suspected};
 use slog::warn;
 use std::{net::IpAddr, rc::Rc, time::Duration};
 
 /// A fetch of some hundred KB between halls.
 const FETCH_LASTS: Duration = Duration::from_millis(800);
 
-/// Requests that are held back that a gateway is told of when it starts, at most: 80 bytes
+/// Requests that are quarantined that a gateway is told of when it starts, at most: 80 bytes
 /// each.
-const HELD_SENT: usize = 4_096;
+const QUARANTINED_SENT: usize = 4_096;
 
 /// Fetches what another gateway has newer.
 pub async fn fetch(gateway: Rc<Gateway>, from: IpAddr) {
     let addr = gateway.internal_addr(from);
     if !gateway.caught_up.get() {
-        fetch_held(&gateway, from).await;
+        fetch_quarantined(&gateway, from).await;
     }
     let version = gateway.version();
     let config = internal::call(&gateway.internal, addr, "/config", &version, FETCH_LASTS).await;
@@ -46,17 +46,19 @@
     }
 }
 
-/// Fetches which requests another gateway holds back.
-async fn fetch_held(gateway: &Gateway, from: IpAddr) {
+/// Fetches which requests another gateway has quarantined.
+async fn fetch_quarantined(gateway: &Gateway, from: IpAddr) {
     let addr = gateway.internal_addr(from);
-    let held: Result<Vec<Accused>, _> =
-        internal::call(&gateway.internal, addr, "/held", &(), FETCH_LASTS).await;
+    let held: Result<Vec<Suspected>, _> =
+        internal::call(&gateway.internal, addr, "/quarantined", &(), FETCH_LASTS).await;
     match held {
         Ok(held) => {
             suspects::told(gateway, &held, &from.to_string());
             gateway.caught_up.set(true);
         }
-        Err(error) => warn!(gateway.log, "holds not fetched"; "peer" => %from, "error" => %error),
+        Err(error) => {
+            warn!(gateway.log, "quarantine not fetched"; "peer" => %from, "error" => %error);
+        }
     }
 }
 
@@ -76,9 +78,9 @@
             let is_newer = fleet.directory().revision > has;
             postcard::to_stdvec(&is_newer.then(|| fleet.changes_since(has)))
         }
-        "/held" => {
+        "/quarantined" => {
             let now = gateway.clock.now();
-            postcard::to_stdvec(&gateway.suspects.borrow().held(HELD_SENT, now))
+            postcard::to_stdvec(&gateway.suspects.borrow().quarantined(QUARANTINED_SENT, now))
         }
         "/group" => {
             let group: String = postcard::from_bytes(body).ok()?;
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -3,7 +3,7 @@
 use super::{
     attempt::{Got, attempt, may_retry},
     call::{Call, Progress},
-    ending::{BACK_FULL, end, held_back, log_end, no_server, refuse},
+    ending::{BACK_FULL, end, log_end, no_server, quarantined, refuse},
     examine::broke_off,
     held::Held,
     state::Gateway,
@@ -157,8 +157,8 @@
     loop {
         let found = find_server(gateway, &call, &progress).await;
         // Servers may have ended under it while it waited.
-        if let Some(hold) = gateway.hold(&call) {
-            return held_back(gateway, &call, &progress, hold);
+        if let Some(quarantine) = gateway.quarantine(&call) {
+            return quarantined(gateway, &call, &progress, quarantine);
         }
         let server = match found {
             Ok(server) => server,
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -59,7 +59,7 @@
     let (closing, closed) = flag::channel(false);
     task::spawn_local(watch::config(gateway.clone()));
     task::spawn_local(watch::servers(gateway.clone()));
-    task::spawn_local(watch::holds(gateway.clone()));
+    task::spawn_local(watch::quarantine(gateway.clone()));
     task::spawn_local(peers::run(gateway.clone(), socket));
     task::spawn_local(sweep(gateway.clone()));
     task::spawn_local(serve_ready(gateway.clone(), ready));
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -6,7 +6,7 @@
 //! to either (docs/design/large.md).
 
 use mastweir_core::{
-    gateway::{Accused, Model, Named, Told},
+    gateway::{Model, Named, Suspected, Told},
     switch::{
         hold::{RankState, Taken},
         maps::MapChange,
@@ -23,7 +23,7 @@
 /// Servers' loads in one datagram: some 33 bytes each.
 pub const LOADS_SENT: usize = 36;
 /// Requests that servers ended under in one datagram: some 80 bytes each at most.
-pub const ACCUSED_SENT: usize = 16;
+pub const SUSPECTED_SENT: usize = 16;
 /// Ranks' states in one datagram: some 50 bytes each.
 pub const RANKS_SENT: usize = 20;
 
@@ -48,7 +48,7 @@
     Pace(Pace),
     /// A gateway to its hall's speakers, and they to gateways: requests under which servers
     /// ended.
-    Accused(Vec<Accused>),
+    Suspected(Vec<Suspected>),
 }
 
 /// A gateway is here, and has got so far.
--- a/src/mastweir/gateway/keep.rs
+++ b/src/mastweir/gateway/quarantine.rs
@@ -1,4 +1,4 @@
-//! Requests that are held back, in the platform's store.
+//! Requests that are quarantined, in the platform's store.
 //!
 //! Gateways tell each other, but all of them may lose power at once, and a request that ends
 //! servers would end two more behind each such loss. So the gateway that proves one writes it
@@ -6,8 +6,8 @@
 //! Until it has, or had time for it, it does not call itself ready.
 
 use super::{state::Gateway, suspects, unread::Noted};
-use crate::platform::{holds::StoredHold, objects::Listed, store::StoreError};
-use mastweir_core::gateway::{Accused, Fingerprint, HELD_BACK_FOR};
+use crate::platform::{objects::Listed, quarantine::StoredQuarantine, store::StoreError};
+use mastweir_core::gateway::{Fingerprint, QUARANTINE_LASTS, Suspected};
 use slog::{info, warn};
 use std::{rc::Rc, time::Duration};
 use tokio::time;
@@ -18,18 +18,18 @@
 /// Tries to write: some three minutes. Gateways that live know it all the same.
 const WRITES_MAX: u32 = 15;
 
-/// Writes a request that is held back into the store.
+/// Writes a request that is quarantined into the store.
 pub async fn write(gateway: Rc<Gateway>, request: Fingerprint) {
     let mut pause = RETRY_FIRST;
     for _ in 0..WRITES_MAX {
-        let accused = gateway.suspects.borrow().accused_of(request, gateway.clock.now());
-        let Some(accused) = accused else { return };
-        match gateway.store.write_hold(&accused).await {
+        let suspected = gateway.suspects.borrow().suspected_of(request, gateway.clock.now());
+        let Some(suspected) = suspected else { return };
+        match gateway.store.write_quarantine(&suspected).await {
             // Another gateway was first.
             Ok(()) | Err(StoreError::Conflict) => return,
             Err(error) => {
-                gateway.tally.count("store_errors_total", "holds");
-                warn!(gateway.log, "hold not written"; "fingerprint" => %request, "error" => %error);
+                gateway.tally.count("store_errors_total", "quarantine");
+                warn!(gateway.log, "quarantine not written"; "fingerprint" => %request, "error" => %error);
             }
         }
         time::sleep(pause).await;
@@ -38,19 +38,19 @@
 }
 
 /// Reads what lies in the store, and clears it of what has lapsed, once in the time that a
-/// hold lasts, for ever.
+/// quarantine lasts, for ever.
 pub async fn follow(gateway: &Gateway) {
     let noted = Noted::default();
     let mut pause = RETRY_FIRST;
     loop {
-        match gateway.store.holds().await {
+        match gateway.store.quarantined().await {
             Ok(listed) => {
                 take(gateway, listed, &noted).await;
-                pause = HELD_BACK_FOR;
+                pause = QUARANTINE_LASTS;
             }
             Err(error) => {
-                gateway.tally.count("store_errors_total", "holds");
-                warn!(gateway.log, "holds not read"; "error" => %error);
+                gateway.tally.count("store_errors_total", "quarantine");
+                warn!(gateway.log, "quarantine not read"; "error" => %error);
                 pause = (pause * 2).min(RETRY_LAST);
             }
         }
@@ -58,27 +58,27 @@
     }
 }
 
-async fn take(gateway: &Gateway, listed: Listed<StoredHold>, noted: &Noted) {
-    listed.unread.iter().for_each(|unread| noted.note(gateway, "holds", unread));
-    let (holds, lapsed): (Vec<StoredHold>, Vec<StoredHold>) =
-        listed.items.into_iter().partition(|hold| is_young(&hold.accused));
-    if !holds.is_empty() {
-        info!(gateway.log, "holds read"; "holds" => holds.len(), "lapsed" => lapsed.len(),
+async fn take(gateway: &Gateway, listed: Listed<StoredQuarantine>, noted: &Noted) {
+    listed.unread.iter().for_each(|unread| noted.note(gateway, "quarantine", unread));
+    let (young, lapsed): (Vec<StoredQuarantine>, Vec<StoredQuarantine>) =
+        listed.items.into_iter().partition(|stored| is_young(&stored.suspected));
+    if !young.is_empty() {
+        info!(gateway.log, "quarantine read"; "requests" => young.len(), "lapsed" => lapsed.len(),
             "revision" => listed.revision);
     }
-    let accused: Vec<Accused> = holds.into_iter().map(|hold| hold.accused).collect();
-    suspects::told(gateway, &accused, "store");
+    let suspected: Vec<Suspected> = young.into_iter().map(|stored| stored.suspected).collect();
+    suspects::told(gateway, &suspected, "store");
     gateway.caught_up.set(true);
-    for hold in lapsed {
+    for stored in lapsed {
         // One that another gateway has cleared or written again is none of ours.
-        if let Err(error) = gateway.store.drop_hold(&hold).await {
-            let request = hold.accused.request;
-            info!(gateway.log, "lapsed hold not cleared"; "fingerprint" => %request,
+        if let Err(error) = gateway.store.drop_quarantine(&stored).await {
+            let request = stored.suspected.request;
+            info!(gateway.log, "lapsed quarantine not cleared"; "fingerprint" => %request,
                 "error" => %error);
         }
     }
 }
 
-fn is_young(accused: &Accused) -> bool {
-    Duration::from_millis(u64::from(accused.age_ms)) < HELD_BACK_FOR
+fn is_young(suspected: &Suspected) -> bool {
+    Duration::from_millis(u64::from(suspected.age_ms)) < QUARANTINE_LASTS
 }
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -8,7 +8,7 @@
 };
 use mastweir_core::{
     gateway::{
-        Candidate, Config, Directory, Fleet, Hold, Named, Needs, Peers, Refusal, RetryWindow,
+        Candidate, Config, Directory, Fleet, Named, Needs, Peers, Quarantine, Refusal, RetryWindow,
         Route, RouteIndex, Suspects, Waits,
     },
     time::Uptime,
@@ -24,7 +24,7 @@
 };
 use tokio::sync::{Notify, watch};
 
-/// A gateway that has just started waits this long to hear which requests are held back,
+/// A gateway that has just started waits this long to hear which requests are quarantined,
 /// before it calls itself ready without: where it reaches neither the store nor another
 /// gateway, nobody can tell it.
 const CATCHES_UP: Duration = Duration::from_millis(1_000);
@@ -99,7 +99,7 @@
     pub news: Notify,
     /// Requests under which servers ended.
     pub suspects: RefCell<Suspects>,
-    /// Whether it has heard which requests are held back.
+    /// Whether it has heard which requests are quarantined.
     pub caught_up: Cell<bool>,
     /// Servers that broke requests off, and are looked at.
     pub looks: Looks,
@@ -210,12 +210,16 @@
         self.fleet.borrow().choose(needs, self.clock.now(), &mut *rng)
     }
 
-    /// Why a request is held back, if it is. Its callers come again with other ids, so that
+    /// Why a request is quarantined, if it is. Its callers come again with other ids, so that
     /// which attempt this is tells nothing: nine servers ended under one, in five attempts.
-    pub fn hold(&self, call: &Call) -> Option<Hold> {
+    pub fn quarantine(&self, call: &Call) -> Option<Quarantine> {
         let mut suspects = self.suspects.borrow_mut();
         // Most of the time there are none, and no fingerprint is needed.
-        if suspects.is_empty() { None } else { suspects.hold(call.fingerprint(), self.clock.now()) }
+        if suspects.is_empty() {
+            None
+        } else {
+            suspects.quarantine(call.fingerprint(), self.clock.now())
+        }
     }
 
     /// Notes that a server answered a request whole.
--- a/src/mastweir/gateway/suspects.rs
+++ b/src/mastweir/gateway/suspects.rs
@@ -2,24 +2,24 @@
 //!
 //! A gateway tells the speakers of its hall, and they those who follow them and the other
 //! halls' speakers; each tells on only what was new to it, so nothing goes in a circle. What
-//! is held back speakers tell again and again: some was lost, or told before a gateway
+//! is quarantined speakers tell again and again: some was lost, or told before a gateway
 //! started.
 
 use super::{
-    examine::log_held,
-    message::{ACCUSED_SENT, Message},
+    examine::log_quarantined,
+    message::{Message, SUSPECTED_SENT},
     relay::send_all,
     state::Gateway,
 };
-use mastweir_core::gateway::Accused;
+use mastweir_core::gateway::Suspected;
 use std::{net::IpAddr, rc::Rc, time::Duration};
 use tokio::{net::UdpSocket, time};
 
 /// News is told on this often: through two speakers all gateways have it within 0.5 s.
 const TELL_EVERY: Duration = Duration::from_millis(150);
-/// Rounds of that between two times that a speaker tells what is held back: a gateway that
+/// Rounds of that between two times that a speaker tells what is quarantined: a gateway that
 /// has just started knows it 1.5 s later.
-const HELD_ROUNDS: u32 = 10;
+const QUARANTINED_ROUNDS: u32 = 10;
 
 /// Tells others, for ever.
 pub async fn tell(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
@@ -27,27 +27,27 @@
     loop {
         round = round.wrapping_add(1);
         if !gateway.suspects.borrow().is_empty() {
-            tell_once(&gateway, &socket, round.is_multiple_of(HELD_ROUNDS));
+            tell_once(&gateway, &socket, round.is_multiple_of(QUARANTINED_ROUNDS));
         }
         time::sleep(TELL_EVERY).await;
     }
 }
 
-fn tell_once(gateway: &Gateway, socket: &UdpSocket, with_held: bool) {
+fn tell_once(gateway: &Gateway, socket: &UdpSocket, with_quarantined: bool) {
     let now = gateway.clock.now();
     let suspects = gateway.suspects.borrow();
     let mut told = suspects.news(now);
-    if with_held && gateway.speaks.get() {
-        told.extend(suspects.held(ACCUSED_SENT, now));
+    if with_quarantined && gateway.speaks.get() {
+        told.extend(suspects.quarantined(SUSPECTED_SENT, now));
     }
     drop(suspects);
     if told.is_empty() {
         return;
     }
     let messages: Vec<Vec<u8>> = told
-        .chunks(ACCUSED_SENT)
+        .chunks(SUSPECTED_SENT)
         // What can't be encoded can't be told; no message is of that kind.
-        .filter_map(|chunk| postcard::to_stdvec(&Message::Accused(chunk.to_vec())).ok())
+        .filter_map(|chunk| postcard::to_stdvec(&Message::Suspected(chunk.to_vec())).ok())
         .collect();
     send_all(gateway, socket, &hearers(gateway), &messages);
 }
@@ -69,11 +69,11 @@
 }
 
 /// Takes in what another gateway, or the store, tells.
-pub fn told(gateway: &Gateway, all: &[Accused], from: &str) {
+pub fn told(gateway: &Gateway, all: &[Suspected], from: &str) {
     let now = gateway.clock.now();
-    for accused in all {
-        if gateway.suspects.borrow_mut().told(accused, now) {
-            log_held(gateway, accused.request, from);
+    for suspected in all {
+        if gateway.suspects.borrow_mut().told(suspected, now) {
+            log_quarantined(gateway, suspected.request, from);
         }
     }
 }
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -1,9 +1,9 @@
 //! What a gateway follows in the platform's store: the configuration, the servers, and the
-//! requests that are held back.
+//! requests that are quarantined.
 
 use super::{
     follow::{Source, follow},
-    keep,
+    quarantine,
     state::Gateway,
     unread::Noted,
 };
@@ -37,9 +37,9 @@
     .await;
 }
 
-/// Follows the requests that are held back, for ever, while this gateway watches the store.
-pub async fn holds(gateway: Rc<Gateway>) {
-    while_watching(&gateway, async || keep::follow(&gateway).await).await;
+/// Follows the requests that are quarantined, for ever, while this gateway watches the store.
+pub async fn quarantine(gateway: Rc<Gateway>) {
+    while_watching(&gateway, async || quarantine::follow(&gateway).await).await;
 }
 
 /// What others fetch from it, a gateway that does not watch fetches from others: a hall
--- a/src/mastweir/platform/mod.rs
+++ b/src/mastweir/platform/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! - [`settings`]: the file that tells a process where it runs;
 //! - [`headers`]: what requests and answers carry;
-//! - [`config`], [`servers`] and [`holds`]: objects of the store, read into our types;
+//! - [`config`], [`servers`] and [`quarantine`]: objects of the store, read into our types;
 //! - [`objects`]: objects of the store, each read by itself;
 //! - [`store`]: calls to the store;
 //! - [`engine`]: calls to a model server.
@@ -14,8 +14,9 @@
 pub mod config;
 pub mod engine;
 pub mod headers;
-pub mod holds;
+
 pub mod objects;
+pub mod quarantine;
 pub mod servers;
 pub mod settings;
 pub mod store;
--- a/src/mastweir/platform/holds.rs
+++ b/src/mastweir/platform/quarantine.rs
@@ -1,17 +1,17 @@
-//! Requests that are held back, as gateways keep them in the store.
+//! Requests that are quarantined, as gateways keep them in the store.
 
-use mastweir_core::gateway::{Accused, Fingerprint};
+use mastweir_core::gateway::{Fingerprint, Suspected};
 use serde::{Deserialize, Serialize, de::Error};
 use serde_json::Value;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Kind of our own for them.
-pub const KIND: &str = "mastweir-holds";
+pub const KIND: &str = "mastweir-quarantine";
 
 /// What is kept of a request, under its fingerprint as name. Numbers of 64 bits are texts:
 /// some readers of JSON round them.
 #[derive(Debug, Serialize, Deserialize)]
-struct HoldSpec {
+struct QuarantineSpec {
     ends: Vec<String>,
     finished: bool,
     /// When it was written, in seconds of the time of day: it lapses after an hour, so that
@@ -19,11 +19,11 @@
     written_s: u64,
 }
 
-/// A request that is held back, as it lies in the store.
+/// A request that is quarantined, as it lies in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoredHold {
+pub struct StoredQuarantine {
     /// What is known of it, and how old that is.
-    pub accused: Accused,
+    pub suspected: Suspected,
     /// Revision of the object, for a conditional delete.
     pub revision: u64,
 }
@@ -38,10 +38,10 @@
 /// # Errors
 ///
 /// It can't be written as JSON.
-pub fn body(accused: &Accused) -> serde_json::Result<Value> {
-    serde_json::to_value(HoldSpec {
-        ends: accused.ends.iter().map(Fingerprint::to_string).collect(),
-        finished: accused.finished,
+pub fn body(suspected: &Suspected) -> serde_json::Result<Value> {
+    serde_json::to_value(QuarantineSpec {
+        ends: suspected.ends.iter().map(Fingerprint::to_string).collect(),
+        finished: suspected.finished,
         written_s: now_s(),
     })
 }
@@ -51,17 +51,17 @@
 /// # Errors
 ///
 /// It is not in this format.
-pub fn read(name: &str, revision: u64, spec: &str) -> serde_json::Result<StoredHold> {
-    let spec: HoldSpec = serde_json::from_str(spec)?;
+pub fn read(name: &str, revision: u64, spec: &str) -> serde_json::Result<StoredQuarantine> {
+    let spec: QuarantineSpec = serde_json::from_str(spec)?;
     let ends: serde_json::Result<Vec<_>> = spec.ends.iter().map(|end| fingerprint(end)).collect();
     let age = Duration::from_secs(now_s().saturating_sub(spec.written_s));
-    let accused = Accused {
+    let suspected = Suspected {
         request: fingerprint(name)?,
         ends: ends?,
         finished: spec.finished,
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
     };
-    Ok(StoredHold { accused, revision })
+    Ok(StoredQuarantine { suspected, revision })
 }
 
 fn fingerprint(text: &str) -> serde_json::Result<Fingerprint> {
--- a/src/mastweir/platform/store.rs
+++ b/src/mastweir/platform/store.rs
@@ -6,15 +6,15 @@
 
 use super::{
     config,
-    holds::{self, StoredHold},
     objects::{self, Changes, Listed, Read, ReadPage, Unread},
+    quarantine::{self, StoredQuarantine},
     servers,
 };
 use crate::net::http::{CallError, Pool};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, header};
-use mastweir_core::gateway::{Accused, Config, PROBE_LASTS, Server};
+use mastweir_core::gateway::{Config, PROBE_LASTS, Server, Suspected};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -177,24 +177,24 @@
         self.call(method, &path, Some(&body), CALL_LASTS).await.map(drop)
     }
 
-    /// Requests that are held back.
+    /// Requests that are quarantined.
     ///
     /// # Errors
     ///
     /// See [`StoreError`].
-    pub async fn holds(&self) -> Result<Listed<StoredHold>, StoreError> {
-        self.list(holds::KIND, holds::read).await
+    pub async fn quarantined(&self) -> Result<Listed<StoredQuarantine>, StoreError> {
+        self.list(quarantine::KIND, quarantine::read).await
     }
 
-    /// Writes a request that is held back.
+    /// Writes a request that is quarantined.
     ///
     /// # Errors
     ///
     /// [`StoreError::Conflict`] if it is there already.
-    pub async fn write_hold(&self, accused: &Accused) -> Result<(), StoreError> {
-        let metadata = json!({ "name": holds::name(accused.request) });
-        let body = json!({ "metadata": metadata, "spec": holds::body(accused)? });
-        let path = format!("/objects/{}", holds::KIND);
+    pub async fn write_quarantine(&self, suspected: &Suspected) -> Result<(), StoreError> {
+        let metadata = json!({ "name": quarantine::name(suspected.request) });
+        let body = json!({ "metadata": metadata, "spec": quarantine::body(suspected)? });
+        let path = format!("/objects/{}", quarantine::KIND);
         self.call(Method::POST, &path, Some(&body), CALL_LASTS).await.map(drop)
     }
 
@@ -203,10 +203,10 @@
     /// # Errors
     ///
     /// [`StoreError::Conflict`] if it was written again.
-    pub async fn drop_hold(&self, hold: &StoredHold) -> Result<(), StoreError> {
-        let StoredHold { accused, revision } = hold;
-        let name = holds::name(accused.request);
-        let path = format!("/objects/{}/{name}?revision={revision}", holds::KIND);
+    pub async fn drop_quarantine(&self, hold: &StoredQuarantine) -> Result<(), StoreError> {
+        let StoredQuarantine { suspected, revision } = hold;
+        let name = quarantine::name(suspected.request);
+        let path = format!("/objects/{}/{name}?revision={revision}", quarantine::KIND);
         self.call(Method::DELETE, &path, None, CALL_LASTS).await.map(drop)
     }
 
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -118,7 +118,7 @@
                 | Message::Report(_)
                 | Message::Loads(_)
                 | Message::Pace(_)
-                | Message::Accused(_),
+                | Message::Suspected(_),
             )
             | Err(_) => (),
         }
--- a/tests/testsuite/crashing_request.rs
+++ b/tests/testsuite/crashing_request.rs
@@ -42,7 +42,7 @@
 const COMES_AGAIN: Duration = Duration::from_millis(700);
 
 /// Kind of the store's objects that keep what is held back.
-const HOLDS: &str = "mastweir-holds";
+const KIND: &str = "mastweir-quarantine";
 const CRASHES: &[u8] = b"crashes";
 
 /// What a server does: it ends under that request, of a stream behind the head of its answer.
@@ -212,7 +212,7 @@
     }
     let ended = engines.iter().filter(|engine| engine.has_ended()).count();
     expect_that!(ended, all!(ge(1), le(ENDS)));
-    expect_that!(told.last().map(String::as_str), some(eq("urn:mastweir:problem:held-back")));
+    expect_that!(told.last().map(String::as_str), some(eq("urn:mastweir:problem:quarantined")));
     Ok(())
 }
 
@@ -240,7 +240,7 @@
 async fn is_held_back_when_all_gateways_start_anew() -> Result<()> {
     let mut world = World::new(2, "unsafe").await?;
     let lapsed = json!({ "spec": { "ends": ["1", "2"], "finished": false, "written_s": 9 } });
-    world.site.platform.put(HOLDS, "00000000000000ff", lapsed);
+    world.site.platform.put(KIND, "00000000000000ff", lapsed);
     for attempt in 0..3 {
         world.call(attempt % 2, &format!("c-{attempt}"), "crashes").await?;
         world.restart_ended().await?;
@@ -263,6 +263,6 @@
     }
     world.restart_ended().await?;
     expect_that!(world.ends, all!(eq(ends), le(ENDS)));
-    wait_for(async || !world.site.platform.has(HOLDS, "00000000000000ff")).await?;
+    wait_for(async || !world.site.platform.has(KIND, "00000000000000ff")).await?;
     Ok(())
 }
--- a/tests/testsuite/suspects.rs
+++ b/tests/testsuite/suspects.rs
@@ -3,7 +3,7 @@
 
 use googletest::prelude::*;
 use mastweir_core::{
-    gateway::{Accused, Asked, Fingerprint, HELD_BACK_FOR, Suspects},
+    gateway::{Asked, Fingerprint, QUARANTINE_LASTS, Suspected, Suspects},
     time::Uptime,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
@@ -46,10 +46,10 @@
     let mut suspects = Suspects::default();
     expect_that!(suspects.ended(ACCUSED, life(1), at(0)), eq(false));
     expect_that!(suspects.ended(ACCUSED, life(1), at(1)), eq(false));
-    expect_that!(suspects.hold(ACCUSED, at(2)), none());
+    expect_that!(suspects.quarantine(ACCUSED, at(2)), none());
     expect_that!(suspects.ended(ACCUSED, life(2), at(3)), eq(true));
-    expect_that!(suspects.hold(ACCUSED, at(4)).map(|hold| hold.ends), some(eq(2)));
-    expect_that!(suspects.hold(Fingerprint(2), at(4)), none());
+    expect_that!(suspects.quarantine(ACCUSED, at(4)).map(|hold| hold.ends), some(eq(2)));
+    expect_that!(suspects.quarantine(Fingerprint(2), at(4)), none());
 }
 
 /// A group that loses a rank breaks off the streams of all its servers, which live on.
@@ -60,12 +60,12 @@
         suspects.suspect(ACCUSED, life(number), at(number));
         suspects.clear(ACCUSED, life(number));
     }
-    expect_that!(suspects.hold(ACCUSED, at(9)), none());
+    expect_that!(suspects.quarantine(ACCUSED, at(9)), none());
     expect_that!(suspects.is_empty(), eq(true));
     // Until that is known it is not sent to a third.
     suspects.suspect(ACCUSED, life(8), at(10));
     suspects.suspect(ACCUSED, life(9), at(10));
-    expect_that!(suspects.hold(ACCUSED, at(11)), some(anything()));
+    expect_that!(suspects.quarantine(ACCUSED, at(11)), some(anything()));
     expect_that!(suspects.news(at(11)), is_empty());
 }
 
@@ -77,14 +77,14 @@
     for number in 0..7 {
         expect_that!(suspects.ended(ACCUSED, life(number), at(number)), eq(false));
     }
-    expect_that!(suspects.hold(ACCUSED, at(8)), none());
+    expect_that!(suspects.quarantine(ACCUSED, at(8)), none());
     expect_that!(suspects.ended(ACCUSED, life(7), at(9)), eq(true));
     // Another gateway's word that it was answered counts as much.
     let mut other = Suspects::default();
     other.ended(ACCUSED, life(8), at(0));
     let ends = vec![life(9)];
-    other.told(&Accused { request: ACCUSED, ends, finished: true, age_ms: 0 }, at(1));
-    expect_that!(other.hold(ACCUSED, at(2)), none());
+    other.told(&Suspected { request: ACCUSED, ends, finished: true, age_ms: 0 }, at(1));
+    expect_that!(other.quarantine(ACCUSED, at(2)), none());
 }
 
 #[googletest::test]
@@ -92,23 +92,23 @@
     let mut suspects = Suspects::default();
     suspects.ended(ACCUSED, life(1), at(0));
     suspects.ended(ACCUSED, life(2), at(0));
-    let half = at(0) + HELD_BACK_FOR / 2;
-    expect_that!(suspects.hold(ACCUSED, half), some(anything()));
-    let told = suspects.held(9, half + HELD_BACK_FOR / 2);
-    suspects.expire(at(0) + HELD_BACK_FOR);
+    let half = at(0) + QUARANTINE_LASTS / 2;
+    expect_that!(suspects.quarantine(ACCUSED, half), some(anything()));
+    let told = suspects.quarantined(9, half + QUARANTINE_LASTS / 2);
+    suspects.expire(at(0) + QUARANTINE_LASTS);
     expect_that!(suspects.is_empty(), eq(false));
-    suspects.expire(half + HELD_BACK_FOR);
+    suspects.expire(half + QUARANTINE_LASTS);
     expect_that!(suspects.is_empty(), eq(true));
     // What others tell has the age of the last attempt, so it is not kept up for ever.
     let mut other = Suspects::default();
-    for accused in &told {
-        other.told(accused, at(0) + HELD_BACK_FOR);
+    for suspected in &told {
+        other.told(suspected, at(0) + QUARANTINE_LASTS);
     }
-    expect_that!(other.hold(ACCUSED, at(1) + HELD_BACK_FOR), some(anything()));
+    expect_that!(other.quarantine(ACCUSED, at(1) + QUARANTINE_LASTS), some(anything()));
     let mut late = Suspects::default();
-    told.iter().for_each(|accused| {
-        let age_ms = accused.age_ms * 2;
-        late.told(&Accused { age_ms, ..accused.clone() }, at(9));
+    told.iter().for_each(|suspected| {
+        let age_ms = suspected.age_ms * 2;
+        late.told(&Suspected { age_ms, ..suspected.clone() }, at(9));
     });
     expect_that!(late.is_empty(), eq(true));
 }
@@ -123,7 +123,7 @@
         suspects.finished(Fingerprint(1_000_000 + number), at(number));
     }
     expect_that!(suspects.news(at(49_999)).len(), le(4_096));
-    expect_that!(suspects.hold(ACCUSED, at(50_000)), some(anything()));
+    expect_that!(suspects.quarantine(ACCUSED, at(50_000)), some(anything()));
 }
 
 /// Gateways that see ends, answers and each other's words, of which half are lost and some
@@ -135,7 +135,7 @@
         let mut gateways = vec![Suspects::default(); 5];
         let mut ends: HashMap<Fingerprint, HashSet<Fingerprint>> = HashMap::new();
         let mut answered: HashSet<Fingerprint> = HashSet::new();
-        let mut on_way: Vec<Accused> = Vec::new();
+        let mut on_way: Vec<Suspected> = Vec::new();
         let mut now = 0;
         for _ in 0..400 {
             now += rng.random_range(1..80);
@@ -154,23 +154,23 @@
                 // It starts again, and asks another what is held back.
                 2 if rng.random_bool(0.2) => {
                     let other = (gateway + 1) % gateways.len();
-                    let held = gateways[other].held(usize::MAX, at(now));
+                    let held = gateways[other].quarantined(usize::MAX, at(now));
                     gateways[gateway] = Suspects::default();
-                    for accused in held {
-                        gateways[gateway].told(&accused, at(now));
+                    for suspected in held {
+                        gateways[gateway].told(&suspected, at(now));
                     }
                 }
                 3..6 => on_way.extend(gateways[gateway].news(at(now))),
                 _ => {
                     on_way.shuffle(&mut rng);
-                    if let Some(accused) = on_way.last().cloned() {
-                        gateways[gateway].told(&accused, at(now));
+                    if let Some(suspected) = on_way.last().cloned() {
+                        gateways[gateway].told(&suspected, at(now));
                     }
                     on_way.truncate(on_way.len() / 2);
                 }
             }
             for suspects in &mut gateways {
-                let hold = suspects.hold(request, at(now));
+                let hold = suspects.quarantine(request, at(now));
                 let known = ends.get(&request).map_or(0, HashSet::len);
                 expect_that!(hold.map_or(0, |hold| hold.ends), le(known.min(8)), "seed {seed}");
             }
@@ -179,19 +179,20 @@
         now += 2_000;
         for _ in 0..3 {
             let tells = |gateway: &Suspects| {
-                [gateway.held(usize::MAX, at(now)), gateway.news(at(now))].concat()
+                [gateway.quarantined(usize::MAX, at(now)), gateway.news(at(now))].concat()
             };
-            let told: Vec<Accused> = gateways.iter().flat_map(tells).collect();
+            let told: Vec<Suspected> = gateways.iter().flat_map(tells).collect();
             for suspects in &mut gateways {
-                for accused in &told {
-                    suspects.told(accused, at(now));
+                for suspected in &told {
+                    suspects.told(suspected, at(now));
                 }
             }
         }
         let tell = gateways.iter().flat_map(|gateway| gateway.news(at(now + 2_000)));
         expect_that!(tell.count(), eq(0), "seed {seed}: news ends");
         for request in (0..6).map(Fingerprint) {
-            let mut found = gateways.iter_mut().map(|suspects| suspects.hold(request, at(now + 9)));
+            let mut found =
+                gateways.iter_mut().map(|suspects| suspects.quarantine(request, at(now + 9)));
             let first = found.next().flatten().map(|hold| hold.ends);
             let agree = found.all(|hold| hold.map(|hold| hold.ends) == first);
             expect_that!(agree, eq(true), "seed {seed}, request {}", request.0);
@@ -206,5 +207,5 @@
     (0..10_000).for_each(|number| suspects.finished(Fingerprint(number), at(number)));
     expect_that!(suspects.is_empty(), eq(true));
     expect_that!(suspects.news(at(10_000)), is_empty());
-    expect_that!(suspects.held(9, at(10_000) + Duration::from_secs(9)), is_empty());
+    expect_that!(suspects.quarantined(9, at(10_000) + Duration::from_secs(9)), is_empty());
 }
