End calls that may run once without a look at their server

Cause: every attempt that broke off waited for the first look at its server, up to 0.25 s where that is silent, though a call that may run once is sent to no other and has its final answer; and bytes that are no answer come from a server that lives. Change: only what may be sent again waits; malformed answers have no look.

--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -125,7 +125,10 @@
         Ok(Err(error)) => {
             progress.runs += 1;
             broken(gateway, call, &place, &error);
-            broke_off(gateway, call.fingerprint(), &place.server).await;
+            // Bytes that are no answer come from a server that lives.
+            if !error.is_malformed() {
+                broke_off(gateway, call, &place.server).await;
+            }
             return Err(Answer::Broken);
         }
         Err(_) => {
--- a/src/mastweir/gateway/examine.rs
+++ b/src/mastweir/gateway/examine.rs
@@ -6,7 +6,7 @@
 //! process that ends closes its port behind its connections, and one that lives turns some
 //! away when it has too many.
 
-use super::{quarantine, state::Gateway};
+use super::{call::Call, quarantine, state::Gateway};
 use crate::net::http::Exchange;
 use mastweir_core::gateway::{Candidate, Fingerprint};
 use slog::info;
@@ -45,8 +45,10 @@
 }
 
 /// A server broke a request off: counts that against the request until it is known that the
-/// server lives, and waits for the first look at it. The looks go on if the caller leaves.
-pub async fn broke_off(gateway: &Rc<Gateway>, request: Fingerprint, server: &Candidate) {
+/// server lives. What may be sent again waits for the first look at it; the looks go on if
+/// the caller leaves.
+pub async fn broke_off(gateway: &Rc<Gateway>, call: &Call, server: &Candidate) {
+    let request = call.fingerprint();
     let life = Fingerprint::of_life(&server.id);
     gateway.suspects.borrow_mut().suspect(request, life, gateway.clock.now());
     let (seen, first) = oneshot::channel();
@@ -60,8 +62,10 @@
             task::spawn_local(examine(gateway.clone(), server.clone()));
         }
     }
-    // Without an answer the look has ended, and its outcome is noted.
-    let _ = first.await;
+    if call.route().repeatable() {
+        // Without an answer the look has ended, and its outcome is noted.
+        let _ = first.await;
+    }
 }
 
 /// Looks at a server until two looks in a row find the same.
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -270,7 +270,7 @@
         place.fail();
         gateway.tally.count("attempts_failed_total", "cut");
         if is_broken {
-            broke_off(gateway, call.fingerprint(), &place.server).await;
+            broke_off(gateway, call, &place.server).await;
         }
         return Err(Answer::Broken);
     };
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -214,7 +214,7 @@
                 "fingerprint" => %self.call.fingerprint(),
                 "last_event" => self.events.last_id());
             if reason == BROKEN {
-                broke_off(&self.gateway, self.call.fingerprint(), &source.place.server).await;
+                broke_off(&self.gateway, &self.call, &source.place.server).await;
             }
         }
         self.resume().await
--- a/src/mastweir/net/http.rs
+++ b/src/mastweir/net/http.rs
@@ -66,6 +66,12 @@
         matches!(self, Self::Connect { .. } | Self::Unsent)
     }
 
+    /// Whether what came is no answer.
+    pub fn is_malformed(&self) -> bool {
+        let Self::Broken(error) = self else { return false };
+        error.is_parse()
+    }
+
     /// Whether nobody listens there.
     pub fn is_refused(&self) -> bool {
         let Self::Connect { source, .. } = self else { return false };
