Let the soak send a request that ends each server

Cause: the soak's servers crashed by a clock; no request harmed the server that ran it, so nothing that overlaps with such ends was tried. Change: one request in fifty is the same one, under which a plain server ends: its port closes, its connections are reset, and its next life begins 1.5 s later. More than six ends in a run are a broken promise. The proxy can close its port.

--- a/crates/mastweir-soak/src/callers.rs
+++ b/crates/mastweir-soak/src/callers.rs
@@ -1,7 +1,10 @@
 //! Callers: they choose a gateway as the users' balancer does, and write down how each
 //! request ends.
 
-use crate::ledger::{Kind, Ledger, Outcome, Sent};
+use crate::{
+    ledger::{Kind, Ledger, Outcome, Sent},
+    servers::ENDS_SERVERS,
+};
 use mastweir_test_support::site::{self, HOST, KEY};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{
@@ -25,6 +28,8 @@
 const WAIT: Duration = Duration::from_millis(4_000);
 /// A connection that does not open in this time is given up.
 const CONNECT_LASTS: Duration = Duration::from_secs(1);
+/// One request in so many is the one that ends servers: it comes again each second or so.
+const ENDS: u64 = 50;
 /// One caller in so many leaves early.
 const LEAVES: u32 = 12;
 /// The balancer asks this often, and takes a gateway out after two misses.
@@ -87,7 +92,12 @@
         let leaves = (rng.random_range(0..LEAVES) == 0).then(|| rng.random_range(5..400));
         let gateway = balancer.choose(&mut rng);
         let ledger = ledger.clone();
+        let ends = number.load(Ordering::Relaxed).is_multiple_of(ENDS);
         running.spawn(async move {
+            if ends {
+                ask_at(gateway, Kind::Safe, ENDS_SERVERS, &id, None, &ledger).await;
+                return;
+            }
             let leaves = leaves.map(Duration::from_millis);
             ask(gateway, kind, &id, leaves, &ledger).await;
         });
--- a/crates/mastweir-soak/src/ledger.rs
+++ b/crates/mastweir-soak/src/ledger.rs
@@ -85,8 +85,13 @@
     arrivals: Vec<(Instant, bool)>,
     starts: Vec<Instant>,
     broken: Vec<String>,
+    /// Servers that ended under the one request that ends them.
+    ends: u32,
 }
 
+/// Servers that may end under one request: three, and three sends more.
+const ENDS_MAX: u32 = 6;
+
 /// All of it.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -111,6 +116,24 @@
         self.with(|inner| inner.broken.clone())
     }
 
+    /// A server ended under the request that ends each.
+    pub fn server_ended(&self) {
+        self.with(|inner| inner.ends += 1);
+    }
+
+    /// How many did.
+    pub fn servers_ended(&self) -> u32 {
+        self.with(|inner| inner.ends)
+    }
+
+    /// That request has to be kept from servers at last.
+    pub fn check_ends(&self) {
+        let ends = self.servers_ended();
+        if ends > ENDS_MAX {
+            self.broken(format!("{ends} servers ended under one request, allowed {ENDS_MAX}"));
+        }
+    }
+
     /// A caller sends a request.
     pub fn sent(&self, id: &str, sent: Sent) {
         let at = Instant::now();
--- a/crates/mastweir-soak/src/lib.rs
+++ b/crates/mastweir-soak/src/lib.rs
@@ -66,6 +66,8 @@
     pub counts: Vec<((Kind, Outcome), usize)>,
     /// Changes of maps that took force.
     pub changes: u64,
+    /// Servers that ended under the one request that ends them.
+    pub ends: u32,
     /// What the processes wrote.
     pub logs: PathBuf,
 }
@@ -77,7 +79,7 @@
         for ((kind, outcome), count) in &self.counts {
             write!(f, "{kind:?} {outcome:?} {count}, ")?;
         }
-        write!(f, "{} changes of maps", self.changes)?;
+        write!(f, "{} changes of maps, {} servers ended", self.changes, self.ends)?;
         if self.broken.is_empty() {
             return Ok(());
         }
@@ -111,6 +113,7 @@
     check_after(&mut world, &ledger).await;
     asking.abort();
     ledger.check_all();
+    ledger.check_ends();
     ledger.check_retries(Duration::from_secs(RETRY_WINDOW_S), RETRY_RATIO, RETRY_EXTRA);
     let two_maps: u64 = world.groups.iter().map(|group| group.two_maps()).sum();
     if two_maps > 0 {
@@ -118,7 +121,8 @@
     }
     let changes = world.groups.iter().map(|group| group.changes()).sum();
     let (broken, counts) = (ledger.all_broken(), ledger.counts());
-    Ok(Report { seed: options.seed, plan, broken, counts, changes, logs })
+    let ends = ledger.servers_ended();
+    Ok(Report { seed: options.seed, plan, broken, counts, changes, ends, logs })
 }
 
 async fn all_of<F: Future<Output = bool>>(
--- a/crates/mastweir-soak/src/servers.rs
+++ b/crates/mastweir-soak/src/servers.rs
@@ -15,6 +15,7 @@
     },
     time::{Duration, Instant},
 };
+use tokio::sync::Notify;
 
 /// Requests that a server runs at once, and as many wait.
 pub const SLOTS: u32 = 8;
@@ -23,6 +24,8 @@
 const EVENT_EVERY: Duration = Duration::from_millis(80);
 /// A plain answer takes this long.
 const PLAIN_LASTS: Duration = Duration::from_millis(30);
+/// Path of a request under which each server ends that runs it.
+pub const ENDS_SERVERS: &str = "/safe/ends-servers";
 /// Of a misbehaving server's requests, one in this many is spoilt.
 const SPOILS: u64 = 3;
 
@@ -45,6 +48,8 @@
     pub number: usize,
     /// Its group and its rank there, if it is a model's.
     pub seat: Option<(Arc<LockStep>, usize)>,
+    /// Says that it has ended.
+    pub ends: Notify,
     life: Mutex<Life>,
     served: AtomicU64,
     ledger: Arc<Ledger>,
@@ -66,6 +71,7 @@
         let server = Arc::new(Self {
             number,
             seat,
+            ends: Notify::new(),
             life: Mutex::new(life),
             served: AtomicU64::new(0),
             ledger,
@@ -135,6 +141,11 @@
         if turned_away {
             return vec![short("503 Service Unavailable", "Not-Executed: 1\r\n", &id, "")];
         }
+        if got.head.split(' ').nth(1) == Some(ENDS_SERVERS) {
+            self.ledger.server_ended();
+            self.ends.notify_one();
+            return vec![Act::Hang];
+        }
         self.run(got, &id, &own, grey)
     }
 
--- a/crates/mastweir-soak/src/world.rs
+++ b/crates/mastweir-soak/src/world.rs
@@ -13,7 +13,7 @@
     doors::Door,
     lockstep::{EXPERTS, LockStep, PLACES, SETS},
     platform::Platform,
-    proxy::Proxy,
+    proxy::{Faults, Proxy},
     scripted::Scripted,
     site::{HOST, KEY, free_ports},
 };
@@ -27,7 +27,9 @@
         Arc,
         atomic::{AtomicU8, Ordering},
     },
+    time::Duration,
 };
+use tokio::time;
 
 /// Ranks of a group, groups, servers of the plain service, and gateways.
 pub const SIZES: Sizes = Sizes { gateways: 3, models: 6, plain: 2, groups: 2 };
@@ -38,6 +40,9 @@
 /// See [`RETRY_RATIO`], in seconds.
 pub const RETRY_WINDOW_S: u64 = 10;
 
+/// A server that ended is back by then.
+const RESTARTS_IN: Duration = Duration::from_millis(1_500);
+
 /// Worlds of one process have addresses of their own.
 static NEXT: AtomicU8 = AtomicU8::new(1);
 
@@ -157,6 +162,12 @@
         let (server, scripted) = Server::start(number, seat, ledger.clone()).await?;
         let seed = u64::try_from(number).unwrap_or(0);
         let proxy = Proxy::start_at(address, scripted.addr, scripted.addr, seed).await?;
+        tokio::spawn(restart(
+            server.clone(),
+            proxy.faults.clone(),
+            proxy.tcp,
+            self.platform.clone(),
+        ));
         self.places.push(Place { server, proxy, _scripted: scripted });
         self.list(number, "ready");
         Ok(())
@@ -227,11 +238,7 @@
     /// Writes the list's entry of a server's present life.
     pub fn list(&self, number: usize, state: &str) {
         let place = &self.places[number];
-        let service = if number < SIZES.models { "model" } else { "desk" };
-        let spec = json!({ "service": service, "address": place.proxy.tcp.to_string(),
-            "zone": format!("hall-{}", number % 2), "version": "v1", "slots": SLOTS,
-            "state": state, "warmup_left_ms": 0, "seq": 1 });
-        self.platform.put("servers", &place.server.id(), json!({ "spec": spec }));
+        list(&self.platform, &place.server, place.proxy.tcp, state);
     }
 
     /// Takes a life off the list.
@@ -267,6 +274,34 @@
     }
 }
 
+/// Writes the list's entry of a server's present life.
+fn list(platform: &Platform, server: &Server, address: SocketAddr, state: &str) {
+    let number = server.number;
+    let service = if number < SIZES.models { "model" } else { "desk" };
+    let spec = json!({ "service": service, "address": address.to_string(),
+        "zone": format!("hall-{}", number % 2), "version": "v1", "slots": SLOTS,
+        "state": state, "warmup_left_ms": 0, "seq": 1 });
+    platform.put("servers", &server.id(), json!({ "spec": spec }));
+}
+
+/// Each time that a server ends, closes its port, and begins its next life a little later.
+async fn restart(
+    server: Arc<Server>,
+    faults: Arc<Faults>,
+    address: SocketAddr,
+    platform: Arc<Platform>,
+) {
+    loop {
+        server.ends.notified().await;
+        faults.ended.store(true, Ordering::SeqCst);
+        time::sleep(RESTARTS_IN).await;
+        platform.remove("servers", &server.id());
+        server.begin_anew();
+        faults.ended.store(false, Ordering::SeqCst);
+        list(&platform, &server, address, "ready");
+    }
+}
+
 /// Addresses of gateways, then of servers, in a block of this world's own.
 fn addresses() -> eyre::Result<Vec<IpAddr>> {
     let block = NEXT.fetch_add(1, Ordering::Relaxed);
--- a/crates/mastweir-test-support/src/proxy.rs
+++ b/crates/mastweir-test-support/src/proxy.rs
@@ -32,6 +32,8 @@
     pub cut_back: AtomicBool,
     /// New connections are refused, and open ones reset.
     pub refuse: AtomicBool,
+    /// The process behind has ended: its port is closed, and open connections are reset.
+    pub ended: AtomicBool,
     /// Connections are reset after that many bytes from the target; 0: never.
     pub reset_after: AtomicU64,
     /// Delay in either direction, in milliseconds.
@@ -91,7 +93,7 @@
             faults: Arc::default(),
             target: Arc::new(Mutex::new((tcp, udp))),
         };
-        tokio::spawn(accept(listener, proxy.target.clone(), proxy.faults.clone()));
+        tokio::spawn(listen(listener, proxy.tcp, proxy.target.clone(), proxy.faults.clone()));
         tokio::spawn(datagrams(socket, proxy.target.clone(), proxy.faults.clone(), seed));
         Ok(proxy)
     }
@@ -99,13 +101,38 @@
 
 type Target = Arc<Mutex<(SocketAddr, SocketAddr)>>;
 
-async fn accept(listener: TcpListener, target: Target, faults: Arc<Faults>) {
+/// Listens, but while the process behind has ended.
+async fn listen(first: TcpListener, own: SocketAddr, target: Target, faults: Arc<Faults>) {
+    let mut listener = Some(first);
+    loop {
+        if let Some(open) = listener.take() {
+            tokio::select! {
+                () = accept(open, &target, &faults) => return,
+                () = until(&faults.ended) => (),
+            }
+        }
+        while Faults::on(&faults.ended) {
+            time::sleep(POLL).await;
+        }
+        // Nobody else uses the address; it may not be free at once.
+        listener = TcpListener::bind(own).await.ok();
+        time::sleep(POLL).await;
+    }
+}
+
+async fn until(flag: &AtomicBool) {
+    while !Faults::on(flag) {
+        time::sleep(POLL).await;
+    }
+}
+
+async fn accept(listener: TcpListener, target: &Target, faults: &Arc<Faults>) {
     while let Ok((client, _)) = listener.accept().await {
         if Faults::on(&faults.refuse) {
             reset(&client);
             continue;
         }
-        let tcp = lock(&target).0;
+        let tcp = lock(target).0;
         let faults = faults.clone();
         tokio::spawn(async move {
             while Faults::on(&faults.cut) {
@@ -128,13 +155,8 @@
     tokio::select! {
         () = copy(client_read, server_write, &faults, false) => (),
         () = copy(server_read, client_write, &faults, true) => (),
-        () = refused(&faults) => (),
-    }
-}
-
-async fn refused(faults: &Faults) {
-    while !Faults::on(&faults.refuse) {
-        time::sleep(POLL).await;
+        () = until(&faults.refuse) => (),
+        () = until(&faults.ended) => (),
     }
 }
 
