Write a quarantine that no gateway proved alone into the store, and open a circle

Cause: where two gateways prove one end each, both hear of the other's by gossip, and neither wrote the request into the store. Beside it, nine files of the gateway held each other since state knew the call and the looks. Change: gateways that watch the store write what they hear of; `Looks` is data of its own, what a call asks of the suspects is the call's, taking in stands with the quarantine. `is_kept_where_no_gateway_proved_it_alone`.

--- a/crates/mastweir-core/src/gateway/suspects.rs
+++ b/crates/mastweir-core/src/gateway/suspects.rs
@@ -6,8 +6,8 @@
 //! ended under it, and tells the others. A request under which [`ENDS_MAX`] of them ended
 //! is quarantined: sent to none any more.
 //!
-//! A server that ends takes with it all that it runs, so one end accuses many, most of them
-//! falsely; two lives that ended under the same request are rarely chance. Where the same is
+//! A server that ends takes with it all that it runs, so one end makes suspects of many, most of
+//! them falsely; two lives that ended under the same request are rarely chance. Where the same is
 //! asked often, it is: what was once answered whole is quarantined only behind
 //! [`ENDS_FINISHED`].
 //!
@@ -37,7 +37,7 @@
 /// What is new is told on for this long, eight times by gateways and once by entries, which
 /// tell what is quarantined each time: one in a hundred datagrams is lost.
 const NEWS_LASTS: Duration = Duration::from_millis(1_200);
-/// Requests that are remembered: some 0.5 MB. A server that ends accuses a dozen.
+/// Requests that are remembered: some 0.5 MB. A server that ends makes a dozen.
 const SUSPECTS_MAX: usize = 4_096;
 /// Requests answered whole that are remembered, twice at most: two minutes of a gateway that
 /// serves 40 a second, 0.1 MB.
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -198,7 +198,7 @@
     if sends >= call.route().attempts + SENDS_SPARE {
         return false;
     }
-    if gateway.quarantine(call).is_some() {
+    if call.quarantine(gateway).is_some() {
         gateway.tally.count("retries_denied_total", "quarantined");
         return false;
     }
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -1,6 +1,6 @@
 //! A request that was read, and what became of it so far.
 
-use super::state::Active;
+use super::state::{Active, Gateway};
 use crate::{platform::headers::CallHead, util::clock::Clock};
 use bytes::Bytes;
 use hyper::{
@@ -8,7 +8,7 @@
     header::{HOST, HeaderValue},
 };
 use mastweir_core::{
-    gateway::{Asked, Fingerprint, Needs, Route, Stream},
+    gateway::{Asked, Fingerprint, Needs, Quarantine, Route, Stream},
     time::Uptime,
 };
 use std::{cell::OnceCell, rc::Rc, time::Duration};
@@ -67,6 +67,22 @@
         })
     }
 
+    /// Why it is quarantined, if it is. Its callers come again with other ids, so that which
+    /// attempt this is tells nothing: nine servers ended under one, in five attempts.
+    pub fn quarantine(&self, gateway: &Gateway) -> Option<Quarantine> {
+        let mut suspects = gateway.suspects.borrow_mut();
+        // Most of the time there are none, and no fingerprint is needed.
+        if suspects.is_empty() {
+            return None;
+        }
+        suspects.quarantine(self.fingerprint(), self.clock.now())
+    }
+
+    /// Notes that a server answered it whole.
+    pub fn finished(&self, gateway: &Gateway) {
+        gateway.suspects.borrow_mut().finished(self.fingerprint(), self.clock.now());
+    }
+
     /// Whether a model's servers serve it.
     pub fn is_model(&self) -> bool {
         let service = self.active.config.services.get(&self.service);
--- a/src/mastweir/gateway/examine.rs
+++ b/src/mastweir/gateway/examine.rs
@@ -1,6 +1,6 @@
 //! Whether a server ended when it broke requests off.
 //!
-//! An answer that breaks off accuses nobody: its connection may have been reset, its group
+//! An answer that breaks off proves nothing: its connection may have been reset, its group
 //! may have lost another rank, its server may answer badly. So the server's port is looked
 //! at: one that has ended refuses connections. Two looks in a row have to find the same: a
 //! process that ends closes its port behind its connections, and one that lives turns some
@@ -10,13 +10,8 @@
 use crate::net::http::Exchange;
 use mastweir_core::gateway::{Candidate, Fingerprint};
 use slog::info;
-use std::{
-    cell::RefCell,
-    collections::{HashMap, hash_map::Entry},
-    rc::Rc,
-    time::Duration,
-};
-use tokio::{sync::oneshot, task, time};
+use std::{rc::Rc, time::Duration};
+use tokio::{task, time};
 
 /// A connection opens or is refused within a round trip; one that does neither in this time
 /// tells nothing.
@@ -26,17 +21,6 @@
 /// Looks at a server at most, for the case that packets are lost.
 const LOOKS_MAX: u32 = 6;
 
-/// Servers that are looked at, each with the requests that it broke off and those who wait
-/// for the first look.
-#[derive(Debug, Default)]
-pub struct Looks(RefCell<HashMap<String, Looked>>);
-
-#[derive(Debug, Default)]
-struct Looked {
-    requests: Vec<Fingerprint>,
-    waiting: Vec<oneshot::Sender<()>>,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Look {
     Opened,
@@ -51,16 +35,9 @@
     let request = call.fingerprint();
     let life = Fingerprint::of_life(&server.id);
     gateway.suspects.borrow_mut().suspect(request, life, gateway.clock.now());
-    let (seen, first) = oneshot::channel();
-    match gateway.looks.0.borrow_mut().entry(server.id.clone()) {
-        Entry::Occupied(mut known) => {
-            known.get_mut().requests.push(request);
-            known.get_mut().waiting.push(seen);
-        }
-        Entry::Vacant(free) => {
-            free.insert(Looked { requests: vec![request], waiting: vec![seen] });
-            task::spawn_local(examine(gateway.clone(), server.clone()));
-        }
+    let (is_new, first) = gateway.looks.broke_off(&server.id, request);
+    if is_new {
+        task::spawn_local(examine(gateway.clone(), server.clone()));
     }
     if call.route().repeatable() {
         // Without an answer the look has ended, and its outcome is noted.
@@ -75,7 +52,7 @@
     let mut ended = false;
     for _ in 0..LOOKS_MAX {
         let look = look(&gateway, &server, &mut open).await;
-        release(&gateway, &server);
+        gateway.looks.looked(&server.id);
         if look == before && look != Look::Silent {
             ended = look == Look::Refused;
             break;
@@ -89,16 +66,6 @@
     conclude(&gateway, &server, ended);
 }
 
-/// The first look is over.
-fn release(gateway: &Gateway, server: &Candidate) {
-    let mut looks = gateway.looks.0.borrow_mut();
-    let Some(looked) = looks.get_mut(&server.id) else { return };
-    for waiting in looked.waiting.drain(..) {
-        // Its caller may have left.
-        let _ = waiting.send(());
-    }
-}
-
 async fn look(gateway: &Gateway, server: &Candidate, open: &mut Option<Exchange>) -> Look {
     if open.as_ref().is_some_and(|open| !open.is_closed()) {
         return Look::Opened;
@@ -118,8 +85,7 @@
 }
 
 fn conclude(gateway: &Rc<Gateway>, server: &Candidate, ended: bool) {
-    let looked = gateway.looks.0.borrow_mut().remove(&server.id).unwrap_or_default();
-    let requests = looked.requests;
+    let requests = gateway.looks.conclude(&server.id);
     let now = gateway.clock.now();
     let life = Fingerprint::of_life(&server.id);
     let mut suspects = gateway.suspects.borrow_mut();
@@ -132,14 +98,7 @@
         "requests" => requests.len(), "first" => requests.first().map(Fingerprint::to_string));
     for request in &requests {
         if suspects.ended(*request, life, now) {
-            log_quarantined(gateway, *request, "own");
-            task::spawn_local(quarantine::write(gateway.clone(), *request));
+            quarantine::begun(gateway, *request, quarantine::OWN);
         }
     }
 }
-
-/// The line of a request that is quarantined from now on; `from` says who told it.
-pub fn log_quarantined(gateway: &Gateway, request: Fingerprint, from: &str) {
-    gateway.tally.count("requests_quarantined_total", "first");
-    info!(gateway.log, "request quarantined"; "fingerprint" => %request, "from" => from);
-}
--- a/src/mastweir/gateway/fetch.rs
+++ b/src/mastweir/gateway/fetch.rs
@@ -3,8 +3,8 @@
 
 use super::{
     message::{GroupView, LeadSeen},
+    quarantine,
     state::Gateway,
-    suspects,
 };
 use crate::net::internal;
 use mastweir_core::gateway::{Config, DirectoryChange, Suspected};
@@ -47,13 +47,13 @@
 }
 
 /// Fetches which requests another gateway has quarantined.
-async fn fetch_quarantined(gateway: &Gateway, from: IpAddr) {
+async fn fetch_quarantined(gateway: &Rc<Gateway>, from: IpAddr) {
     let addr = gateway.internal_addr(from);
     let held: Result<Vec<Suspected>, _> =
         internal::call(&gateway.internal, addr, "/quarantined", &(), FETCH_LASTS).await;
     match held {
         Ok(held) => {
-            suspects::told(gateway, &held, &from.to_string());
+            quarantine::told(gateway, &held, &from.to_string());
             gateway.caught_up.set(true);
         }
         Err(error) => {
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -157,7 +157,7 @@
     loop {
         let found = find_server(gateway, &call, &progress).await;
         // Servers may have ended under it while it waited.
-        if let Some(quarantine) = gateway.quarantine(&call) {
+        if let Some(quarantine) = call.quarantine(gateway) {
             return quarantined(gateway, &call, &progress, quarantine);
         }
         let server = match found {
@@ -274,7 +274,7 @@
         }
         return Err(Answer::Broken);
     };
-    gateway.finished(call);
+    call.finished(gateway);
     gateway.servers.give_back(exchange, head.keep);
     let status = parts.status;
     let failed = status.is_server_error();
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod forward;
 mod held;
 mod listen;
+mod looks;
 pub mod message;
 mod peers;
 mod quarantine;
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -9,7 +9,7 @@
     datagrams::send,
     fetch::fetch,
     message::{DATAGRAM_MAX, Hello, Message},
-    relay,
+    quarantine, relay,
     state::Gateway,
     suspects,
 };
@@ -46,7 +46,7 @@
                 let from_sidecar = !gateway.gateways.borrow().knows(from);
                 relay::paced(&gateway, &socket, pace, from_sidecar);
             }
-            Ok(Message::Suspected(all)) => suspects::told(&gateway, &all, &from.to_string()),
+            Ok(Message::Suspected(all)) => quarantine::told(&gateway, &all, &from.to_string()),
             Ok(
                 Message::Greeting(_) | Message::Poll(_) | Message::Rank(_) | Message::Section(_),
             )
--- a/src/mastweir/gateway/quarantine.rs
+++ b/src/mastweir/gateway/quarantine.rs
@@ -1,25 +1,50 @@
-//! Requests that are quarantined, in the platform's store.
+//! Requests that are quarantined: what begins a quarantine, and its place in the store.
 //!
 //! Gateways tell each other, but all of them may lose power at once, and a request that ends
 //! servers would end two more behind each such loss. So the gateway that proves one writes it
 //! into the store, and a gateway that starts reads what lies there, or asks another gateway.
 //! Until it has, or had time for it, it does not call itself ready.
 
-use super::{state::Gateway, suspects, unread::Noted};
+use super::{state::Gateway, unread::Noted};
 use crate::platform::{objects::Listed, quarantine::StoredQuarantine, store::StoreError};
 use mastweir_core::gateway::{Fingerprint, QUARANTINE_LASTS, Suspected};
 use slog::{info, warn};
 use std::{rc::Rc, time::Duration};
-use tokio::time;
+use tokio::{task, time};
 
+/// Who told of a request: this gateway's own looks, or the store.
+pub const OWN: &str = "own";
+const STORE: &str = "store";
 /// Pauses between two calls that fail, doubled each time: the store may be away for long.
 const RETRY_FIRST: Duration = Duration::from_millis(500);
 const RETRY_LAST: Duration = Duration::from_secs(16);
 /// Tries to write: some three minutes. Gateways that live know it all the same.
 const WRITES_MAX: u32 = 15;
 
+/// Takes in what another gateway, or the store, tells.
+pub fn told(gateway: &Rc<Gateway>, all: &[Suspected], from: &str) {
+    let now = gateway.clock.now();
+    for suspected in all {
+        if gateway.suspects.borrow_mut().told(suspected, now) {
+            begun(gateway, suspected.request, from);
+        }
+    }
+}
+
+/// A request is quarantined from now on, by what `from` told. Who proved it writes it into the
+/// store; where two gateways proved one end each, neither did, so those who watch the store
+/// do, too.
+pub fn begun(gateway: &Rc<Gateway>, request: Fingerprint, from: &str) {
+    gateway.tally.count("requests_quarantined_total", "first");
+    info!(gateway.log, "request quarantined"; "fingerprint" => %request, "from" => from);
+    let is_stored = from == STORE;
+    if !is_stored && (from == OWN || *gateway.watches.borrow()) {
+        task::spawn_local(write(gateway.clone(), request));
+    }
+}
+
 /// Writes a request that is quarantined into the store.
-pub async fn write(gateway: Rc<Gateway>, request: Fingerprint) {
+async fn write(gateway: Rc<Gateway>, request: Fingerprint) {
     let mut pause = RETRY_FIRST;
     for _ in 0..WRITES_MAX {
         let suspected = gateway.suspects.borrow().suspected_of(request, gateway.clock.now());
@@ -39,7 +64,7 @@
 
 /// Reads what lies in the store, and clears it of what has lapsed, once in the time that a
 /// quarantine lasts, for ever.
-pub async fn follow(gateway: &Gateway) {
+pub async fn follow(gateway: &Rc<Gateway>) {
     let noted = Noted::default();
     let mut pause = RETRY_FIRST;
     loop {
@@ -58,7 +83,7 @@
     }
 }
 
-async fn take(gateway: &Gateway, listed: Listed<StoredQuarantine>, noted: &Noted) {
+async fn take(gateway: &Rc<Gateway>, listed: Listed<StoredQuarantine>, noted: &Noted) {
     listed.unread.iter().for_each(|unread| noted.note(gateway, "quarantine", unread));
     let (young, lapsed): (Vec<StoredQuarantine>, Vec<StoredQuarantine>) =
         listed.items.into_iter().partition(|stored| is_young(&stored.suspected));
@@ -67,7 +92,7 @@
             "revision" => listed.revision);
     }
     let suspected: Vec<Suspected> = young.into_iter().map(|stored| stored.suspected).collect();
-    suspects::told(gateway, &suspected, "store");
+    told(gateway, &suspected, STORE);
     gateway.caught_up.set(true);
     for stored in lapsed {
         // One that another gateway has cleared or written again is none of ours.
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -1,6 +1,6 @@
 //! What a gateway knows, shared by its tasks on one thread.
 
-use super::{call::Call, examine::Looks, message::LeadSeen, settings::Settings};
+use super::{looks::Looks, message::LeadSeen, settings::Settings};
 use crate::{
     net::http::Pool,
     platform::store::Store,
@@ -8,8 +8,8 @@
 };
 use mastweir_core::{
     gateway::{
-        Candidate, Config, Directory, Fleet, Named, Needs, Peers, Quarantine, Refusal, RetryWindow,
-        Route, RouteIndex, Suspects, Waits,
+        Candidate, Config, Directory, Fleet, Named, Needs, Peers, Refusal, RetryWindow, Route,
+        RouteIndex, Suspects, Waits,
     },
     time::Uptime,
 };
@@ -210,23 +210,6 @@
         self.fleet.borrow().choose(needs, self.clock.now(), &mut *rng)
     }
 
-    /// Why a request is quarantined, if it is. Its callers come again with other ids, so that
-    /// which attempt this is tells nothing: nine servers ended under one, in five attempts.
-    pub fn quarantine(&self, call: &Call) -> Option<Quarantine> {
-        let mut suspects = self.suspects.borrow_mut();
-        // Most of the time there are none, and no fingerprint is needed.
-        if suspects.is_empty() {
-            None
-        } else {
-            suspects.quarantine(call.fingerprint(), self.clock.now())
-        }
-    }
-
-    /// Notes that a server answered a request whole.
-    pub fn finished(&self, call: &Call) {
-        self.suspects.borrow_mut().finished(call.fingerprint(), self.clock.now());
-    }
-
     /// Counts a request of a service.
     pub fn count_request(&self, service: &str) {
         let now = self.clock.now();
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -186,7 +186,7 @@
         let Some(source) = self.source.take() else { return Piece::Cut };
         self.gateway.servers.give_back(source.exchange, source.keep);
         let took = self.call.age();
-        self.gateway.finished(&self.call);
+        self.call.finished(&self.gateway);
         self.gateway.tally.count("streams_total", "complete");
         self.log_pace("complete");
         self.gateway.tally.observe("stream_seconds", took);
--- a/src/mastweir/gateway/suspects.rs
+++ b/src/mastweir/gateway/suspects.rs
@@ -6,12 +6,10 @@
 //! started.
 
 use super::{
-    examine::log_quarantined,
     message::{Message, SUSPECTED_SENT},
     relay::send_all,
     state::Gateway,
 };
-use mastweir_core::gateway::Suspected;
 use std::{net::IpAddr, rc::Rc, time::Duration};
 use tokio::{net::UdpSocket, time};
 
@@ -67,13 +65,3 @@
     hearers.retain(|ip| *ip != settings.ip);
     hearers
 }
-
-/// Takes in what another gateway, or the store, tells.
-pub fn told(gateway: &Gateway, all: &[Suspected], from: &str) {
-    let now = gateway.clock.now();
-    for suspected in all {
-        if gateway.suspects.borrow_mut().told(suspected, now) {
-            log_quarantined(gateway, suspected.request, from);
-        }
-    }
-}
--- a/tests/testsuite/crashing_request.rs
+++ b/tests/testsuite/crashing_request.rs
@@ -23,10 +23,11 @@
 use crate::gateway::{answer, chunk, last_chunk, stream_head};
 use eyre::Result;
 use googletest::prelude::*;
+use mastweir_core::gateway::{Asked, Fingerprint};
 use mastweir_test_support::{
     fleet::{Fleet, customer, model, wait_informed},
     scripted::{Act, Got, Scripted},
-    site::{Answer, Running, Site, exchange, request, route, wait_for},
+    site::{Answer, HOST, Running, Site, exchange, request, route, wait_for},
 };
 use serde_json::json;
 use std::time::Duration;
@@ -216,6 +217,23 @@
     Ok(())
 }
 
+/// Two gateways prove one end each at the same time, so neither has proved both; it lies in
+/// the store all the same.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn is_kept_where_no_gateway_proved_it_alone() -> Result<()> {
+    let world = World::new(2, "unsafe").await?;
+    let name =
+        Fingerprint::of(Asked { customer: "north", host: HOST, path: "/draft/a", body: CRASHES });
+    expect_that!(world.call(0, "c-0", "crashes").await?.status, eq(502));
+    // The first server's port is closed, and its end not proved.
+    time::sleep(Duration::from_millis(60)).await;
+    expect_that!(world.call(1, "c-1", "crashes").await?.status, eq(502));
+    expect_that!(world.servers.iter().filter(|(_, server)| server.has_ended()).count(), eq(2));
+    wait_for(async || world.site.platform.has(KIND, &name.to_string())).await?;
+    Ok(())
+}
+
 /// Servers that break answers off and live on accuse nobody: a group that lost a rank does so
 /// with all its streams.
 #[googletest::test]
