Tell callers of entries when a quarantined request would be tried again

Cause: a problem with status 503 said 1 s unless told otherwise, so a quarantined request was to come back at once; some names still said hold and accused. Change: its problem says an hour; an entry that knows no suspect makes no fingerprint; names; taking suspects in is a function of its own.

--- a/crates/mastweir-core/src/gateway/suspects.rs
+++ b/crates/mastweir-core/src/gateway/suspects.rs
@@ -252,10 +252,11 @@
     /// What to tell those who may not have heard it: at most `count` that are quarantined,
     /// those that were last asked for.
     pub fn quarantined(&self, count: usize, now: Uptime) -> Vec<Suspected> {
-        let mut held: Vec<Suspected> = self.suspected(now, Suspect::is_quarantined).collect();
-        held.sort_by_key(|suspected| suspected.age_ms);
-        held.truncate(count);
-        held
+        let mut quarantined: Vec<Suspected> =
+            self.suspected(now, Suspect::is_quarantined).collect();
+        quarantined.sort_by_key(|suspected| suspected.age_ms);
+        quarantined.truncate(count);
+        quarantined
     }
 
     fn suspected(
--- a/src/mastweir/entry/calls.rs
+++ b/src/mastweir/entry/calls.rs
@@ -168,6 +168,9 @@
     fn is_quarantined(&self) -> bool {
         let now = self.shared.context.clock.now();
         let mut suspects = lock(&self.shared.suspects);
+        if suspects.is_empty() {
+            return false;
+        }
         let quarantine = suspects.quarantine(self.order.fingerprint(), now);
         if let Some(Quarantine { ends, age, .. }) = quarantine {
             slog::info!(self.shared.context.log, "quarantined request refused"; "request" => &self.order.id,
--- a/src/mastweir/entry/fleet.rs
+++ b/src/mastweir/entry/fleet.rs
@@ -3,7 +3,7 @@
 use super::{Shared, heartbeat, lock, table, usage};
 use crate::objects::{Collection, InstanceSpec, InstanceState, WatchEvent, outage};
 use futures_util::StreamExt;
-use mastweir_core::{member::Heard, wire::Packet};
+use mastweir_core::{gateway::Suspected, member::Heard, wire::Packet};
 use rand::Rng;
 use std::{collections::BTreeMap, pin::pin, sync::Arc, time::Duration};
 use tokio::time;
@@ -56,15 +56,7 @@
                     fetch_from(&shared, &datagram.from);
                 }
             }
-            Packet::Suspected(all) => {
-                let mut suspects = lock(&shared.suspects);
-                all.iter().filter(|suspected| suspects.told(suspected, now)).for_each(
-                    |suspected| {
-                        slog::info!(shared.context.log, "request quarantined";
-                        "fingerprint" => %suspected.request, "from" => &datagram.from);
-                    },
-                );
-            }
+            Packet::Suspected(all) => hear_suspected(&shared, &datagram.from, &all),
             Packet::Usage(rows) => usage::receive(&shared, &datagram.from, rows),
             Packet::Report(_) | Packet::Subscribe { .. } => (),
         }
@@ -123,6 +115,17 @@
     }
 }
 
+fn hear_suspected(shared: &Shared, from: &str, all: &[Suspected]) {
+    let now = shared.context.clock.now();
+    let mut suspects = lock(&shared.suspects);
+    for suspected in all {
+        if suspects.told(suspected, now) {
+            slog::info!(shared.context.log, "request quarantined";
+                "fingerprint" => %suspected.request, "from" => from);
+        }
+    }
+}
+
 fn fetch_from(shared: &Arc<Shared>, peer: &str) {
     let Some(addr) = lock(&shared.view).instance(peer).map(|spec| spec.tcp) else { return };
     let shared = shared.clone();
--- a/src/mastweir/entry/heartbeat.rs
+++ b/src/mastweir/entry/heartbeat.rs
@@ -9,7 +9,7 @@
 /// Peers that a heartbeat goes to.
 const FANOUT: usize = 3;
 /// Requests told beside a heartbeat, of 80 bytes at most.
-const ACCUSED: usize = 13;
+const SUSPECTED_SENT: usize = 13;
 /// Members named in a heartbeat.
 const NAMED: usize = 6;
 
@@ -29,13 +29,13 @@
     }
 }
 
-/// Requests under which engines ended: what is new, and what is held back.
+/// Requests under which engines ended: what is new, and what is quarantined.
 fn suspected(shared: &Shared) -> Vec<Suspected> {
     let now = shared.context.clock.now();
     let suspects = lock(&shared.suspects);
     let mut suspected = suspects.news(now);
-    suspected.extend(suspects.quarantined(ACCUSED, now));
-    suspected.truncate(ACCUSED);
+    suspected.extend(suspects.quarantined(SUSPECTED_SENT, now));
+    suspected.truncate(SUSPECTED_SENT);
     suspected
 }
 
--- a/src/mastweir/entry/problem.rs
+++ b/src/mastweir/entry/problem.rs
@@ -1,6 +1,9 @@
 //! What a caller is told when there is no answer: `application/problem+json`.
 
-use mastweir_core::outcome::{Evidence, Outcome, Refusal};
+use mastweir_core::{
+    gateway::QUARANTINE_LASTS,
+    outcome::{Evidence, Outcome, Refusal},
+};
 use serde::{Deserialize, Serialize};
 
 /// A problem, with the outcome and the remedy.
@@ -75,6 +78,14 @@
         }
     }
 
+    /// Seconds after which to come back, where nothing else is known.
+    fn retry_after(self, status: u16) -> Option<u32> {
+        match self {
+            Self::Quarantined => u32::try_from(QUARANTINE_LASTS.as_secs()).ok(),
+            _ => (status == 503 || status == 429).then_some(1),
+        }
+    }
+
     const fn parts(self) -> (&'static str, u16, &'static str, &'static str) {
         match self {
             Self::Unauthorized => (
@@ -166,7 +177,7 @@
     /// A problem of a request.
     pub fn new(kind: Kind, outcome: Outcome, request: &str, retry_after: Option<u32>) -> Self {
         let (slug, status, title, remedy) = kind.parts();
-        let retry_after = retry_after.or((status == 503 || status == 429).then_some(1));
+        let retry_after = retry_after.or(kind.retry_after(status));
         Self {
             kind: format!("urn:mastweir:problem:{slug}"),
             title: title.to_owned(),
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -44,7 +44,7 @@
     pub chance: f64,
     /// Whether its caller was refused before, as far as that shows.
     pub returned: bool,
-    /// Made when it is first asked for: few requests need it.
+    /// Made when it is first asked for: those that are refused need none.
     pub fingerprint: OnceCell<Fingerprint>,
 }
 
--- a/src/mastweir/gateway/fetch.rs
+++ b/src/mastweir/gateway/fetch.rs
@@ -49,11 +49,11 @@
 /// Fetches which requests another gateway has quarantined.
 async fn fetch_quarantined(gateway: &Rc<Gateway>, from: IpAddr) {
     let addr = gateway.internal_addr(from);
-    let held: Result<Vec<Suspected>, _> =
+    let fetched: Result<Vec<Suspected>, _> =
         internal::call(&gateway.internal, addr, "/quarantined", &(), FETCH_LASTS).await;
-    match held {
-        Ok(held) => {
-            quarantine::told(gateway, &held, &from.to_string());
+    match fetched {
+        Ok(suspected) => {
+            quarantine::told(gateway, &suspected, &from.to_string());
             gateway.caught_up.set(true);
         }
         Err(error) => {
--- a/tests/testsuite/crashing_request.rs
+++ b/tests/testsuite/crashing_request.rs
@@ -207,17 +207,20 @@
     let client = reqwest::Client::new();
     let body = json!({"model": "assistant", "prompt": "crashes", "stream": true});
     let mut told = Vec::new();
+    let mut back = None;
     for attempt in 0..6 {
         let request = client.post(format!("{}/v1/completions", fleet.url(attempt % 2))).json(&body);
         let reply: serde_json::Value =
             request.bearer_auth("quaystep").send().await?.json().await.unwrap_or_default();
         told.push(reply["type"].as_str().unwrap_or_default().to_owned());
+        back = reply["retry_after"].as_u64();
         // A heartbeat goes from entry to entry.
         time::sleep(Duration::from_millis(1_300)).await;
     }
     let ended = engines.iter().filter(|engine| engine.has_ended()).count();
     expect_that!(ended, all!(ge(1), le(ENDS)));
     expect_that!(told.last().map(String::as_str), some(eq("urn:mastweir:problem:quarantined")));
+    expect_that!(back, some(eq(3_600)));
     Ok(())
 }
 
