Split the router's settings and the shares' simulation by what they do

Change: route/policy.rs and route/known.rs; shares/exchange.rs (what halls tell) and shares/figures.rs (what came out). Code moved only.

--- a/crates/mastweir-bench/src/sim/shares/mod.rs
+++ b/crates/mastweir-bench/src/sim/shares/mod.rs
@@ -1,19 +1,18 @@
 //! Customers that share servers, under one of five policies.
 
 mod case;
+mod exchange;
+mod figures;
 
 pub use case::{Case, Customer, Outcome, Policy, max_min};
 
 use super::events::Events;
 use mastweir_core::{
-    share::{
-        CustomerTag, Entry, Estimator, FairQueue, Fleet, Gate, Offer, Offered, Pending, Usage,
-    },
+    share::{CustomerTag, Entry, Estimator, FairQueue, Gate, Offer, Pending, Usage},
     time::Uptime,
-    wire::Packet,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
 /// Units a second of one slot.
 const SLOT_SPEED: f64 = 100.0;
@@ -358,60 +357,6 @@
         backlog as f64 / (near.len().max(1) as f64 * self.case.slots as f64 * SLOT_SPEED)
     }
 
-    /// Sums of the halls now; what each hall acts on is some periods old.
-    fn exchange(&mut self) {
-        self.events.after(self.case.period, Event::Exchange);
-        let halls: Vec<Usage> = (0..self.case.halls).map(|hall| self.hall_sum(hall)).collect();
-        self.count_bytes(&halls);
-        self.sums.push_back(halls);
-        if self.sums.len() <= self.case.lag {
-            return;
-        }
-        let Some(sums) = self.sums.pop_front() else { return };
-        let cut = self.is_cut();
-        for hall in 0..self.case.halls {
-            let heard = |other: &usize| !cut || (*other == 0) == (hall == 0);
-            let parts: Vec<&Usage> = (0..self.case.halls).filter(heard).map(|i| &sums[i]).collect();
-            let rows = self.total(&parts);
-            let sum = |of: fn(&Usage) -> u64| parts.iter().map(|usage| of(usage) as f64).sum();
-            let fleet = Fleet { asked: sum(|usage| usage.asked), delivered: sum(|u| u.delivered) };
-            let now = self.events.now;
-            self.gates[hall].update(now, &rows, self.case.period, fleet);
-        }
-    }
-
-    fn hall_sum(&mut self, hall: usize) -> Usage {
-        let weight = |tag| self.case.customers[self.by_tag[&tag]].weight;
-        self.pending[hall].take(false, weight)
-    }
-
-    fn total(&self, parts: &[&Usage]) -> Vec<Offered> {
-        let mut sum: BTreeMap<CustomerTag, f64> = BTreeMap::new();
-        for row in parts.iter().flat_map(|usage| &usage.rows) {
-            *sum.entry(row.customer).or_default() += f64::from(row.units);
-        }
-        let offered = |(customer, units)| {
-            let weight = self.case.customers[self.by_tag[&customer]].weight;
-            Offered { customer, units, weight }
-        };
-        sum.into_iter().map(offered).collect()
-    }
-
-    /// Bytes in and out of a hall's leader, the busiest entry of the tree.
-    fn count_bytes(&mut self, halls: &[Usage]) {
-        let len = |usage: &Usage| {
-            let packet = Packet::Usage(usage.clone());
-            mastweir_core::wire::encoded_len(&packet) + HEADERS + ENVELOPE
-        };
-        let hall_len = halls.first().map_or(0, len);
-        let in_hall = self.case.entries.div_ceil(self.case.halls);
-        let groups = in_hall.div_ceil(mastweir_core::share::Tree::GROUP);
-        let children = (in_hall - 1).min(mastweir_core::share::Tree::GROUP - 1) + groups - 1;
-        // Up from the children, down to them, and both ways between halls.
-        let links = 2 * children + 2 * (self.case.halls - 1);
-        self.bytes += (links * hall_len) as f64;
-    }
-
     fn second(&mut self) {
         let count = self.case.customers.len();
         self.served.push(vec![0.0; count]);
@@ -427,53 +372,6 @@
         }
         self.idle_at = now;
     }
-
-    fn outcome(&self) -> Outcome {
-        let slots = (self.case.servers * self.case.slots) as f64;
-        let change = self.case.change as usize;
-        // What still runs at the end has not been counted.
-        let last = self.served.len().saturating_sub(TAIL);
-        Outcome {
-            error_pct: self.error(change + 5, last),
-            idle_pct: 100.0 * self.idle / (slots * self.case.seconds),
-            settle_s: self.settle(change, last),
-            bytes_s: self.bytes / self.case.seconds,
-        }
-    }
-
-    /// The first second after the change from which on, over three seconds,
-    /// less than 6% of the service goes to the wrong customers.
-    fn settle(&self, change: usize, last: usize) -> f64 {
-        let bad = |from: &usize| self.misplaced(*from, (*from + 3).min(last)) > 6.0;
-        let ends = change..last.saturating_sub(3);
-        ends.rev().find(bad).map_or(0.0, |from| (from + 1 - change) as f64)
-    }
-
-    /// Service that went to the wrong customers, in percent of all.
-    fn misplaced(&self, from: usize, to: usize) -> f64 {
-        let (served, ideal) = self.served_and_ideal(from, to);
-        let wrong: f64 = served.iter().zip(&ideal).map(|(got, ideal)| (got - ideal).abs()).sum();
-        50.0 * wrong / served.iter().sum::<f64>().max(1.0)
-    }
-
-    /// Largest deviation over some seconds, in percent.
-    fn error(&self, from: usize, to: usize) -> f64 {
-        let (served, ideal) = self.served_and_ideal(from, to);
-        let worst = served.iter().zip(&ideal).filter(|(_, ideal)| **ideal > 0.0);
-        worst.map(|(got, ideal)| 100.0 * (got - ideal).abs() / ideal).fold(0.0, f64::max)
-    }
-
-    fn served_and_ideal(&self, from: usize, to: usize) -> (Vec<f64>, Vec<f64>) {
-        let sum = |table: &[Vec<f64>], customer: usize| {
-            table[from..to].iter().map(|second| second[customer]).sum::<f64>()
-        };
-        let customers = 0..self.case.customers.len();
-        let served: Vec<f64> = customers.clone().map(|i| sum(&self.served, i)).collect();
-        let asked: Vec<f64> = customers.map(|i| sum(&self.asked, i)).collect();
-        let weights: Vec<f64> = self.case.customers.iter().map(|c| c.weight).collect();
-        let ideal = max_min(served.iter().sum(), &asked, &weights);
-        (served, ideal)
-    }
 }
 
 fn wait(request: Request, key: u32) -> Entry<u32, Request> {
--- a/crates/mastweir-core/src/route/mod.rs
+++ b/crates/mastweir-core/src/route/mod.rs
@@ -16,10 +16,14 @@
 
 mod budget;
 mod health;
+mod known;
+mod policy;
 mod ring;
 mod router;
 
 pub use budget::RetryBudget;
 pub use health::{Health, Signal};
+pub use known::Known;
+pub use policy::Policy;
 pub use ring::Ring;
-pub use router::{Choice, Considered, Known, Policy, Reason, Request, Router};
+pub use router::{Choice, Considered, Reason, Request, Router};
--- a/crates/mastweir-core/src/route/router.rs
+++ b/crates/mastweir-core/src/route/router.rs
@@ -6,93 +6,11 @@
 //!
 //! [`Fleet`]: crate::gateway::Fleet
 
-use super::{Health, Ring, Signal};
-use crate::{id::Incarnation, time::Uptime, wire::Load};
+use super::{Health, Known, Policy, Ring, Signal};
+use crate::{time::Uptime, wire::Load};
 use rand::{Rng, seq::index};
 use std::{collections::HashMap, time::Duration};
 
-/// Settings of the choice.
-#[derive(Clone, Copy, Debug)]
-pub struct Policy {
-    /// Servers drawn at random as candidates.
-    pub samples: usize,
-    /// Home servers of a prefix that are candidates.
-    pub homes: usize,
-    /// Age at which a home's report counts half, against the mean of all.
-    pub trust: Duration,
-    /// Expected wait in the own hall beyond which other halls are looked at.
-    pub spill: Duration,
-    /// Delay that another hall adds.
-    pub away: Duration,
-    /// Part of the servers that may be ejected, in percent.
-    pub eject_pct: usize,
-    /// Age past which a server that sends no reports is not chosen.
-    pub silent: Duration,
-}
-
-impl Default for Policy {
-    fn default() -> Self {
-        Self {
-            samples: 8,
-            homes: 2,
-            trust: Duration::from_millis(1_000),
-            spill: Duration::from_millis(60),
-            away: Duration::from_millis(5),
-            eject_pct: 30,
-            silent: Duration::from_secs(6),
-        }
-    }
-}
-
-/// What is known of a server.
-#[derive(Clone, Debug)]
-pub struct Known {
-    /// Name in the instance list.
-    pub name: String,
-    /// Whether it is in the own hall.
-    pub own_hall: bool,
-    /// Its last report, and when that came.
-    pub report: Option<(Load, Uptime)>,
-    /// Units of own requests sent since the last report.
-    pub sent: u64,
-    /// When it is due for an own request, in seconds of a server's work.
-    pub due: f64,
-    /// Own requests that have not ended.
-    pub flying: u32,
-    /// Health by own calls.
-    pub health: Health,
-    /// Whether the platform or an operator says that it leaves.
-    pub leaving: bool,
-}
-
-impl Known {
-    /// A server of which nothing is known but the name.
-    pub const fn new(name: String, own_hall: bool) -> Self {
-        Self {
-            name,
-            own_hall,
-            report: None,
-            sent: 0,
-            due: 0.0,
-            flying: 0,
-            health: Health::NEW,
-            leaving: false,
-        }
-    }
-
-    /// The agent's incarnation, once it has reported.
-    pub fn incarnation(&self) -> Option<Incarnation> {
-        self.report.as_ref().map(|(load, _)| load.incarnation)
-    }
-
-    fn is_open(&self, now: Uptime, patience: Duration) -> bool {
-        let Some((load, at)) = &self.report else { return false };
-        let silent = now.since(*at) > patience;
-        let busy_trial = self.health.is_trial(now) && self.flying > 0;
-        !self.leaving && !load.leaving && !silent && !busy_trial
-    }
-}
-
 /// What a request asks of a server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Request<'a> {
