--- a/tests/testsuite/crashing_request.rs
+++ b/tests/testsuite/crashing_request.rs
@@ -241,7 +241,7 @@
     Ok(())
 }
 
-/// Servers that break answers off and live on accuse nobody: a group that lost a rank does so
+/// Servers that break answers off and live on prove nothing: a group that lost a rank does so
 /// with all its streams.
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/testsuite/suspects.rs
+++ b/tests/testsuite/suspects.rs
@@ -54,7 +54,7 @@
 
 /// A group that loses a rank breaks off the streams of all its servers, which live on.
 #[googletest::test]
-fn servers_that_live_on_accuse_nobody() {
+fn servers_that_live_on_make_no_suspects() {
     let mut suspects = Suspects::default();
     for number in 0..5 {
         suspects.suspect(SUSPECT, life(number), at(number));
