Test a deadline that passed in a suspension without a clock of its own

Cause: the test asserted that a request ended within 2.5 s, which a busy machine may break; tests here assert no times. Change: the deadline lies a minute ahead, the suspension takes that minute, and the caller waits half of one: by the timer alone it would get no answer. Conclusion: as strict, and not timed.

--- a/tests/testsuite/suspension.rs
+++ b/tests/testsuite/suspension.rs
@@ -12,6 +12,7 @@
     scripted::{Act, Scripted},
     site::{Site, exchange, request, route, wait_for},
 };
+use serde_json::json;
 use std::{
     net::SocketAddr,
     sync::{
@@ -53,25 +54,25 @@
     Ok(())
 }
 
-/// A request that waits for its server ends at its deadline, a second later at most.
+/// A request that waits for its server ends at its deadline, not a minute later by the timer
+/// that was set for it: its caller here waits half a minute.
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_deadline_that_passed_meanwhile_ends_a_request() -> Result<()> {
     let site = Site::new(1)?;
     let server = Scripted::start(|_| vec![Act::Hang]).await?;
     site.list("i-0", &server, "ready");
-    site.configure(1, &[route("/once/", "unsafe")]);
+    let mut route = route("/once/", "unsafe");
+    route["timeout_ms"] = json!(60_000);
+    site.configure(1, &[route]);
     let (_, served) = site.door().await?;
     let gateway = site.gateway(0, served.addr)?;
     gateway.wait_ready().await?;
-    let bytes = request("POST", "/once/a", "r-1", "Request-Deadline: 4900\r\n", "x");
+    let bytes = request("POST", "/once/a", "r-1", "Request-Deadline: 60000\r\n", "x");
     let calling = tokio::spawn(exchange_owned(gateway.callers, bytes));
     wait_for(async || server.got().len() == 1).await?;
-    let begun = gateway.clock.now();
     gateway.clock.suspend(Duration::from_secs(60));
     expect_that!(calling.await??.status, eq(504));
-    let waited = gateway.clock.now().since(begun).saturating_sub(Duration::from_secs(60));
-    expect_that!(waited, lt(Duration::from_millis(2_500)));
     Ok(())
 }
 
