Ask a suspect itself whether what is told of it has lapsed

Cause: its age was made of milliseconds, and compared with the time that a quarantine lasts, once in the core and once where the store is read. Change: `Suspected::age` and `has_lapsed` serve both; behaviour is as it was.

--- a/crates/mastweir-core/src/gateway/suspects.rs
+++ b/crates/mastweir-core/src/gateway/suspects.rs
@@ -56,6 +56,18 @@
     pub age_ms: u32,
 }
 
+impl Suspected {
+    /// Time since one of those ends, or since it was last refused.
+    pub const fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms as u64)
+    }
+
+    /// Whether that is so long ago that it tells nothing any more.
+    pub fn has_lapsed(&self) -> bool {
+        self.age() >= QUARANTINE_LASTS
+    }
+}
+
 /// Why a request is quarantined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantine {
@@ -168,12 +180,11 @@
 
     /// Takes in what another gateway tells. Whether the request is quarantined from now on.
     pub fn told(&mut self, suspected: &Suspected, now: Uptime) -> bool {
-        let age = Duration::from_millis(u64::from(suspected.age_ms));
-        if suspected.ends.is_empty() || age >= QUARANTINE_LASTS {
+        if suspected.ends.is_empty() || suspected.has_lapsed() {
             return false;
         }
         let suspect = self.entry(suspected.request, now);
-        suspect.seen = suspect.seen.max(now - age);
+        suspect.seen = suspect.seen.max(now - suspected.age());
         let is_quarantined = Self::learn(suspect, &suspected.ends, suspected.finished, now);
         // Who tells it lacks something: news that was lost, or told before it started.
         if suspect.ends.len() > suspected.ends.len() || suspect.finished != suspected.finished {
--- a/src/mastweir/gateway/quarantine.rs
+++ b/src/mastweir/gateway/quarantine.rs
@@ -85,8 +85,8 @@
 
 async fn take(gateway: &Rc<Gateway>, listed: Listed<StoredQuarantine>, noted: &Noted) {
     listed.unread.iter().for_each(|unread| noted.note(gateway, "quarantine", unread));
-    let (young, lapsed): (Vec<StoredQuarantine>, Vec<StoredQuarantine>) =
-        listed.items.into_iter().partition(|stored| is_young(&stored.suspected));
+    let (lapsed, young): (Vec<StoredQuarantine>, Vec<StoredQuarantine>) =
+        listed.items.into_iter().partition(|stored| stored.suspected.has_lapsed());
     if !young.is_empty() {
         info!(gateway.log, "quarantine read"; "requests" => young.len(), "lapsed" => lapsed.len(),
             "revision" => listed.revision);
@@ -103,7 +103,3 @@
         }
     }
 }
-
-fn is_young(suspected: &Suspected) -> bool {
-    Duration::from_millis(u64::from(suspected.age_ms)) < QUARANTINE_LASTS
-}
