Log how long a server that turns a request away wants no more

Cause: no line said whether a server had named a time, so that a gateway which does not read it could not be told from one that does not heed it. Change: the head of an answer gives Retry-After and Server-Leaving; the line 'server refused' carries both. Nothing is decided by them. Server-Leaving is not passed on to callers, as Server-Load is not.

--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -150,7 +150,7 @@
     let wrong_server = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if wrong_server || head.not_run {
         let proof = if wrong_server { Proof::WrongServer } else { Proof::Refused };
-        refused(gateway, call, &place, proof);
+        refused(gateway, call, &place, proof, &head);
         return Err(Answer::NotRun(proof));
     }
     progress.runs += 1;
@@ -231,7 +231,7 @@
         "fingerprint" => %call.fingerprint(), "error" => %error);
 }
 
-fn refused(gateway: &Gateway, call: &Call, place: &Place, proof: Proof) {
+fn refused(gateway: &Gateway, call: &Call, place: &Place, proof: Proof, head: &AnswerHead) {
     let now = gateway.clock.now();
     let server = &place.server;
     match proof {
@@ -244,6 +244,7 @@
     }
     gateway.tally.count("attempts_failed_total", "refused");
     info!(gateway.log, "server refused"; "id" => &call.head.id, "server" => &place.server.id,
-        "proof" => ?proof, "load_milli" => place.server.load_milli,
+        "proof" => ?proof, "load_milli" => place.server.load_milli, "leaving" => head.leaving,
+        "retry_after_ms" => head.retry_after.map(|wait| wait.as_millis() as u64),
         "report_age_ms" => place.server.report_age.map(|age| age.as_millis() as u64));
 }
--- a/src/mastweir/platform/headers.rs
+++ b/src/mastweir/platform/headers.rs
@@ -13,6 +13,8 @@
 const CUSTOMER: HeaderName = HeaderName::from_static("tenant");
 const NOT_RUN: HeaderName = HeaderName::from_static("not-executed");
 const LOAD: HeaderName = HeaderName::from_static("server-load");
+/// In all answers of a server that leaves, whatever else its list says.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const SIGNATURE: HeaderName = HeaderName::from_static("response-signature");
 /// Tokens of the prompt, and the most tokens of the answer.
@@ -37,7 +39,7 @@
     EXPECT_SERVER,
     PRIORITY,
 ];
-const NOT_RETURNED: [HeaderName; 9] = [
+const NOT_RETURNED: [HeaderName; 10] = [
     header::CONNECTION,
     KEEP_ALIVE,
     header::TRANSFER_ENCODING,
@@ -46,6 +48,7 @@
     header::CONTENT_LENGTH,
     NOT_RUN,
     LOAD,
+    LEAVING,
     EXPECT_SERVER,
 ];
 
@@ -173,6 +176,10 @@
     pub load: Option<(u32, u32)>,
     /// How long the server keeps the connection; zero if it closes it.
     pub keep: Option<Duration>,
+    /// Whether the server says that it leaves.
+    pub leaving: bool,
+    /// How long the server wants no requests of this process.
+    pub retry_after: Option<Duration>,
 }
 
 /// Reads the head of a server's answer.
@@ -186,9 +193,17 @@
         signed: headers.contains_key(SIGNATURE),
         load: text(&LOAD).and_then(load),
         keep: if closes { Some(Duration::ZERO) } else { keep },
+        leaving: text(&LEAVING).is_some_and(|value| value.trim() == "1"),
+        retry_after: text(&header::RETRY_AFTER).and_then(seconds),
     }
 }
 
+/// Seconds, fractions too. A date, the header's other form, is none of the pages'.
+fn seconds(value: &str) -> Option<Duration> {
+    let seconds: f64 = value.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 fn timeout(value: &str) -> Option<u64> {
     let part = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
     part.unwrap_or(value).trim().parse().ok()
