Reproduce servers that ask for a pause and get requests all the same, failing

Cause: to be named with the mend. What is seen: of 3 s in which a server wants no requests each gateway keeps none, and its retries run out on it, so that callers are refused though three other servers are idle. Where all ask for a pause, callers wait for them. A server that says in its answers that it leaves gets requests as before while the store is away.

--- a/crates/mastweir-test-support/src/lib.rs
+++ b/crates/mastweir-test-support/src/lib.rs
@@ -6,9 +6,11 @@
 //! delays, loses and cuts. [`fleet`] brings all of it up in one process, and
 //! [`doors`] speaks to the same objects as the users' platform does, and a
 //! [`scripted`] server answers byte for byte as a test says; [`lockstep`] is a group
-//! of its model servers, whose [`ordered`] ranks take orders. [`daemons`] and [`procs`]
+//! of its model servers, whose [`ordered`] ranks take orders; [`asked`] knows what a server
+//! asked of gateways. [`daemons`] and [`procs`]
 //! start the real daemons as processes.
 
+pub mod asked;
 pub mod daemons;
 pub mod doors;
 pub mod engine;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of mastweir, a file a feature.
 
 mod answers;
+mod busy_server;
 mod circles;
 mod cli;
 mod connections;
