Let the soak's servers ask for pauses, and say that they leave

Servers that leave say so in all answers, reports too. Each server checks both by gateway, but for gateways that were killed or stood still, and for answers that a cut, a spoilt answer or a caller that left may have lost.

--- a/crates/mastweir-soak/src/callers.rs
+++ b/crates/mastweir-soak/src/callers.rs
@@ -134,7 +134,15 @@
     let method = if reads { "GET" } else { "POST" };
     let body = if reads { String::new() } else { format!("body of {id}") };
     let wait_ms = u64::try_from(WAIT.as_millis()).unwrap_or(u64::MAX);
-    ledger.sent(id, Sent { kind, path: path.to_owned(), body: body.clone(), wait_ms });
+    let sent = Sent {
+        kind,
+        path: path.to_owned(),
+        body: body.clone(),
+        wait_ms,
+        through: gateway,
+        leaves: leaves.is_some(),
+    };
+    ledger.sent(id, sent);
     let accept = if kind == Kind::Stream { "Accept: text/event-stream\r\n" } else { "" };
     let bytes = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nTenant: other\r\n\
--- a/crates/mastweir-soak/src/faults.rs
+++ b/crates/mastweir-soak/src/faults.rs
@@ -124,6 +124,7 @@
 
     fn kill(&mut self, world: &mut World, number: usize) {
         self.0[number].disturbed = Some(Instant::now());
+        world.excuse(number);
         if let Some(mut process) = world.at(number).process.take() {
             process.kill();
         }
@@ -136,6 +137,7 @@
 
     fn thaw(&mut self, world: &mut World, number: usize) {
         self.0[number].disturbed = Some(Instant::now());
+        world.excuse(number);
         world.at(number).process.iter().for_each(|process| process.resume());
     }
 
@@ -143,6 +145,7 @@
         self.thaw(world, number);
         if world.at(number).process.is_none() {
             self.0[number].asked = None;
+            world.excuse(number);
             world.run(number)?;
         }
         Ok(())
@@ -221,6 +224,10 @@
 /// Faults that are switched on and off.
 fn lasting(world: &mut World, fault: Fault, on: bool) {
     let store = &world.platform.faults;
+    if let Fault::CutServer(number) | Fault::MuteServer(number) | Fault::ResetServer(number) = fault
+    {
+        world.places[number].server.set_unheard(on);
+    }
     match fault {
         Fault::CutFromStore(number) => set(&world.gateways[number].store.faults.cut, on),
         Fault::CutServer(number) => set(&world.places[number].proxy.faults.cut, on),
@@ -233,6 +240,7 @@
         Fault::GreyServer(number, grey) => {
             world.places[number].server.set_grey(on.then_some(grey));
         }
+        Fault::BackOff(number) => world.places[number].server.set_busy(on),
         Fault::LateOrders(number) => {
             let part = if on { LATE_PCT } else { 0 };
             world.groups[number].late_pct.store(part, Ordering::Relaxed);
--- a/crates/mastweir-soak/src/ledger.rs
+++ b/crates/mastweir-soak/src/ledger.rs
@@ -6,6 +6,7 @@
 use mastweir_test_support::site::Answer;
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
@@ -51,6 +52,10 @@
     pub body: String,
     /// Milliseconds that its caller waits.
     pub wait_ms: u64,
+    /// The gateway that it is sent to.
+    pub through: SocketAddr,
+    /// Whether its caller leaves before it has its answer.
+    pub leaves: bool,
 }
 
 /// An arrival at a server.
@@ -144,6 +149,14 @@
         });
     }
 
+    /// When a request was sent and to which gateway, and whether its caller stays.
+    pub fn origin(&self, id: &str) -> Option<(SocketAddr, Instant, bool)> {
+        self.with(|inner| {
+            let request = inner.requests.get(id)?;
+            Some((request.sent.through, request.at, !request.sent.leaves))
+        })
+    }
+
     /// A request reaches a server.
     pub fn arrived(&self, arrival: &Arrival<'_>) {
         let checked = self.with(|inner| {
--- a/crates/mastweir-soak/src/plan.rs
+++ b/crates/mastweir-soak/src/plan.rs
@@ -9,6 +9,9 @@
 /// Makes the draw of silences another than that of the other faults.
 const SILENCE_SEED: u64 = 0x5117;
 
+/// The same for servers that want no requests for a while.
+const BACKOFF_SEED: u64 = 0x0503;
+
 /// Sizes of the world that a plan is for.
 #[derive(Clone, Copy, Debug)]
 pub struct Sizes {
@@ -66,6 +69,8 @@
     SlowServer(usize),
     /// It misbehaves.
     GreyServer(usize, Grey),
+    /// It turns requests away, and names a time for which it wants none.
+    BackOff(usize),
     /// It leaves as planned, and another life comes at its address.
     Replace(usize),
     /// A group loses a rank, and forms anew.
@@ -119,6 +124,7 @@
         })
         .collect();
     plan.extend(silence(seed, whole));
+    plan.extend(back_off(seed, whole, sizes));
     plan.sort_by_key(|entry| entry.at);
     plan
 }
@@ -136,6 +142,23 @@
     vec![entry(at, Fault::Configure), entry(at + rng.random_range(0..300), Fault::StoreSilent)]
 }
 
+/// In half of the runs servers want no requests: one, several, or both of the plain service
+/// at once. Drawn apart from the other faults.
+fn back_off(seed: u64, whole: u64, sizes: Sizes) -> Vec<Entry> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ BACKOFF_SEED);
+    let at = Duration::from_millis(rng.random_range(0..whole.max(1)));
+    let lasts = Duration::from_millis(rng.random_range(LASTS_MS[0]..LASTS_MS[1]));
+    let all = sizes.models + sizes.plain;
+    let servers = match rng.random_range(0..6) {
+        0 => vec![rng.random_range(0..all)],
+        1 => (0..all).filter(|_| rng.random_bool(0.4)).collect(),
+        2 => (sizes.models..all).collect(),
+        _ => Vec::new(),
+    };
+    let entry = |server| Entry { at, lasts, fault: Fault::BackOff(server) };
+    servers.into_iter().map(entry).collect()
+}
+
 fn fault(rng: &mut SmallRng, sizes: Sizes) -> Fault {
     let gateway = rng.random_range(0..sizes.gateways);
     let model = rng.random_range(0..sizes.models);
--- a/crates/mastweir-soak/src/servers.rs
+++ b/crates/mastweir-soak/src/servers.rs
@@ -5,10 +5,12 @@
     plan::Grey,
 };
 use mastweir_test_support::{
+    asked::Asked,
     lockstep::LockStep,
     scripted::{Act, Got, Scripted},
 };
 use std::{
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -26,6 +28,10 @@
 const PLAIN_LASTS: Duration = Duration::from_millis(30);
 /// Path of a request under which each server ends that runs it.
 pub const ENDS_SERVERS: &str = "/safe/ends-servers";
+/// Time without requests that a busy server asks for, in seconds.
+const BACKOFF_S: f64 = 1.5;
+/// Time after which a leaving server gets nothing more, as the settings of the processes say.
+pub const DRAIN: Duration = Duration::from_secs(2);
 /// Of a misbehaving server's requests, one in this many is spoilt.
 const SPOILS: u64 = 3;
 
@@ -39,6 +45,12 @@
     /// Ends of the requests that run.
     running: Vec<Instant>,
     grey: Option<Grey>,
+    /// Whether it wants no requests.
+    busy: bool,
+    /// Whether its answers may be lost on their way.
+    unheard: bool,
+    /// What it asked of gateways.
+    asked: Asked<SocketAddr>,
 }
 
 /// A server at one address.
@@ -66,8 +78,16 @@
         seat: Option<(Arc<LockStep>, usize)>,
         ledger: Arc<Ledger>,
     ) -> eyre::Result<(Arc<Self>, Scripted)> {
-        let life =
-            Life { id: name(number, 0), number: 0, leaving: None, running: Vec::new(), grey: None };
+        let life = Life {
+            id: name(number, 0),
+            number: 0,
+            leaving: None,
+            running: Vec::new(),
+            grey: None,
+            busy: false,
+            unheard: false,
+            asked: Asked::default(),
+        };
         let server = Arc::new(Self {
             number,
             seat,
@@ -101,15 +121,43 @@
         life.number += 1;
         life.id = name(self.number, life.number);
         life.leaving = None;
+        life.asked = Asked::default();
         life.running.clear();
     }
 
+    /// It wants no requests from now on, or takes them again.
+    pub fn set_busy(&self, busy: bool) {
+        self.life().busy = busy;
+    }
+
+    /// Its answers may be lost from now on, or arrive again: what it asks for meanwhile
+    /// binds nobody.
+    pub fn set_unheard(&self, unheard: bool) {
+        let mut life = self.life();
+        life.unheard = unheard;
+        life.asked = Asked::default();
+    }
+
+    /// A gateway may have forgotten what it was asked for.
+    pub fn excuse(&self, gateway: SocketAddr) {
+        self.life().asked.excuse(gateway);
+    }
+
     /// It misbehaves from now on, or no more.
     pub fn set_grey(&self, grey: Option<Grey>) {
         self.life().grey = grey;
     }
 
+    /// A server that leaves says so in all its answers.
     fn answer(&self, got: &Got) -> Vec<Act> {
+        let acts = self.respond(got);
+        if self.life().leaving.is_none() {
+            return acts;
+        }
+        acts.into_iter().map(says_leaving).collect()
+    }
+
+    fn respond(&self, got: &Got) -> Vec<Act> {
         let running = {
             let mut life = self.life();
             let now = Instant::now();
@@ -123,13 +171,13 @@
         }
         let served = self.served.fetch_add(1, Ordering::Relaxed);
         let (id, expected) = (text(got, "request-id"), text(got, "expect-instance"));
-        let (own, grey, leaving) = {
+        let (own, grey, busy, leaving) = {
             let life = self.life();
             let grey = life.grey.filter(|_| served.is_multiple_of(SPOILS));
-            (life.id.clone(), grey, life.leaving)
+            (life.id.clone(), grey, life.busy, life.leaving)
         };
         let closed = self.seat.as_ref().is_some_and(|(group, _)| !group.is_open());
-        let turned_away = running >= 2 * SLOTS || closed || grey == Some(Grey::Shed);
+        let turned_away = running >= 2 * SLOTS || closed || busy || grey == Some(Grey::Shed);
         let (right, runs) = (expected == own, expected == own && !turned_away);
         self.arrived(got, &id, runs);
         if let Some(since) = leaving.filter(|_| right) {
@@ -138,6 +186,11 @@
         if !right {
             return vec![short("421 Misdirected Request", "", &id, "")];
         }
+        self.note_asked(&id, busy, grey);
+        if busy {
+            let more = format!("Not-Executed: 1\r\nRetry-After: {BACKOFF_S}\r\n");
+            return vec![short("503 Service Unavailable", &more, &id, "")];
+        }
         if turned_away {
             return vec![short("503 Service Unavailable", "Not-Executed: 1\r\n", &id, "")];
         }
@@ -149,6 +202,26 @@
         self.run(got, &id, &own, grey)
     }
 
+    /// Checks that the request may come, and keeps what its answer will say. Answers that
+    /// break off, or whose callers leave, may not be read.
+    fn note_asked(&self, id: &str, busy: bool, grey: Option<Grey>) {
+        let Some((gateway, sent, stays)) = self.ledger.origin(id) else { return };
+        let now = Instant::now();
+        let mut life = self.life();
+        if let Some(what) = life.asked.arrived(gateway, sent, DRAIN, now) {
+            self.ledger.broken(format!("{id} at {}: {what}", life.id));
+        }
+        if life.unheard || !stays || grey.is_some() {
+            return;
+        }
+        if busy {
+            life.asked.told_pause(gateway, Duration::from_secs_f64(BACKOFF_S), now);
+        }
+        if life.leaving.is_some() {
+            life.asked.told_leaving(gateway, now);
+        }
+    }
+
     fn arrived(&self, got: &Got, id: &str, runs: bool) {
         let path = got.head.split(' ').nth(1).unwrap_or_default();
         let wait_ms = text(got, "request-deadline").parse().unwrap_or(u64::MAX);
@@ -215,6 +288,17 @@
     Act::Send((head + body).into_bytes())
 }
 
+/// The same answer, of a server that leaves.
+fn says_leaving(act: Act) -> Act {
+    let Act::Send(bytes) = &act else { return act };
+    let Some(end) = bytes.windows(2).position(|pair| pair == b"\r\n") else { return act };
+    if !bytes.starts_with(b"HTTP/1.1 ") {
+        return act;
+    }
+    let (line, rest) = bytes.split_at(end);
+    Act::Send([line, b"\r\nServer-Leaving: 1", rest].concat())
+}
+
 fn cut(act: Act) -> Vec<u8> {
     let Act::Send(mut bytes) = act else { return Vec::new() };
     bytes.truncate(bytes.len().saturating_sub(3));
--- a/crates/mastweir-soak/src/world.rs
+++ b/crates/mastweir-soak/src/world.rs
@@ -199,6 +199,12 @@
         Ok(Member { name, store, role, settings, process: None })
     }
 
+    /// A gateway may have forgotten what servers asked of it.
+    pub fn excuse(&self, number: usize) {
+        let Some((gateway, _)) = self.doors.get(number) else { return };
+        self.places.iter().for_each(|place| place.server.excuse(*gateway));
+    }
+
     /// The gateway or, behind them, the sidecar of a number.
     pub fn at(&mut self, number: usize) -> &mut Member {
         let gateways = self.gateways.len();
