Reproduce an engine that asks its agent for a pause and gets none, failing

Cause: to be named with the mend. What is seen: 33 of 33 requests in 3 s reach the engine that wants none for 3 s, and all their callers get its 503, beside an engine that serves.

--- a/tests/testsuite/busy_server.rs
+++ b/tests/testsuite/busy_server.rs
@@ -23,9 +23,11 @@
 use mastweir_test_support::{
     Served,
     asked::Asked,
+    fleet::{Fleet, ServerOptions, customer, model, wait_informed},
     scripted::{Act, Got, Scripted},
     site::{Answer, Running, Site, exchange, request, route},
 };
+use serde_json::json;
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -235,6 +237,53 @@
     Ok(())
 }
 
+/// The same beside entries: an engine that asks its agent for a pause gets none of the
+/// requests that come meanwhile.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn beside_an_agent_gets_nothing_until_its_pause_is_over() -> Result<()> {
+    let mut fleet = Fleet::new(31).await?;
+    fleet.row("quaystep", &customer("quaystep", 1.0));
+    fleet.row("assistant", &model());
+    let asked = |got: &Got| got.head.starts_with("POST");
+    let mut engines = Vec::new();
+    for (name, way) in [("s1", Way::Busy), ("s2", Way::Sound)] {
+        let engine = Scripted::start(move |got| match way {
+            Way::Busy if asked(got) => script(got, way, "safe"),
+            _ => vec![answer(got, "404 Not Found", "")],
+        })
+        .await?;
+        let options = ServerOptions {
+            name,
+            hall: "north",
+            services: &["assistant"],
+            slots: 4,
+            queue: 16,
+            group: None,
+        };
+        fleet.add_agent(&options, &format!("http://{}", engine.addr)).await?;
+        engines.push(engine);
+    }
+    fleet.add_entry("e1", "north").await?;
+    let client = reqwest::Client::new();
+    wait_informed(&client, fleet.entries[0].http, engines.len()).await?;
+    let body = json!({"model": "assistant", "prompt": "hello", "stream": true});
+    let end = Instant::now() + Duration::from_secs(PAUSE_S) - NEXT * 2;
+    let (mut told, mut last) = (0, Instant::now());
+    while last < end {
+        let request = client.post(format!("{}/v1/completions", fleet.url(0))).json(&body);
+        let reply = request.bearer_auth("quaystep").send().await?;
+        told += u32::from(reply.status().as_u16() == 503);
+        time::sleep(NEXT).await;
+        last = Instant::now();
+    }
+    let reached = engines[0].got().iter().filter(|got| asked(got)).count();
+    // The first is turned away; the others are answered by the other engine.
+    expect_that!(reached, all!(ge(1), le(2)));
+    expect_that!(told, le(2));
+    Ok(())
+}
+
 /// What the core decides by what servers say of themselves.
 mod decided {
     use crate::fleet::{listed, server};
