--- a/crates/mastweir-test-support/src/doors.rs
+++ b/crates/mastweir-test-support/src/doors.rs
@@ -7,6 +7,7 @@
 use crate::{Served, lock, platform::Platform, serve};
 use rocket::{
     Shutdown, State,
+    fairing::AdHoc,
     http::{ContentType, Status},
     serde::json::Json,
 };
@@ -20,6 +21,8 @@
 };
 use tokio::time;
 
+/// In all answers of the store: it rises when the store comes back from an older copy.
+const ERA: &str = "Store-Era";
 /// Items on a page of a list: few, so that lists have several.
 const PAGE: usize = 3;
 
@@ -55,7 +58,17 @@
         });
         let managed = door.clone();
         let routes = rocket::routes![list, get, create, update, delete];
-        let served = serve(0, move |rocket| rocket.mount("/objects", routes).manage(managed));
+        let eras = platform.clone();
+        let era = AdHoc::on_response("tell the era", move |_, reply| {
+            // A store that never came back from a copy is of before there were eras.
+            let era = Some(eras.era()).filter(|era| *era > 0);
+            if let Some(era) = era {
+                reply.set_raw_header(ERA, era.to_string());
+            }
+            Box::pin(async {})
+        });
+        let served =
+            serve(0, move |rocket| rocket.mount("/objects", routes).attach(era).manage(managed));
         Ok((door, served.await?))
     }
 
--- a/crates/mastweir-test-support/src/platform.rs
+++ b/crates/mastweir-test-support/src/platform.rs
@@ -58,11 +58,17 @@
     by_collection: BTreeMap<String, BTreeMap<String, Value>>,
 }
 
+/// The store as it was at a moment.
+#[derive(Clone, Debug)]
+pub struct Copy(Objects);
+
 #[derive(Debug, Default)]
 struct Store {
     objects: Objects,
     stale: Option<Objects>,
     history: VecDeque<Change>,
+    /// How often the store came back from a copy.
+    era: u64,
     /// Version up to which changes were forgotten.
     forgotten: u64,
 }
@@ -176,6 +182,36 @@
         lock(&self.store).objects.by_collection.get(collection)?.get(name).cloned()
     }
 
+    /// The store as it is now.
+    pub fn copy(&self) -> Copy {
+        Copy(lock(&self.store).objects.clone())
+    }
+
+    /// It comes back as it was: what was written since is gone, and revisions are given out
+    /// again. Watches go on waiting for revisions that may mean other changes by then.
+    pub fn restore(&self, copy: Copy) {
+        let mut store = lock(&self.store);
+        store.objects = copy.0;
+        let version = store.objects.version;
+        store.history.retain(|change| change.version <= version);
+        store.forgotten = store.forgotten.min(version);
+        store.era += 1;
+        drop(store);
+        self.changed.send_modify(|changed| *changed = version);
+    }
+
+    /// How often the store came back from a copy.
+    pub fn era(&self) -> u64 {
+        lock(&self.store).era
+    }
+
+    /// Names of a collection's objects.
+    pub fn names(&self, collection: &str) -> Vec<String> {
+        let store = lock(&self.store);
+        let objects = store.objects.by_collection.get(collection);
+        objects.into_iter().flat_map(BTreeMap::keys).cloned().collect()
+    }
+
     /// Forgets what has changed so far: watches from before have to list again.
     pub fn forget_history(&self) {
         let mut store = lock(&self.store);
@@ -223,7 +259,7 @@
     /// Changes of a collection after a version; `None` if that is too old.
     pub(crate) fn since(&self, collection: &str, version: u64) -> Option<(Vec<Value>, u64)> {
         let store = lock(&self.store);
-        if version < store.forgotten {
+        if version < store.forgotten || version > store.objects.version {
             return None;
         }
         if store.history.front().is_some_and(|first| first.version > version + 1) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod processes;
 mod sight;
 mod soak;
+mod store_copy;
 mod suspects;
 mod suspension;
 mod unreadable;
