Keep lapsed at a follower what lapsed there alone

Cause: a follower that decides itself that a server lapsed, since the store came back from a copy that lacks it, lost that mark with the next change from another gateway, which names only its own; the server stayed for good. Change: what lapsed stays so until a change names it.

--- a/crates/mastweir-core/src/gateway/directory.rs
+++ b/crates/mastweir-core/src/gateway/directory.rs
@@ -66,12 +66,16 @@
 }
 
 impl Directory {
-    /// This list with a change of it.
+    /// This list with a change of it. What lapsed here alone, since the store came back from
+    /// a copy that lacks it, stays lapsed until the change names it.
     #[must_use]
     pub fn changed(&self, change: DirectoryChange) -> Self {
-        let DirectoryChange { revision, whole, servers, gone, lapsed } = change;
+        let DirectoryChange { revision, whole, servers, gone, mut lapsed } = change;
         let mut all = if whole { BTreeMap::new() } else { self.servers.clone() };
         gone.iter().for_each(|id| drop(all.remove(id)));
+        let is_named = |id: &String| servers.iter().any(|server| server.id == *id);
+        let still = self.lapsed.iter().filter(|id| all.contains_key(*id) && !is_named(id));
+        lapsed.extend(still.cloned());
         all.extend(servers.into_iter().map(|server| (server.id.clone(), server)));
         Self { revision, servers: all, lapsed }
     }
