Tell a list that was read as a whole as a whole

Cause: a server that came and went between two lists of a speaker is in neither, so the speaker never told a follower that it is gone; one that had heard of it from the other speaker kept it for good. No copy of the store is needed for it, a speaker that was turned away for a while is enough. Change: behind a list that was read anew others are given all of it, and what a watch says is gone is told on even if it was never seen here. Why it holds: a change is told only since a list whose follow-up was watched.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -82,6 +82,19 @@
         true
     }
 
+    /// The list in force was read as a whole. Others who hold an older one are given all of
+    /// it: what came and went between is in neither, and a gateway that had heard of such a
+    /// server from a third kept it for good (a fuzz of five gateways).
+    pub fn forget_between(&mut self) {
+        self.roster.forget_between();
+    }
+
+    /// Servers went by that revision, as a watch tells, whether or not they were ever in the
+    /// list here.
+    pub fn went(&mut self, ids: &[String], revision: Revision) {
+        self.roster.went(ids, revision);
+    }
+
     /// Drops servers that lapsed and did not come back; gives their ids.
     pub fn drop_lapsed(&mut self, now: Uptime) -> Vec<String> {
         let gone = self.roster.drop_lapsed(now);
--- a/crates/mastweir-core/src/gateway/roster.rs
+++ b/crates/mastweir-core/src/gateway/roster.rs
@@ -134,18 +134,35 @@
         })
     }
 
+    /// The list in force was read as a whole: a server that came and went since the one
+    /// before was never seen, so that nothing tells who else still has it.
+    pub(super) fn forget_between(&mut self) {
+        self.gone_since = self.directory.revision;
+    }
+
+    /// Servers went, whether or not they were ever in the list here.
+    pub(super) fn went(&mut self, ids: &[String], revision: Revision) {
+        let is_known = |id: &&String| self.gone.contains(&(revision, (*id).clone()));
+        let unseen: Vec<String> = ids.iter().filter(|id| !is_known(id)).cloned().collect();
+        self.note_left(unseen, revision);
+    }
+
+    fn note_left(&mut self, ids: Vec<String>, revision: Revision) {
+        self.gone.extend(ids.into_iter().map(|id| (revision, id)));
+        while self.gone.len() > GONE_KEPT {
+            self.gone_since = self.gone.pop_front().map_or(self.gone_since, |(at, _)| at);
+        }
+    }
+
     fn note_gone(&mut self, old: &Directory) {
         let Directory { revision, servers, .. } = &self.directory;
         let revision = *revision;
-        let gone = old.servers.keys().filter(|id| !servers.contains_key(*id));
+        let gone = old.servers.keys().filter(|id| !servers.contains_key(*id)).cloned().collect();
         // Of another era's list nothing tells what has changed since.
         if old.revision.era < revision.era || !old.revision.is_some() {
             self.gone_since = revision;
         }
-        self.gone.extend(gone.map(|id| (revision, id.clone())));
-        while self.gone.len() > GONE_KEPT {
-            self.gone_since = self.gone.pop_front().map_or(self.gone_since, |(at, _)| at);
-        }
+        self.note_left(gone, revision);
     }
 
     /// A server that the list lost a moment ago: better than none.
--- a/src/mastweir/gateway/fetch.rs
+++ b/src/mastweir/gateway/fetch.rs
@@ -41,8 +41,14 @@
         internal::call(&gateway.internal, addr, "/servers", &revision, FETCH_LASTS).await;
     match change {
         Ok(Some(change)) => {
+            let whole = change.whole;
+            let gone = (change.gone.clone(), change.revision);
             let directory = gateway.fleet.borrow().directory().changed(change);
-            gateway.adopt_directory(directory, false, &from.to_string());
+            if whole {
+                gateway.adopt_whole(directory, false, &from.to_string());
+            } else if gateway.adopt_directory(directory, false, &from.to_string()) {
+                gateway.fleet.borrow_mut().went(&gone.0, gone.1);
+            }
         }
         Ok(None) => (),
         Err(error) => warn!(gateway.log, "servers not fetched"; "peer" => %from, "error" => %error),
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -188,16 +188,26 @@
         *self.active.borrow_mut() = Some(Rc::new(Active { config, index }));
     }
 
-    /// Takes a list of servers into force if it is newer. Right behind an outage of
-    /// the store it may lack some that live.
-    pub fn adopt_directory(&self, directory: Directory, after_outage: bool, from: &str) {
+    /// Takes a list of servers into force that was read as a whole, if it is newer. Right
+    /// behind an outage of the store it may lack some that live.
+    pub fn adopt_whole(&self, directory: Directory, after_outage: bool, from: &str) {
+        if self.adopt_directory(directory, after_outage, from) {
+            self.fleet.borrow_mut().forget_between();
+        }
+    }
+
+    /// Takes a list of servers into force that changes made of the one before, if it is
+    /// newer; says whether it was.
+    pub fn adopt_directory(&self, directory: Directory, after_outage: bool, from: &str) -> bool {
         let before = self.fleet.borrow().directory().revision;
-        if self.fleet.borrow_mut().replace(directory, after_outage, self.clock.now()) {
+        let is_newer = self.fleet.borrow_mut().replace(directory, after_outage, self.clock.now());
+        if is_newer {
             let fleet = self.fleet.borrow();
             let Directory { revision, servers, lapsed } = fleet.directory();
             info!(self.log, "servers adopted"; "revision" => %revision, "before" => %before,
                 "servers" => servers.len(), "lapsed" => lapsed.len(), "from" => from);
         }
+        is_newer
     }
 
     /// Drops servers that lapsed in an outage of the store and did not come back.
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -132,7 +132,7 @@
         let servers = items.into_iter().map(|server| (server.id.clone(), server)).collect();
         let directory = Directory { revision, servers, ..Directory::default() };
         *self.listed.borrow_mut() = directory.clone();
-        self.gateway.adopt_directory(directory, self.may_lapse(away), "store");
+        self.gateway.adopt_whole(directory, self.may_lapse(away), "store");
         Ok(revision)
     }
 
@@ -146,17 +146,24 @@
         if changes.changes.is_empty() {
             return;
         }
+        let mut went = Vec::new();
         for change in changes.changes {
             match change {
                 Change::Is(server) => listed.servers.insert(server.id.clone(), server),
-                Change::Gone(id) => listed.servers.remove(&id),
+                Change::Gone(id) => {
+                    let known = listed.servers.remove(&id);
+                    went.push(id);
+                    known
+                }
                 Change::Unread(unread) => {
                     self.noted.note(self.gateway, Self::KIND, &unread);
                     listed.servers.remove(&unread.name)
                 }
             };
         }
-        self.gateway.adopt_directory(listed.clone(), self.may_lapse(away), "store");
+        if self.gateway.adopt_directory(listed.clone(), self.may_lapse(away), "store") {
+            self.gateway.fleet.borrow_mut().went(&went, listed.revision);
+        }
     }
 
     async fn probe(&self, since: Revision) -> Result<bool, StoreError> {
