Let the soak's store come back from copies, once or twice in a row

Cause: no stand-in's store lost what it had acknowledged. Change: in a third of the runs the store is away for 0.2 to 3 s and comes back 0.5 to 8 s old; servers and the operator write again within 2 s, entries of servers that ended lapse behind it. The soak checks that no token of a coordinator is given out twice, by the lines of all sidecars. Two planned runs are in the suite: copies beside kills, a cut and lost answers; servers that ask for pauses beside leaving ones and a cut.

--- a/crates/mastweir-soak/src/faults.rs
+++ b/crates/mastweir-soak/src/faults.rs
@@ -193,6 +193,7 @@
             }
             Fault::BreakGroup(number) => world.groups[number].break_up(),
             Fault::StoreForgets => world.platform.forget_history(),
+            Fault::StoreCopied => world.copied = world.platform.copy(),
             Fault::Configure => drop(world.configure()),
             other => lasting(world, other, true),
         }
@@ -214,7 +215,12 @@
                 set(&world.places[number].proxy.faults.cut, false);
             }
             Fault::Replace(number) => replace(world, number),
-            Fault::HangUp(_) | Fault::BreakGroup(_) | Fault::StoreForgets | Fault::Configure => (),
+            Fault::StoreReturns => world.come_back(),
+            Fault::HangUp(_)
+            | Fault::BreakGroup(_)
+            | Fault::StoreForgets
+            | Fault::StoreCopied
+            | Fault::Configure => (),
             other => lasting(world, other, false),
         }
         Ok(())
@@ -245,7 +251,7 @@
             let part = if on { LATE_PCT } else { 0 };
             world.groups[number].late_pct.store(part, Ordering::Relaxed);
         }
-        Fault::StoreDown => world.platform.set_down(on),
+        Fault::StoreDown | Fault::StoreReturns => world.platform.set_down(on),
         Fault::StoreSlow => {
             store.slow_ms.store(if on { STORE_SLOW_MS } else { 0 }, Ordering::Relaxed);
         }
--- a/crates/mastweir-soak/src/lib.rs
+++ b/crates/mastweir-soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ledger;
 pub mod plan;
 pub mod servers;
+pub mod tokens;
 pub mod world;
 
 use crate::{
@@ -114,6 +115,7 @@
     asking.abort();
     ledger.check_all();
     ledger.check_ends();
+    tokens::check(&logs, &ledger)?;
     ledger.check_retries(Duration::from_secs(RETRY_WINDOW_S), RETRY_RATIO, RETRY_EXTRA);
     let two_maps: u64 = world.groups.iter().map(|group| group.two_maps()).sum();
     if two_maps > 0 {
--- a/crates/mastweir-soak/src/plan.rs
+++ b/crates/mastweir-soak/src/plan.rs
@@ -11,6 +11,10 @@
 
 /// The same for servers that want no requests for a while.
 const BACKOFF_SEED: u64 = 0x0503;
+/// The same for a store that comes back from a copy, whose age and absence are these.
+const COPY_SEED: u64 = 0x0e7a;
+const COPY_AGE_MS: [u64; 2] = [500, 8_000];
+const COPY_AWAY_MS: [u64; 2] = [200, 3_000];
 
 /// Sizes of the world that a plan is for.
 #[derive(Clone, Copy, Debug)]
@@ -87,6 +91,10 @@
     StoreLoses,
     /// It forgets what has changed so far.
     StoreForgets,
+    /// A copy of the store is made.
+    StoreCopied,
+    /// The store is away, and comes back from the last copy: what was written since is gone.
+    StoreReturns,
     /// Routes come and go.
     Configure,
     /// All processes are killed at once, and start again.
@@ -125,6 +133,7 @@
         .collect();
     plan.extend(silence(seed, whole));
     plan.extend(back_off(seed, whole, sizes));
+    plan.extend(returns(seed, whole));
     plan.sort_by_key(|entry| entry.at);
     plan
 }
@@ -142,6 +151,24 @@
     vec![entry(at, Fault::Configure), entry(at + rng.random_range(0..300), Fault::StoreSilent)]
 }
 
+/// In a third of the runs the store comes back from a copy, in some of them twice. Drawn apart
+/// from the other faults.
+fn returns(seed: u64, whole: u64) -> Vec<Entry> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ COPY_SEED);
+    let mut plan = Vec::new();
+    let mut from = rng.random_range(whole / 4..whole.max(2));
+    for _ in 0..[0, 0, 0, 0, 1, 2][rng.random_range(0..6)] {
+        let age = rng.random_range(COPY_AGE_MS[0]..COPY_AGE_MS[1]);
+        let away = rng.random_range(COPY_AWAY_MS[0]..COPY_AWAY_MS[1]);
+        let lasts = Duration::from_millis(away);
+        let entry = |ms, fault| Entry { at: Duration::from_millis(ms), lasts, fault };
+        plan.push(entry(from.saturating_sub(age), Fault::StoreCopied));
+        plan.push(entry(from, Fault::StoreReturns));
+        from += away + rng.random_range(300..2_000);
+    }
+    plan
+}
+
 /// In half of the runs servers want no requests: one, several, or both of the plain service
 /// at once. Drawn apart from the other faults.
 fn back_off(seed: u64, whole: u64, sizes: Sizes) -> Vec<Entry> {
--- a/crates/mastweir-soak/src/servers.rs
+++ b/crates/mastweir-soak/src/servers.rs
@@ -110,6 +110,11 @@
         self.life().id.clone()
     }
 
+    /// What its entry says of its life.
+    pub fn state(&self) -> &'static str {
+        if self.life().leaving.is_some() { "draining" } else { "ready" }
+    }
+
     /// It says that it leaves, and goes on.
     pub fn leave(&self) {
         self.life().leaving = Some(Instant::now());
--- a/crates/mastweir-soak/src/world.rs
+++ b/crates/mastweir-soak/src/world.rs
@@ -12,7 +12,7 @@
     daemons::Process,
     doors::Door,
     lockstep::{EXPERTS, LockStep, PLACES, SETS},
-    platform::Platform,
+    platform::{Copy, Platform},
     proxy::{Faults, Proxy},
     scripted::Scripted,
     site::{HOST, KEY, free_ports},
@@ -24,7 +24,7 @@
     path::{Path, PathBuf},
     process::Command,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU8, Ordering},
     },
     time::Duration,
@@ -43,6 +43,11 @@
 /// A server that ended is back by then.
 const RESTARTS_IN: Duration = Duration::from_millis(1_500);
 
+/// What others wrote since the copy from which the store came back, they write again within
+/// this time; entries of servers that ended go behind three heartbeats.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(2_000);
+const LAPSES_IN: Duration = Duration::from_millis(3_600);
+
 /// Worlds of one process have addresses of their own.
 static NEXT: AtomicU8 = AtomicU8::new(1);
 
@@ -86,7 +91,11 @@
     pub balancer: Arc<Balancer>,
     /// Addresses of the gateways, for callers and for readiness.
     pub doors: Vec<(SocketAddr, SocketAddr)>,
+    /// The store's last copy.
+    pub copied: Copy,
     version: u64,
+    /// The configuration that was written last.
+    configured: Arc<Mutex<Value>>,
     program: PathBuf,
     folder: PathBuf,
     _store: (Arc<Door>, Served),
@@ -99,6 +108,8 @@
     ///
     /// A process does not start, or an address is taken.
     pub async fn start(program: &Path, folder: &Path, ledger: &Arc<Ledger>) -> eyre::Result<Self> {
+        // Of an earlier run with the same seed, if there was one.
+        let _ = fs::remove_dir_all(folder);
         fs::create_dir_all(folder).wrap_err_with(|| format!("creating {}", folder.display()))?;
         let platform = Platform::new();
         let store = Door::open(&platform).await?;
@@ -110,6 +121,8 @@
         let size = u32::try_from(SIZES.models / SIZES.groups)?;
         let groups = (0..SIZES.groups).map(|number| LockStep::start(&format!("g{number}"), size));
         let mut world = Self {
+            copied: platform.copy(),
+            configured: Arc::default(),
             platform,
             gateways: Vec::new(),
             sidecars: Vec::new(),
@@ -275,9 +288,43 @@
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
             "tenants": [{ "name": CUSTOMER, "api_keys": [KEY] }],
         });
-        self.platform.put("config", "main", json!({ "spec": spec }));
+        let mut configured = self.configured.lock().unwrap_or_else(PoisonError::into_inner);
+        *configured = json!({ "spec": spec });
+        self.platform.put("config", "main", configured.clone());
         self.version
     }
+
+    /// The store comes back as it was at its last copy. Servers and the operator write again
+    /// what they wrote since; what ours wrote is gone.
+    pub fn come_back(&self) {
+        self.platform.restore(self.copied.clone());
+        self.platform.set_down(false);
+        let servers = self.places.iter().map(|place| (place.server.clone(), place.proxy.tcp));
+        let (platform, configured) = (self.platform.clone(), self.configured.clone());
+        tokio::spawn(write_again(platform, servers.collect(), configured));
+    }
+}
+
+/// Servers write themselves one behind the other, the operator in the middle of them.
+async fn write_again(
+    platform: Arc<Platform>,
+    servers: Vec<(Arc<Server>, SocketAddr)>,
+    configured: Arc<Mutex<Value>>,
+) {
+    let pause = WRITTEN_AGAIN / u32::try_from(servers.len()).unwrap_or(u32::MAX);
+    for (number, (server, address)) in servers.iter().enumerate() {
+        time::sleep(pause).await;
+        list(&platform, server, *address, server.state());
+        if number == servers.len() / 2 {
+            // Held, so that a newer one does not come between.
+            let configured = configured.lock().unwrap_or_else(PoisonError::into_inner);
+            platform.put("config", "main", configured.clone());
+        }
+    }
+    time::sleep(LAPSES_IN).await;
+    let live: Vec<String> = servers.iter().map(|(server, _)| server.id()).collect();
+    let ended = platform.names("servers").into_iter().filter(|name| !live.contains(name));
+    ended.for_each(|name| platform.remove("servers", &name));
 }
 
 /// Writes the list's entry of a server's present life.
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -89,6 +89,50 @@
     Ok(())
 }
 
+/// Twice in a row, beside a coordinator that is killed, servers that leave, a configuration
+/// that the copies lack, and a gateway that the store turns away.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_promised_holds_when_the_store_comes_back_from_copies() -> Result<()> {
+    let plan = [
+        at(200, Fault::StoreCopied),
+        at(600, Fault::Replace(1)),
+        at(900, Fault::Configure),
+        at(1_000, Fault::CutFromStore(0)),
+        at(1_200, Fault::StoreReturns),
+        at(1_500, Fault::KillSidecar(0)),
+        at(1_600, Fault::KillSidecar(3)),
+        at(2_900, Fault::StoreCopied),
+        at(3_000, Fault::FreezeInstance(4)),
+        at(3_100, Fault::StoreLoses),
+        at(3_400, Fault::StoreReturns),
+        at(3_600, Fault::KillGateway(1)),
+    ];
+    let report = soak(106, Some(&plan)).await?;
+    expect_that!(report.broken, is_empty());
+    Ok(())
+}
+
+/// Both of the plain service at once, then models' servers, one of which leaves besides,
+/// while a gateway is cut off from the store.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_that_want_no_requests_get_none() -> Result<()> {
+    let plan = [
+        at(400, Fault::BackOff(6)),
+        at(400, Fault::BackOff(7)),
+        at(2_000, Fault::CutFromStore(0)),
+        at(2_000, Fault::BackOff(0)),
+        at(2_100, Fault::BackOff(1)),
+        at(2_300, Fault::Replace(1)),
+        at(3_000, Fault::Replace(4)),
+    ];
+    let report = soak(107, Some(&plan)).await?;
+    expect_that!(report.broken, is_empty());
+    expect_that!(count(&report, Kind::Safe, Outcome::Refused), gt(0));
+    Ok(())
+}
+
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drawn_plan_breaks_no_promise() -> Result<()> {
