--- a/crates/mastweir-bench/src/commands/mod.rs
+++ b/crates/mastweir-bench/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod outcomes;
 mod path;
 mod plans;
+mod returns;
 mod routing;
 mod shares;
 mod switch;
@@ -21,6 +22,7 @@
     Outcomes(outcomes::Args),
     Path(path::Args),
     Plans(plans::Args),
+    Returns(returns::Args),
     Routing(routing::Args),
     Shares(shares::Args),
     Switch(switch::Args),
@@ -35,6 +37,7 @@
         Command::Outcomes(args) => return outcomes::exec(&args).await,
         Command::Path(args) => return path::exec(&args).await,
         Command::Plans(args) => plans::exec(&args),
+        Command::Returns(args) => return returns::exec(&args).await,
         Command::Routing(args) => routing::exec(&args),
         Command::Shares(args) => shares::exec(&args),
         Command::Switch(args) => return switch::exec(&args).await,
--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -172,12 +172,26 @@
     ///
     /// No port is free.
     pub fn gateway(&self, number: usize, store: SocketAddr) -> eyre::Result<Running> {
+        self.gateway_in(number, store, "hall-a")
+    }
+
+    /// The same in a hall.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub fn gateway_in(
+        &self,
+        number: usize,
+        store: SocketAddr,
+        hall: &str,
+    ) -> eyre::Result<Running> {
         let ip = self.ips[number];
         let at = |port| SocketAddr::new(ip, port);
         let (callers, ready) = (at(self.ports.callers), at(self.ports.ready));
         let settings = Settings {
             name: format!("gateway-{number}"),
-            hall: "hall-a".to_owned(),
+            hall: hall.to_owned(),
             ip,
             internal_port: self.ports.internal,
             seeds: self.ips.clone(),
