Reproduce a quarantined request that waits for a server, failing

Cause: whether it is quarantined is asked only once a server was looked for. What is seen: where none has room it waits as long as any other request.

--- a/tests/testsuite/crashing_request.rs
+++ b/tests/testsuite/crashing_request.rs
@@ -30,7 +30,7 @@
     site::{Answer, HOST, Running, Site, exchange, request, route, wait_for},
 };
 use serde_json::json;
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 use tokio::time;
 
 /// Servers at a time.
@@ -78,6 +78,10 @@
 
 impl World {
     async fn new(gateways: u8, kind: &'static str) -> Result<Self> {
+        Self::with_objective(gateways, kind, 400).await
+    }
+
+    async fn with_objective(gateways: u8, kind: &'static str, objective_ms: u64) -> Result<Self> {
         let mut world = Self {
             site: Site::new(gateways)?,
             kind,
@@ -90,7 +94,9 @@
         for _ in 0..SERVERS {
             world.start_server().await?;
         }
-        world.site.configure(1, &[route("/draft/", kind)]);
+        let mut route = route("/draft/", kind);
+        route["target_latency_ms"] = objective_ms.into();
+        world.site.configure(1, &[route]);
         let (_, served) = world.site.door().await?;
         for number in 0..usize::from(gateways) {
             world.gateways.push(world.site.gateway(number, served.addr)?);
@@ -232,6 +238,37 @@
     Ok(())
 }
 
+/// Where no server could take it, it does not wait for one: it is answered while a request
+/// that came before it still waits, by an objective that lets both wait to their end.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn is_refused_at_once_where_no_server_has_room() -> Result<()> {
+    let mut world = World::with_objective(1, "safe", 60_000).await?;
+    for attempt in 0..3 {
+        world.call(0, &format!("c-{attempt}"), "crashes").await?;
+        world.restart_ended().await?;
+        time::sleep(COMES_AGAIN).await;
+    }
+    for (id, _) in &world.servers {
+        world.site.platform.remove("servers", id);
+    }
+    // Those that left the list are a last resort for a moment.
+    time::sleep(COMES_AGAIN * 3).await;
+    let mut waits = pin!(world.call(0, "o-1", "harmless"));
+    let refused = tokio::select! {
+        biased;
+        waited = &mut waits => waited,
+        refused = async {
+            time::sleep(COMES_AGAIN).await;
+            world.call(0, "c-9", "crashes").await
+        } => refused,
+    };
+    let refused = refused?;
+    expect_that!(refused.header("retry-after"), some(starts_with("3600")));
+    expect_that!(waits.await?.status, eq(503));
+    Ok(())
+}
+
 /// Two gateways prove one end each at the same time, so neither has proved both; it lies in
 /// the store all the same.
 #[googletest::test]
