Refuse a quarantined request before a server is looked for

Cause: the quarantine was asked for only behind the look for a server, which waits a fifth of the objective where none has room; its caller can't be served then either. Change: it is asked for before, and again behind the look. What callers saw: a 503 80 ms late at an objective of 400.

--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -155,8 +155,11 @@
     let call = Rc::new(call);
     let mut progress = Progress::default();
     loop {
-        let found = find_server(gateway, &call, &progress).await;
-        // Servers may have ended under it while it waited.
+        // Servers may have ended under it before it came, and while it waited for one.
+        let found = match call.quarantine(gateway) {
+            None => find_server(gateway, &call, &progress).await,
+            Some(quarantine) => return quarantined(gateway, &call, &progress, quarantine),
+        };
         if let Some(quarantine) = call.quarantine(gateway) {
             return quarantined(gateway, &call, &progress, quarantine);
         }
