--- a/src/mastweir/platform/mod.rs
+++ b/src/mastweir/platform/mod.rs
@@ -8,13 +8,13 @@
 //! - [`headers`]: what requests and answers carry;
 //! - [`config`], [`servers`] and [`quarantine`]: objects of the store, read into our types;
 //! - [`objects`]: objects of the store, each read by itself;
-//! - [`store`]: calls to the store;
+//! - [`store`] and [`lease`]: calls to the store;
 //! - [`engine`]: calls to a model server.
 
 pub mod config;
 pub mod engine;
 pub mod headers;
-
+pub mod lease;
 pub mod objects;
 pub mod quarantine;
 pub mod servers;
--- a/src/mastweir/platform/store.rs
+++ b/src/mastweir/platform/store.rs
@@ -10,7 +10,7 @@
 
 use super::{
     config, headers,
-    objects::{self, Changes, Listed, Read, ReadPage, Unread},
+    objects::{self, Changes, Listed, Read, ReadPage},
     quarantine::{self, StoredQuarantine},
     servers,
 };
@@ -21,20 +21,14 @@
 use mastweir_core::{
     gateway::{Config, PROBE_LASTS, Server, Suspected},
     revision::Revision,
-    switch::first_epoch,
 };
-use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::sync::watch;
 
-/// Kind of our own for leases.
-const LEASES: &str = "mastweir-leases";
-/// Reads of a lease while the era changes under them.
-const LEASE_READS: u32 = 3;
 /// A plain call: the store answers in milliseconds, and a slow one in half a
 /// second.
-const CALL_LASTS: Duration = Duration::from_millis(1_500);
+pub(super) const CALL_LASTS: Duration = Duration::from_millis(1_500);
 /// On top of the time that a watch waits.
 const WATCH_SLACK: Duration = Duration::from_millis(1_500);
 /// A list's page is at most a megabyte, a value as well; their JSON may escape.
@@ -74,39 +68,6 @@
     Malformed(#[from] serde_json::Error),
 }
 
-/// A lease, as it lies in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoredLease {
-    /// Fencing token of its holder.
-    pub epoch: u64,
-    /// Who holds it.
-    pub holder: String,
-    /// Revision of the object, for a conditional write.
-    pub revision: Revision,
-}
-
-/// A group's lease, as it was read. Each era of the store has an object of its own for it: a
-/// write that is under way while the store comes back from a copy can't pass for one of the
-/// new era, whatever revision it names.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReadLease {
-    /// The era it is of.
-    pub era: u64,
-    /// What lies there; none if it was never taken in that era.
-    pub stored: Option<StoredLease>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct LeaseSpec {
-    epoch: u64,
-    holder: String,
-}
-
-fn read_lease(_name: &str, revision: Revision, spec: &str) -> serde_json::Result<StoredLease> {
-    let LeaseSpec { epoch, holder } = serde_json::from_str(spec)?;
-    Ok(StoredLease { epoch, holder, revision })
-}
-
 /// The store.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -117,9 +78,9 @@
 }
 
 /// An answer of the store, in the era that is known.
-struct Answered {
-    era: u64,
-    body: Bytes,
+pub(super) struct Answered {
+    pub(super) era: u64,
+    pub(super) body: Bytes,
 }
 
 impl Store {
@@ -184,82 +145,6 @@
         self.watch(servers::KIND, since, wait, servers::read).await
     }
 
-    /// A group's lease in this era. One that can't be read is nobody's, and its epoch is
-    /// taken for as many above the era's first as the revision of its last change: each time
-    /// it is taken its epoch rises by one and that revision by one at least, so it was never
-    /// higher.
-    ///
-    /// # Errors
-    ///
-    /// See [`StoreError`].
-    pub async fn lease(&self, name: &str) -> Result<ReadLease, StoreError> {
-        for _ in 0..LEASE_READS {
-            let era = self.era();
-            let path = format!("/objects/{LEASES}/{}", lease_name(name, era));
-            let answer = self.call(Method::GET, &path, None, CALL_LASTS).await;
-            if self.era() != era {
-                continue;
-            }
-            let body = match answer {
-                Err(StoreError::Refused { status: 404 }) => {
-                    return Ok(ReadLease { era, stored: None });
-                }
-                other => other?.body,
-            };
-            let lease = objects::read_one(&body, era, read_lease)?;
-            let stored = lease.unwrap_or_else(|Unread { revision, .. }| StoredLease {
-                epoch: first_epoch(era) + revision.number,
-                holder: String::new(),
-                revision,
-            });
-            return Ok(ReadLease { era, stored: Some(stored) });
-        }
-        Err(StoreError::EraChanged)
-    }
-
-    /// Takes a lease over, under the condition that it is as it was read, in the era in which
-    /// it was read.
-    ///
-    /// # Errors
-    ///
-    /// [`StoreError::Conflict`] if another took it meanwhile.
-    pub async fn take_lease(
-        &self,
-        name: &str,
-        epoch: u64,
-        holder: &str,
-        was: &ReadLease,
-    ) -> Result<(), StoreError> {
-        let name = lease_name(name, was.era);
-        let spec = LeaseSpec { epoch, holder: holder.to_owned() };
-        let (method, path, metadata) = match &was.stored {
-            None => (Method::POST, format!("/objects/{LEASES}"), json!({ "name": name })),
-            Some(stored) => {
-                let metadata = json!({ "name": name, "revision": stored.revision.number });
-                (Method::PUT, format!("/objects/{LEASES}/{name}"), metadata)
-            }
-        };
-        let body = json!({ "metadata": metadata, "spec": spec });
-        let answered = self.call(method, &path, Some(&body), CALL_LASTS).await?;
-        if answered.era == was.era { Ok(()) } else { Err(StoreError::EraChanged) }
-    }
-
-    /// Deletes a lease's objects of earlier eras: nobody reads them any more.
-    ///
-    /// # Errors
-    ///
-    /// See [`StoreError`].
-    pub async fn drop_older_leases(&self, name: &str, era: u64) -> Result<(), StoreError> {
-        let any: Read<String> = |name, _, _| Ok(name.to_owned());
-        let listed = self.list(LEASES, any).await?;
-        let is_older = |other: &&String| lease_era(name, other).is_some_and(|other| other < era);
-        for older in listed.items.iter().filter(is_older) {
-            let path = format!("/objects/{LEASES}/{older}");
-            self.call(Method::DELETE, &path, None, CALL_LASTS).await?;
-        }
-        Ok(())
-    }
-
     /// Requests that are quarantined.
     ///
     /// # Errors
@@ -326,7 +211,7 @@
         Ok(era != since.era || !objects::read_changes(&body, era, any)?.changes.is_empty())
     }
 
-    async fn list<T>(&self, kind: &str, read: Read<T>) -> Result<Listed<T>, StoreError> {
+    pub(super) async fn list<T>(&self, kind: &str, read: Read<T>) -> Result<Listed<T>, StoreError> {
         let mut all: Option<Listed<T>> = None;
         let mut query = String::new();
         loop {
@@ -376,7 +261,7 @@
         Ok(objects::read_changes(&answered.body, era, read)?)
     }
 
-    async fn call(
+    pub(super) async fn call(
         &self,
         method: Method,
         path: &str,
@@ -414,14 +299,3 @@
         Ok(era)
     }
 }
-
-/// Name of the object of a lease in an era.
-fn lease_name(name: &str, era: u64) -> String {
-    if era == 0 { name.to_owned() } else { format!("{name}.{era}") }
-}
-
-/// The era of a lease's object, if it is one of that lease.
-fn lease_era(name: &str, object: &str) -> Option<u64> {
-    let rest = object.strip_prefix(name)?;
-    if rest.is_empty() { Some(0) } else { rest.strip_prefix('.')?.parse().ok() }
-}
--- a/src/mastweir/sidecar/lead.rs
+++ b/src/mastweir/sidecar/lead.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     gateway::message::{GroupView, Message},
-    platform::store::{StoreError, StoredLease},
+    platform::{lease::StoredLease, store::StoreError},
 };
 use mastweir_core::switch::election::{Election, LEAD_LASTS};
 use slog::{info, warn};
--- a/tests/testsuite/fuzz_eras.rs
+++ b/tests/testsuite/fuzz_eras.rs
@@ -6,7 +6,10 @@
 use googletest::prelude::*;
 use mastweir::{
     net::http::Pool,
-    platform::store::{ReadLease, Store, StoreError},
+    platform::{
+        lease::ReadLease,
+        store::{Store, StoreError},
+    },
 };
 use mastweir_core::{
     gateway::{Directory, DirectoryChange, Fleet, Lag, Needs, ServerState, Versions},
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod hold;
 mod lives;
 mod messages;
+mod notices;
 mod overload;
 mod path;
 mod peers;
