List what others may do, row by row, and play nine of the open ones

Change: a table of 135 rows with the stand-in that plays each and the test that checks it, or open; a test holds that the names are there. Nine open rows got tests: kept connections, bodies in chunks, requests hidden in bodies, resumed streams; garbage, statuses without proof, refusals with three statuses, closed connections, answers of an earlier era.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod busy_server;
+mod callers;
 mod circles;
 mod cli;
 mod connections;
@@ -27,6 +28,8 @@
 mod lives;
 mod messages;
 mod notices;
+mod odd_answers;
+mod others;
 mod overload;
 mod path;
 mod peers;
