Compare a return of the store with an outage under the same writes

Cause: the measure had servers write once more before the return than before the outage, so that its calls counted those writes. Change: both are played alike.

--- a/crates/mastweir-bench/src/commands/returns.rs
+++ b/crates/mastweir-bench/src/commands/returns.rs
@@ -69,6 +69,19 @@
         }
     }
 
+    /// Servers write themselves, the store is away, and they write themselves again.
+    async fn away(&self, returns: bool) {
+        let copy = self.platform().copy();
+        self.list_all().await;
+        self.platform().set_down(true);
+        time::sleep(AWAY).await;
+        if returns {
+            self.platform().restore(copy);
+        }
+        self.platform().set_down(false);
+        self.list_all().await;
+    }
+
     /// Calls while something happens and for a while behind it.
     async fn calls(&self, happens: impl AsyncFnOnce()) -> f64 {
         let before = self.platform().calls();
@@ -90,23 +103,8 @@
         report.progress(&case);
         let world = World::new(gateways, halls).await?;
         let quiet = world.calls(async || time::sleep(AWAY).await).await;
-        let outage = world.calls(async || {
-            world.platform().set_down(true);
-            time::sleep(AWAY).await;
-            world.platform().set_down(false);
-            world.list_all().await;
-        });
-        let outage = outage.await;
-        let returns = world.calls(async || {
-            let copy = world.platform().copy();
-            world.list_all().await;
-            world.platform().set_down(true);
-            time::sleep(AWAY).await;
-            world.platform().restore(copy);
-            world.platform().set_down(false);
-            world.list_all().await;
-        });
-        let returns = returns.await;
+        let outage = world.calls(async || world.away(false).await).await;
+        let returns = world.calls(async || world.away(true).await).await;
         for (policy, calls) in [("quiet", quiet), ("outage", outage), ("return", returns)] {
             report.add(&case, policy, &[(METRICS[0], calls)]);
         }
