Test that a time without requests which can't be read binds nobody

Cause: what a header may hold was tested for seconds only. Change: seven other values, a date among them. Measured: the next request is served behind each.

--- a/tests/testsuite/odd_answers.rs
+++ b/tests/testsuite/odd_answers.rs
@@ -77,6 +77,28 @@
     Ok(())
 }
 
+/// A time without requests that can't be read binds nobody: the next request is served.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_time_that_is_none_keeps_no_server_from_serving() -> Result<()> {
+    for time in ["soon", "-3", "NaN", "inf", "1e99", "", "Wed, 21 Oct 2026 07:28:00 GMT"] {
+        let count = AtomicUsize::new(0);
+        let script: Script = Box::new(move |got| match count.fetch_add(1, Ordering::SeqCst) {
+            0 => {
+                odd(got, "503 Unavailable", &format!("Not-Executed: 1\r\nRetry-After: {time}\r\n"))
+            }
+            _ => vec![answer(got, "200 OK", "whole")],
+        });
+        let world = site_of(vec![script]).await?;
+        for status in [503, 200] {
+            let bytes = request("POST", "/once/a", &format!("r-{status}"), "", "body");
+            let reply = exchange(world.gateway.callers, &bytes).await?;
+            expect_that!(reply.status, eq(status), "{time}");
+        }
+    }
+    Ok(())
+}
+
 /// One that its server says it closes is not used again; no caller notices.
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
