--- a/crates/mastweir-test-support/src/fleet.rs
+++ b/crates/mastweir-test-support/src/fleet.rs
@@ -77,6 +77,13 @@
     pub group: Option<(GroupSpec, Arc<RankGroup>)>,
 }
 
+impl<'a> ServerOptions<'a> {
+    /// A server of the one model that most tests have, in the north.
+    pub const fn assistant(name: &'a str) -> Self {
+        Self { name, hall: "north", services: &["assistant"], slots: 4, queue: 16, group: None }
+    }
+}
+
 impl Fleet {
     /// A fleet with a platform and nothing else.
     ///
