Log the limits that servers name, from answers and from their reports

Cause: no line said whether an answer named a limit, so the hypotheses of the incident could not be told apart. Change: the header is read where answers and reports are; a limit that begins, changes or ends is a line and a count, at gateways and at sidecars; each word is kept with the span in which it was said, so that an answer that was overtaken is not taken for news. No choice of a server heeds it. Measured: six tests of what is read and in which order words count; 1e9, 0 and 0.25 are limits, nan, -1, an empty one and two at once are not. Conclusion: 'server limit changed' now tells what a gateway was told, and when.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -8,6 +8,7 @@
     admission::Crowd,
     directory::{Directory, DirectoryChange, Server},
     notices::{Bar, Notices},
+    rate_limits::{LimitChange, LimitWord, Limited, RateLimits},
     roster::Roster,
     seen::{REPORT_LASTS, SILENT_FROM, Seen, Told},
 };
@@ -38,6 +39,8 @@
     pub(super) seen: HashMap<String, Seen>,
     /// What servers said of themselves in their answers.
     pub(super) notices: Notices,
+    /// Limits that they named there.
+    pub(super) limits: RateLimits,
     /// What each group's coordinator said of its passes.
     pub(super) paces: HashMap<String, Pace>,
     /// Loads of the services' servers, by what was last asked for.
@@ -105,6 +108,7 @@
     fn forget_gone(&mut self, now: Uptime) {
         let roster = &self.roster;
         self.notices.expire(|id| roster.server(id).is_some(), now);
+        self.limits.expire(|id| roster.server(id).is_some(), now);
         self.seen.retain(|id, seen| roster.server(id).is_some() || seen.in_flight > 0);
     }
 
@@ -238,6 +242,23 @@
         }
     }
 
+    /// An answer of a life of a server, or another gateway's word of one, tells whether it
+    /// names a limit; gives what that changes.
+    pub fn named_limit(
+        &mut self,
+        id: &str,
+        born: u64,
+        word: LimitWord,
+        now: Uptime,
+    ) -> Option<LimitChange> {
+        if self.is_over(id, born) { None } else { self.limits.heard(id, born, word, now) }
+    }
+
+    /// Limits to be told to other gateways: what changed a moment ago, or `all` that holds.
+    pub fn limits_told(&self, all: bool, now: Uptime) -> Vec<Limited> {
+        self.limits.told(all, now)
+    }
+
     /// Whether another life of a server has begun since: late word of this one is not its.
     fn is_over(&self, id: &str, born: u64) -> bool {
         self.seen.get(id).is_some_and(|seen| seen.is_over(born))
--- a/crates/mastweir-core/src/gateway/notices.rs
+++ b/crates/mastweir-core/src/gateway/notices.rs
@@ -86,6 +86,6 @@
 }
 
 /// Whether two names of lives are of different ones, as far as they say.
-const fn is_other(known: u64, born: u64) -> bool {
+pub(super) const fn is_other(known: u64, born: u64) -> bool {
     known != 0 && born != 0 && known != born
 }
--- /dev/null
+++ b/crates/mastweir-core/src/gateway/rate_limits.rs
@@ -0,0 +1,175 @@
+//! Limits that servers name in their answers: requests a second that they take from all
+//! gateways together.
+//!
+//! A limit holds for as long as answers name it, and binds whoever has heard of it from
+//! another gateway, too. Answers overtake each other, and what another tells is older than it
+//! looks, so each word is kept with the span in which it was said: from when its request left
+//! to when its answer came. Of two words the later one holds where their spans tell which that
+//! is; where they don't, the stricter one does. That a limit has ended is kept as well, or an
+//! older word of it would bring it back. A server that begins another life has none.
+
+use super::notices::is_other;
+use crate::time::Uptime;
+use serde::{Deserialize, Serialize};
+use std::{collections::HashMap, fmt, time::Duration};
+
+/// Words of servers that are not listed, and ends of limits, are kept this long: entries that
+/// lapsed in an outage are back within seconds, and older words have arrived by then.
+const KEPT: Duration = Duration::from_secs(60);
+/// A change is told on for so long: three times, since datagrams are lost.
+const NEWS_LASTS: Duration = Duration::from_millis(450);
+/// An end that another gateway tells of may be older than it says by this: the datagram's way,
+/// and the time it was not read.
+const TOLD_LATE: Duration = Duration::from_millis(500);
+const MICROS: f64 = 1e6;
+
+/// Requests a second, in millionths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Rate(u64);
+
+impl Rate {
+    /// So many requests a second; none if that is no rate.
+    pub fn per_second(requests: f64) -> Option<Self> {
+        let is_rate = requests.is_finite() && requests >= 0.0;
+        is_rate.then_some(Self((requests * MICROS) as u64))
+    }
+
+    /// Requests a second.
+    pub fn requests(self) -> f64 {
+        self.0 as f64 / MICROS
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.requests().fmt(f)
+    }
+}
+
+/// What an answer says of its server's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitWord {
+    /// The limit; none if it names none.
+    pub rate: Option<Rate>,
+    /// When its request left.
+    pub asked: Uptime,
+    /// When it came.
+    pub heard: Uptime,
+}
+
+impl LimitWord {
+    fn is_later_than(self, other: Self) -> bool {
+        self.asked >= other.heard
+    }
+
+    /// The stricter of two words that may have been said in either order.
+    fn stricter(self, other: Self) -> Self {
+        let rate = match (self.rate, other.rate) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+        Self { rate, asked: self.asked.max(other.asked), heard: self.heard.max(other.heard) }
+    }
+}
+
+/// A limit that changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitChange {
+    /// The limit before, if there was one.
+    pub before: Option<Rate>,
+    /// The limit now, if there is one.
+    pub now: Option<Rate>,
+}
+
+/// A server's limit, as gateways tell each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limited {
+    /// The server.
+    pub server: String,
+    /// The life that said so; zero if that is not known.
+    pub born: u64,
+    /// The limit; none if it has ended.
+    pub rate: Option<Rate>,
+    /// Milliseconds since the request left whose answer said so.
+    pub asked_ms: u32,
+    /// Milliseconds since that answer came.
+    pub heard_ms: u32,
+}
+
+impl Limited {
+    /// The word, on the clock of the gateway that was told.
+    pub fn word(&self, now: Uptime) -> LimitWord {
+        let before = |ms: u32| now - Duration::from_millis(u64::from(ms));
+        let late = if self.rate.is_none() { TOLD_LATE } else { Duration::ZERO };
+        LimitWord {
+            rate: self.rate,
+            asked: before(self.asked_ms) - late,
+            heard: before(self.heard_ms),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    born: u64,
+    word: LimitWord,
+    changed: Uptime,
+}
+
+/// Limits by the ids of the servers that named them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RateLimits(HashMap<String, Known>);
+
+impl RateLimits {
+    /// Takes a word of a life of a server in; gives what that changes.
+    pub(super) fn heard(
+        &mut self,
+        id: &str,
+        born: u64,
+        word: LimitWord,
+        now: Uptime,
+    ) -> Option<LimitChange> {
+        let Some(known) = self.0.get_mut(id) else {
+            // Most answers name none.
+            word.rate?;
+            self.0.insert(id.to_owned(), Known { born, word, changed: now });
+            return Some(LimitChange { before: None, now: word.rate });
+        };
+        let before = known.word;
+        if is_other(known.born, born) || word.is_later_than(before) {
+            known.word = word;
+        } else if !before.is_later_than(word) && word.rate != before.rate {
+            known.word = before.stricter(word);
+        }
+        known.born = if born == 0 { known.born } else { born };
+        let change = LimitChange { before: before.rate, now: known.word.rate };
+        if change.before == change.now {
+            return None;
+        }
+        known.changed = now;
+        Some(change)
+    }
+
+    /// What changed a moment ago, to be told on; with `all`, whatever holds as well.
+    pub(super) fn told(&self, all: bool, now: Uptime) -> Vec<Limited> {
+        let ms = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        let is_told = |known: &Known| all || now.since(known.changed) < NEWS_LASTS;
+        let told = self.0.iter().filter(|(_, known)| is_told(known));
+        let told = told.map(|(id, known)| Limited {
+            server: id.clone(),
+            born: known.born,
+            rate: known.word.rate,
+            asked_ms: ms(known.word.asked),
+            heard_ms: ms(known.word.heard),
+        });
+        told.collect()
+    }
+
+    /// Forgets ended limits, and those of servers that are not listed, after a while.
+    pub(super) fn expire(&mut self, is_listed: impl Fn(&str) -> bool, now: Uptime) {
+        self.0.retain(|id, known| {
+            let holds = known.word.rate.is_some() && is_listed(id);
+            holds || now.since(known.changed.max(known.word.heard)) < KEPT
+        });
+    }
+}
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use super::{
     call::{Call, Progress},
     examine::broke_off,
-    relay::log_leaves,
+    said::{Heard, said},
     state::Gateway,
 };
 use crate::{
@@ -110,6 +110,7 @@
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = headers::for_server(&call.headers, added);
+    let asked = gateway.clock.now();
     let sent = tokio::select! {
         sent = gateway.clock.timeout_at(call.deadline, exchange.send(request)) => sent,
         reason = stuck(gateway, call, &place, false) => {
@@ -145,8 +146,7 @@
     let (parts, body) = response.into_parts();
     let head = headers::read_answer(&parts.headers);
     gateway.fleet.borrow_mut().reached(&place.server.id);
-    note_load(gateway, &place, &head);
-    note_asked(gateway, &place, parts.status, &head);
+    said(gateway, call, &place.server, Heard { status: parts.status, head: &head, asked });
     if !head.id.is_empty() && head.id != call.head.id {
         progress.runs += 1;
         place.fail();
@@ -217,32 +217,6 @@
     allowed
 }
 
-fn note_load(gateway: &Gateway, place: &Place, head: &AnswerHead) {
-    if let Some((running, waiting)) = head.load {
-        let now = gateway.clock.now();
-        gateway.fleet.borrow_mut().answered_load(&place.server.id, running, waiting, now);
-    }
-}
-
-/// Keeps what the server says of itself, for all requests that come. Another server at its
-/// address speaks for itself alone.
-fn note_asked(gateway: &Gateway, place: &Place, status: StatusCode, head: &AnswerHead) {
-    let Candidate { id, born, .. } = &place.server;
-    let now = gateway.clock.now();
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return;
-    }
-    if head.leaving && gateway.fleet.borrow_mut().leaves(id, *born, now) {
-        log_leaves(gateway, id, "answer");
-    }
-    let turned_away =
-        matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
-    if let Some(wait) = head.retry_after.filter(|_| turned_away) {
-        gateway.tally.count("servers_backing_off_total", "asked");
-        gateway.fleet.borrow_mut().backs_off(id, *born, wait, now);
-    }
-}
-
 fn unreachable(gateway: &Gateway, call: &Call, place: &Place, error: &CallError) {
     gateway.fleet.borrow_mut().unreachable(&place.server.id, gateway.clock.now());
     gateway.tally.count("attempts_failed_total", "unreachable");
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod peers;
 mod quarantine;
 mod relay;
+mod said;
 pub mod settings;
 mod state;
 mod stream;
--- /dev/null
+++ b/src/mastweir/gateway/said.rs
@@ -0,0 +1,100 @@
+//! What a server says of itself in an answer: its load, that it leaves, how long it wants no
+//! requests of this gateway, and how many it takes from all of them.
+//!
+//! All of it is about the server, and binds the requests that come; what the answer says of
+//! its own request is read in `attempt`.
+
+use super::{call::Call, relay::log_leaves, state::Gateway};
+use crate::platform::headers::{AnswerHead, NamedLimit};
+use hyper::StatusCode;
+use mastweir_core::{
+    gateway::{Candidate, LimitChange, LimitWord},
+    time::Uptime,
+};
+use slog::{info, warn};
+use std::{cell::RefCell, collections::HashSet};
+
+/// Servers that are remembered for a limit that can't be read: the log must not fill.
+const UNREAD_MAX: usize = 256;
+
+/// Servers whose unreadable limit was logged.
+#[derive(Debug, Default)]
+pub struct Unread(RefCell<HashSet<String>>);
+
+impl Unread {
+    /// Whether it is the first time for a server.
+    fn is_first(&self, server: &str) -> bool {
+        let mut told = self.0.borrow_mut();
+        told.len() < UNREAD_MAX && !told.contains(server) && told.insert(server.to_owned())
+    }
+}
+
+/// An answer whose head was read.
+#[derive(Clone, Copy, Debug)]
+pub struct Heard<'a> {
+    /// Its status.
+    pub status: StatusCode,
+    /// What its head says.
+    pub head: &'a AnswerHead,
+    /// When its request left.
+    pub asked: Uptime,
+}
+
+/// Keeps what a server's answer says of it. Another server at its address speaks for itself
+/// alone.
+pub fn said(gateway: &Gateway, call: &Call, server: &Candidate, heard: Heard<'_>) {
+    let Heard { status, head, .. } = heard;
+    let Candidate { id, born, .. } = server;
+    let now = gateway.clock.now();
+    if let Some((running, waiting)) = head.load {
+        gateway.fleet.borrow_mut().answered_load(id, running, waiting, now);
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    if head.leaving && gateway.fleet.borrow_mut().leaves(id, *born, now) {
+        log_leaves(gateway, id, "answer");
+    }
+    let turned_away =
+        matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+    if let Some(wait) = head.retry_after.filter(|_| turned_away) {
+        gateway.tally.count("servers_backing_off_total", "asked");
+        gateway.fleet.borrow_mut().backs_off(id, *born, wait, now);
+    }
+    // An answer to an earlier request is older than this one's span says.
+    if head.id == call.head.id {
+        note_limit(gateway, server, heard);
+    }
+}
+
+fn note_limit(gateway: &Gateway, server: &Candidate, heard: Heard<'_>) {
+    let Candidate { id, born, .. } = server;
+    let rate = match heard.head.limit {
+        NamedLimit::Nothing => None,
+        NamedLimit::At(rate) => Some(rate),
+        // It is neither a limit nor the end of one.
+        NamedLimit::Unreadable => {
+            gateway.tally.count("server_limits_total", "unread");
+            if gateway.unread_limits.is_first(id) {
+                warn!(gateway.log, "server limit not read"; "server" => id,
+                    "remedy" => "it binds nobody; have the server name one decimal number");
+            }
+            return;
+        }
+    };
+    let now = gateway.clock.now();
+    let word = LimitWord { rate, asked: heard.asked, heard: now };
+    let change = gateway.fleet.borrow_mut().named_limit(id, *born, word, now);
+    if let Some(change) = change {
+        log_limit(gateway, id, change, "answer");
+    }
+}
+
+/// The line of a limit that changed.
+pub fn log_limit(gateway: &Gateway, id: &str, change: LimitChange, from: &'static str) {
+    let label = if change.now.is_some() { "named" } else { "ended" };
+    gateway.tally.count("server_limits_total", label);
+    info!(gateway.log, "server limit changed"; "server" => id, "from" => from,
+        "before_per_s" => change.before.map(|rate| rate.requests()),
+        "now_per_s" => change.now.map(|rate| rate.requests()));
+}
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -1,6 +1,6 @@
 //! What a gateway knows, shared by its tasks on one thread.
 
-use super::{looks::Looks, message::LeadSeen, settings::Settings};
+use super::{looks::Looks, message::LeadSeen, said::Unread, settings::Settings};
 use crate::{
     net::http::Pool,
     platform::store::Store,
@@ -106,6 +106,8 @@
     pub heard_config: Cell<Option<u64>>,
     /// Servers that broke requests off, and are looked at.
     pub looks: Looks,
+    /// Servers whose limit can't be read.
+    pub unread_limits: Unread,
     /// How long callers wait.
     pub waits: RefCell<Waits>,
     /// Requests that are held.
@@ -146,6 +148,7 @@
             caught_up: Cell::new(false),
             heard_config: Cell::new(None),
             looks: Looks::default(),
+            unread_limits: Unread::default(),
             waits: RefCell::default(),
             held: Cell::new(0),
             connections: Cell::new(0),
--- a/src/mastweir/platform/engine.rs
+++ b/src/mastweir/platform/engine.rs
@@ -1,6 +1,6 @@
 //! Calls to a model server: its state, what its requests chose, and orders.
 
-use super::headers;
+use super::headers::{self, AnswerHead, NamedLimit};
 use crate::net::http::{CallError, Called, Pool};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -169,6 +169,8 @@
     pub rank: Option<RankState>,
     /// Whether it says that it leaves.
     pub leaving: bool,
+    /// The limit that it names.
+    pub limit: NamedLimit,
 }
 
 /// What requests chose, since the server's start.
@@ -210,7 +212,7 @@
     pub async fn state(&self) -> Result<EngineState, EngineError> {
         let Called { headers, body, .. } = self.get("/report").await?;
         let report: FileReport = serde_json::from_slice(&body)?;
-        Ok(state(report, headers::read_answer(&headers).leaving))
+        Ok(state(report, &headers::read_answer(&headers)))
     }
 
     /// What its requests chose.
@@ -312,7 +314,7 @@
     }
 }
 
-fn state(report: FileReport, leaving: bool) -> EngineState {
+fn state(report: FileReport, head: &AnswerHead) -> EngineState {
     let memory = report.kv_used.saturating_mul(1_000).checked_div(report.kv_total).unwrap_or(0);
     let size = report.size;
     let group = report.group.as_ref().filter(|group| group.rank < size && size <= RANKS_MAX);
@@ -337,7 +339,8 @@
         pace_milli: (report.pace * 1_000.0) as u32,
         group: report.group.map(|group| group.name),
         rank,
-        leaving,
+        leaving: head.leaving,
+        limit: head.limit,
     }
 }
 
--- a/src/mastweir/platform/headers.rs
+++ b/src/mastweir/platform/headers.rs
@@ -1,6 +1,7 @@
 //! Headers of requests and answers.
 
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use mastweir_core::gateway::Rate;
 use std::time::Duration;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
@@ -15,6 +16,8 @@
 const LOAD: HeaderName = HeaderName::from_static("server-load");
 /// In all answers of a server that leaves, whatever else its list says.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Requests a second that a server takes from all gateways together.
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const SIGNATURE: HeaderName = HeaderName::from_static("response-signature");
 /// In all answers of the store; rises when it comes back from an older copy.
@@ -41,7 +44,7 @@
     EXPECT_SERVER,
     PRIORITY,
 ];
-const NOT_RETURNED: [HeaderName; 10] = [
+const NOT_RETURNED: [HeaderName; 11] = [
     header::CONNECTION,
     KEEP_ALIVE,
     header::TRANSFER_ENCODING,
@@ -51,6 +54,7 @@
     NOT_RUN,
     LOAD,
     LEAVING,
+    LIMIT,
     EXPECT_SERVER,
 ];
 
@@ -182,6 +186,20 @@
     pub leaving: bool,
     /// How long the server wants no requests of this process.
     pub retry_after: Option<Duration>,
+    /// The limit that the server names.
+    pub limit: NamedLimit,
+}
+
+/// What an answer says of its server's limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum NamedLimit {
+    /// It names none.
+    #[default]
+    Nothing,
+    /// So much.
+    At(Rate),
+    /// Something that is no rate, or several.
+    Unreadable,
 }
 
 /// Reads the head of a server's answer.
@@ -197,9 +215,17 @@
         keep: if closes { Some(Duration::ZERO) } else { keep },
         leaving: text(&LEAVING).is_some_and(|value| value.trim() == "1"),
         retry_after: text(&header::RETRY_AFTER).and_then(seconds),
+        limit: limit(headers),
     }
 }
 
+fn limit(headers: &HeaderMap) -> NamedLimit {
+    let mut values = headers.get_all(LIMIT).iter();
+    let Some(value) = values.next() else { return NamedLimit::Nothing };
+    let rate = value.to_str().ok().and_then(|text| Rate::per_second(text.trim().parse().ok()?));
+    rate.filter(|_| values.next().is_none()).map_or(NamedLimit::Unreadable, NamedLimit::At)
+}
+
 /// Seconds, fractions too. A date, the header's other form, is none of the pages'.
 fn seconds(value: &str) -> Option<Duration> {
     let seconds: f64 = value.trim().parse().ok()?;
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -64,6 +64,10 @@
         info!(sidecar.log, "model server's pace changed"; "before_milli" => pace,
             "now_milli" => state.pace_milli);
     }
+    let limit = sidecar.state.borrow().as_ref().map(|before| before.limit).unwrap_or_default();
+    if limit != state.limit {
+        info!(sidecar.log, "model server's limit changed"; "before" => ?limit, "now" => ?state.limit);
+    }
     *sidecar.state.borrow_mut() = Some(state);
     tell_unaware_lead(sidecar, now);
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod plans;
 mod platform_file;
 mod processes;
+mod rate_limits;
 mod sight;
 mod soak;
 mod store_copy;
