--- a/crates/mastweir-test-support/src/lib.rs
+++ b/crates/mastweir-test-support/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod doors;
 pub mod engine;
 pub mod fleet;
+pub mod limited;
 pub mod lockstep;
 pub mod ordered;
 pub mod platform;
