Let the soak's servers name limits

Cause: no stand-in of the soak named a limit, so no run of real processes could break one. Change: in half of the runs servers name limits, one, several, both of the plain service or all; they count what comes of gateways that they told, which are excused when they are killed or stand still. A planned run of four such servers beside a freeze, a kill, a cut from the store and a stop. Conclusion: part of each soak from here on.

--- a/crates/mastweir-soak/src/faults.rs
+++ b/crates/mastweir-soak/src/faults.rs
@@ -247,6 +247,10 @@
             world.places[number].server.set_grey(on.then_some(grey));
         }
         Fault::BackOff(number) => world.places[number].server.set_busy(on),
+        Fault::Limit(number, in_10_s) => {
+            let per_s = f64::from(in_10_s) / 10.0;
+            world.places[number].server.set_limit(on.then_some(per_s));
+        }
         Fault::LateOrders(number) => {
             let part = if on { LATE_PCT } else { 0 };
             world.groups[number].late_pct.store(part, Ordering::Relaxed);
--- a/crates/mastweir-soak/src/plan.rs
+++ b/crates/mastweir-soak/src/plan.rs
@@ -11,6 +11,10 @@
 
 /// The same for servers that want no requests for a while.
 const BACKOFF_SEED: u64 = 0x0503;
+/// The same for servers that name a limit: how long, and how many requests in ten seconds.
+const LIMIT_SEED: u64 = 0x1137;
+const LIMIT_LASTS_MS: [u64; 2] = [6_000, 12_000];
+const LIMIT_IN_10_S: [u32; 2] = [3, 80];
 /// The same for a store that comes back from a copy, whose age and absence are these.
 const COPY_SEED: u64 = 0x0e7a;
 const COPY_AGE_MS: [u64; 2] = [500, 8_000];
@@ -75,6 +79,8 @@
     GreyServer(usize, Grey),
     /// It turns requests away, and names a time for which it wants none.
     BackOff(usize),
+    /// It names a limit in its answers: so many requests in ten seconds, of all gateways.
+    Limit(usize, u32),
     /// It leaves as planned, and another life comes at its address.
     Replace(usize),
     /// A group loses a rank, and forms anew.
@@ -134,6 +140,7 @@
     plan.extend(silence(seed, whole));
     plan.extend(back_off(seed, whole, sizes));
     plan.extend(returns(seed, whole));
+    plan.extend(limits(seed, whole, sizes));
     plan.sort_by_key(|entry| entry.at);
     plan
 }
@@ -186,6 +193,27 @@
     servers.into_iter().map(entry).collect()
 }
 
+/// In half of the runs servers name limits: one, several, both of the plain service or all.
+/// Drawn apart from the other faults.
+fn limits(seed: u64, whole: u64, sizes: Sizes) -> Vec<Entry> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ LIMIT_SEED);
+    let at = Duration::from_millis(rng.random_range(0..(whole / 2).max(1)));
+    let all = sizes.models + sizes.plain;
+    let servers: Vec<usize> = match rng.random_range(0..8) {
+        0 => vec![rng.random_range(0..all)],
+        1 => (0..all).filter(|_| rng.random_bool(0.4)).collect(),
+        2 => (sizes.models..all).collect(),
+        3 => (0..all).collect(),
+        _ => Vec::new(),
+    };
+    let entry = |server| Entry {
+        at,
+        lasts: Duration::from_millis(rng.random_range(LIMIT_LASTS_MS[0]..LIMIT_LASTS_MS[1])),
+        fault: Fault::Limit(server, rng.random_range(LIMIT_IN_10_S[0]..LIMIT_IN_10_S[1])),
+    };
+    servers.into_iter().map(entry).collect()
+}
+
 fn fault(rng: &mut SmallRng, sizes: Sizes) -> Fault {
     let gateway = rng.random_range(0..sizes.gateways);
     let model = rng.random_range(0..sizes.models);
--- a/crates/mastweir-soak/src/servers.rs
+++ b/crates/mastweir-soak/src/servers.rs
@@ -6,6 +6,7 @@
 };
 use mastweir_test_support::{
     asked::Asked,
+    limited::Limit,
     lockstep::LockStep,
     scripted::{Act, Got, Scripted},
 };
@@ -51,6 +52,8 @@
     unheard: bool,
     /// What it asked of gateways.
     asked: Asked<SocketAddr>,
+    /// What it named as its limit, and what it got since.
+    limit: Limit<SocketAddr>,
 }
 
 /// A server at one address.
@@ -87,6 +90,7 @@
             busy: false,
             unheard: false,
             asked: Asked::default(),
+            limit: Limit::default(),
         };
         let server = Arc::new(Self {
             number,
@@ -127,6 +131,7 @@
         life.id = name(self.number, life.number);
         life.leaving = None;
         life.asked = Asked::default();
+        life.limit = Limit::default();
         life.running.clear();
     }
 
@@ -143,9 +148,16 @@
         life.asked = Asked::default();
     }
 
+    /// It names a limit from now on, or none.
+    pub fn set_limit(&self, per_s: Option<f64>) {
+        self.life().limit.name(per_s, Instant::now());
+    }
+
     /// A gateway may have forgotten what it was asked for.
     pub fn excuse(&self, gateway: SocketAddr) {
-        self.life().asked.excuse(gateway);
+        let mut life = self.life();
+        life.asked.excuse(gateway);
+        life.limit.excuse(gateway);
     }
 
     /// It misbehaves from now on, or no more.
@@ -153,13 +165,22 @@
         self.life().grey = grey;
     }
 
-    /// A server that leaves says so in all its answers.
+    /// A server that leaves, or has a limit, says so in all its answers.
     fn answer(&self, got: &Got) -> Vec<Act> {
         let acts = self.respond(got);
-        if self.life().leaving.is_none() {
+        let (leaving, limit) = {
+            let life = self.life();
+            (life.leaving.is_some(), life.limit.named())
+        };
+        let mut more = String::new();
+        if leaving {
+            more += "\r\nServer-Leaving: 1";
+        }
+        more += &limit.map_or_else(String::new, |limit| format!("\r\nServer-Limit: {limit}"));
+        if more.is_empty() {
             return acts;
         }
-        acts.into_iter().map(says_leaving).collect()
+        acts.into_iter().map(|act| says(act, &more)).collect()
     }
 
     fn respond(&self, got: &Got) -> Vec<Act> {
@@ -216,6 +237,11 @@
         if let Some(what) = life.asked.arrived(gateway, sent, DRAIN, now) {
             self.ledger.broken(format!("{id} at {}: {what}", life.id));
         }
+        let exceeded = life.limit.arrived(gateway, now);
+        if let Some(exceeded) = exceeded.filter(|exceeded| exceeded.told as f64 > exceeded.allowed)
+        {
+            self.ledger.broken(format!("{id} at {}: over its limit, {exceeded:?}", life.id));
+        }
         if life.unheard || !stays || grey.is_some() {
             return;
         }
@@ -225,6 +251,7 @@
         if life.leaving.is_some() {
             life.asked.told_leaving(gateway, now);
         }
+        life.limit.told(gateway, now);
     }
 
     fn arrived(&self, got: &Got, id: &str, runs: bool) {
@@ -293,15 +320,15 @@
     Act::Send((head + body).into_bytes())
 }
 
-/// The same answer, of a server that leaves.
-fn says_leaving(act: Act) -> Act {
+/// The same answer with more headers.
+fn says(act: Act, more: &str) -> Act {
     let Act::Send(bytes) = &act else { return act };
     let Some(end) = bytes.windows(2).position(|pair| pair == b"\r\n") else { return act };
     if !bytes.starts_with(b"HTTP/1.1 ") {
         return act;
     }
     let (line, rest) = bytes.split_at(end);
-    Act::Send([line, b"\r\nServer-Leaving: 1", rest].concat())
+    Act::Send([line, more.as_bytes(), rest].concat())
 }
 
 fn cut(act: Act) -> Vec<u8> {
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -133,6 +133,32 @@
     Ok(())
 }
 
+/// Both of the plain service and two models' servers name limits, while gateways stand still,
+/// are killed, are cut off from the store, and end as planned.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_that_name_limits_get_no_more() -> Result<()> {
+    let limit = |server, in_10_s| Entry {
+        at: Duration::from_millis(200),
+        lasts: Duration::from_secs(14),
+        fault: Fault::Limit(server, in_10_s),
+    };
+    let plan = [
+        limit(0, 10),
+        limit(1, 4),
+        limit(6, 20),
+        limit(7, 60),
+        at(4_000, Fault::FreezeGateway(0)),
+        at(6_000, Fault::KillGateway(1)),
+        at(8_000, Fault::CutFromStore(2)),
+        at(8_500, Fault::StopGateway(0)),
+    ];
+    let report = soak(108, Some(&plan)).await?;
+    expect_that!(report.broken, is_empty());
+    expect_that!(count(&report, Kind::Safe, Outcome::Served), gt(40));
+    Ok(())
+}
+
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drawn_plan_breaks_no_promise() -> Result<()> {
