Let answers that may be older leave the time of a limit as it is

Cause: an answer without a limit that may have been overtaken pushed the time of the known limit forward, each one by its own time, so that a stream of them never ended the limit. Change: such a word changes what is known only where it is the stricter one.

--- a/crates/mastweir-core/src/gateway/rate_limits.rs
+++ b/crates/mastweir-core/src/gateway/rate_limits.rs
@@ -71,13 +71,14 @@
         self.asked >= other.heard
     }
 
-    /// The stricter of two words that may have been said in either order.
-    fn stricter(self, other: Self) -> Self {
-        let rate = match (self.rate, other.rate) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        };
-        Self { rate, asked: self.asked.max(other.asked), heard: self.heard.max(other.heard) }
+    fn is_stricter_than(self, other: Self) -> bool {
+        self.rate.is_some_and(|rate| other.rate.is_none_or(|other| rate < other))
+    }
+
+    /// The same, with what may have been said behind it.
+    fn or_later(self, other: Self) -> Self {
+        let (asked, heard) = (self.asked.max(other.asked), self.heard.max(other.heard));
+        Self { asked, heard, ..self }
     }
 }
 
@@ -163,8 +164,8 @@
         let before = known.word;
         if is_other(known.born, born) || word.is_later_than(before) {
             known.word = word;
-        } else if !before.is_later_than(word) && word.rate != before.rate {
-            known.word = before.stricter(word);
+        } else if !before.is_later_than(word) && word.is_stricter_than(before) {
+            known.word = word.or_later(before);
         }
         known.born = if born == 0 { known.born } else { born };
         let change = LimitChange { before: before.rate, now: known.word.rate };
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod group_maps;
 mod harness;
 mod hold;
+mod lending;
 mod limited_server;
 mod lives;
 mod messages;
--- a/tests/testsuite/peers.rs
+++ b/tests/testsuite/peers.rs
@@ -10,26 +10,26 @@
 use std::{collections::HashMap, net::IpAddr, time::Duration};
 
 /// Time between two rounds of hellos.
-const ROUND: Duration = Duration::from_millis(250);
+pub const ROUND: Duration = Duration::from_millis(250);
 
-fn ip(number: usize) -> IpAddr {
+pub fn ip(number: usize) -> IpAddr {
     IpAddr::from([10, 0, (number / 250) as u8, (number % 250) as u8 + 1])
 }
 
-fn hall_name(hall: usize) -> String {
+pub fn hall_name(hall: usize) -> String {
     format!("hall-{hall}")
 }
 
 /// Gateways that talk to each other by hellos alone.
-struct World {
+pub struct World {
     halls: usize,
-    peers: Vec<Peers>,
-    alive: Vec<bool>,
+    pub peers: Vec<Peers>,
+    pub alive: Vec<bool>,
     /// Hall that is cut off from the others.
-    cut: Option<usize>,
-    lost_pct: u32,
+    pub cut: Option<usize>,
+    pub lost_pct: u32,
     seeds: Vec<IpAddr>,
-    now: Uptime,
+    pub now: Uptime,
     round: u32,
     rng: SmallRng,
     /// Hellos sent in the last round, by sender.
@@ -37,12 +37,8 @@
 }
 
 impl World {
-    fn new(gateways: usize, halls: usize, seed: u64) -> Self {
-        let named = |number: usize| Named {
-            ip: ip(number),
-            hall: hall_name(number % halls),
-            power: if number < 3 * halls { 500 } else { 240 },
-        };
+    pub fn new(gateways: usize, halls: usize, seed: u64) -> Self {
+        let named = |number| named(number, halls);
         Self {
             halls,
             peers: (0..gateways).map(|number| Peers::new(named(number))).collect(),
@@ -58,7 +54,13 @@
         }
     }
 
-    fn hall(&self, number: usize) -> usize {
+    /// One that has ended starts again, and knows nothing.
+    pub fn start_again(&mut self, number: usize) {
+        self.alive[number] = true;
+        self.peers[number] = Peers::new(named(number, self.halls));
+    }
+
+    pub fn hall(&self, number: usize) -> usize {
         number % self.halls
     }
 
@@ -79,11 +81,7 @@
         }
         let now = self.now;
         let sender = &self.peers[from];
-        let named = Named {
-            ip: ip(from),
-            hall: hall_name(self.hall(from)),
-            power: power(from, self.halls),
-        };
+        let named = named(from, self.halls);
         let said = Said {
             leaving: false,
             follows: !sender.is_speaker(self.is_seed(from), now),
@@ -96,7 +94,7 @@
         true
     }
 
-    fn step(&mut self) {
+    pub fn step(&mut self) {
         self.now = self.now + ROUND;
         self.round += 1;
         self.sent.fill(0);
@@ -119,7 +117,7 @@
         }
     }
 
-    fn run(&mut self, seconds: u64) {
+    pub fn run(&mut self, seconds: u64) {
         for _ in 0..seconds * 4 {
             self.step();
         }
@@ -153,6 +151,10 @@
     }
 }
 
+fn named(number: usize, halls: usize) -> Named {
+    Named { ip: ip(number), hall: hall_name(number % halls), power: power(number, halls) }
+}
+
 fn power(number: usize, halls: usize) -> u32 {
     if number < 3 * halls { 500 } else { 240 }
 }
