Lend a sixth at most where no other gateway was heard

Cause: a gateway that started in a hall that was cut off, with all seeds on the other side, knew of nobody and took itself for all: it lent the whole limit beside the part that each side lent. Change: the limit is split over six gateways at least, as retries are: the smallest installations have seven.

--- a/crates/mastweir-core/src/gateway/peers.rs
+++ b/crates/mastweir-core/src/gateway/peers.rs
@@ -13,6 +13,7 @@
 //! One that was heard itself lives for a while. One that another named is greeted, but
 //! not named on: otherwise the dead would be named in a circle for ever.
 
+use super::window::GATEWAYS_LEAST;
 use crate::time::Uptime;
 use serde::{Deserialize, Serialize};
 use std::{
@@ -226,14 +227,16 @@
 
     /// The part of a limit that this gateway may lend for servers of a hall: that of the
     /// gateways for which it counts, over the most that were ever known of, since those that it
-    /// does not hear may be cut off from it and send on.
+    /// does not hear may be cut off from it and send on. One that started while it was cut off
+    /// knows of few, and must not take itself for all.
     pub fn part(&self, hall: &str, now: Uptime) -> f64 {
         let fresh = |(_, at): &&(u32, Uptime)| now.since(*at) < ANSWER_LASTS;
         // Each hall counts for itself where that of the servers is out of reach.
         let is_near = hall == self.own.hall;
         let others = self.in_halls.values().filter(fresh).filter(|_| is_near);
         let heard = self.in_hall(now) + others.map(|(count, _)| count).sum::<u32>();
-        f64::from(heard.min(self.most)) / f64::from(self.most)
+        let most = self.most.max(GATEWAYS_LEAST as u32);
+        f64::from(heard.min(most)) / f64::from(most)
     }
 
     /// Those that want to be told what speakers tell.
--- a/crates/mastweir-core/src/gateway/window.rs
+++ b/crates/mastweir-core/src/gateway/window.rs
@@ -10,9 +10,9 @@
 use crate::time::Uptime;
 use std::{collections::VecDeque, time::Duration};
 
-/// Gateways among which the extra is split at least. The smallest installations
+/// Gateways among which what all share is split at least. The smallest installations
 /// have seven, of which one may not be known yet.
-const GATEWAYS_LEAST: usize = 6;
+pub(super) const GATEWAYS_LEAST: usize = 6;
 /// Part of the allowance that is spent. The rest covers gateways that this one
 /// does not know of yet, and windows that end between two counts.
 const SPENT_PART: f64 = 0.8;
