Decide whom to borrow of without I/O

Cause: which gateway is asked, how much, and whose answer counts stood between the sockets. Change: Borrower in the core; the gateway carries its asks out. Conclusion: can be driven in virtual time.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //! answer ([`Liveness`]).
 
 mod admission;
+mod borrower;
 mod choice;
 mod config;
 mod directory;
@@ -37,6 +38,7 @@
 mod window;
 
 pub use admission::Stream;
+pub use borrower::{Ask, Borrower};
 pub use choice::{Candidate, Needs, Refusal};
 pub use config::{Config, Kind, Limits, Model, PassCost, Route, RouteIndex, Service, Target};
 pub use directory::{Directory, DirectoryChange, Server, ServerState};
--- a/src/mastweir/gateway/lending.rs
+++ b/src/mastweir/gateway/lending.rs
@@ -1,9 +1,5 @@
-//! Borrowing tokens for servers that name a limit, and lending them.
-//!
-//! Requests that come for a service with such servers are wants; they are asked for together,
-//! a few milliseconds apart, from the gateway that lends for the server
-//! ([`mastweir_core::gateway::Lender`]). An answer counts only if it comes soon: one that was
-//! asked of a process that stood still must not be spent seconds later.
+//! Borrowing tokens for servers that name a limit, and lending them: the messages. Whom a
+//! gateway asks is decided by [`Borrower`], what it lends by [`Lender`].
 
 use super::{
     datagrams::send,
@@ -11,55 +7,40 @@
     state::Gateway,
 };
 use mastweir_core::{
-    gateway::{Candidate, Lender, Loan, Needs, Refusal, TOKEN_LASTS, lender_of},
+    gateway::{Ask, Borrower, Candidate, Lender, Loan, Needs, Refusal, TOKEN_LASTS},
     time::Uptime,
 };
-use rand::{Rng, seq::IndexedRandom};
 use slog::info;
-use std::{
-    cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
-    net::IpAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, net::IpAddr, rc::Rc, time::Duration};
 use tokio::{net::UdpSocket, sync::Notify, time};
 
 /// Least time between two rounds of asking; requests that find no server wait for it.
 const ASK_EVERY: Duration = Duration::from_millis(25);
-/// Servers of a service that are asked for in one round.
-const SERVERS_ASKED: usize = 4;
-/// Tokens for one server in one round, at most.
-const TOKENS_ASKED: u32 = 64;
-/// A gateway that gave no answer for this long is not asked for a while.
-const ANSWER_LASTS: Duration = Duration::from_millis(250);
-const SILENT_LASTS: Duration = Duration::from_secs(2);
-
-/// A gateway that was asked.
-#[derive(Clone, Copy, Debug)]
-struct Asked {
-    ip: IpAddr,
-    at: Uptime,
-}
 
 /// What a gateway borrows and lends.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Lending {
-    /// Requests that came since the last round, by service.
-    wants: RefCell<BTreeMap<String, u32>>,
-    wake: Notify,
-    /// Gateways that were asked and have not answered, by the numbers of the messages.
-    asked: RefCell<HashMap<u64, Asked>>,
-    next: Cell<u64>,
-    /// Gateways that gave no answer, and when they were asked.
-    silent: RefCell<HashMap<IpAddr, Uptime>>,
+    borrower: RefCell<Borrower>,
     lender: RefCell<Lender>,
+    /// Requests came that want tokens.
+    wake: Notify,
+}
+
+impl Lending {
+    /// Of a gateway that has just started. `first` is drawn.
+    pub fn new(own: IpAddr, first: u64) -> Self {
+        Self {
+            borrower: RefCell::new(Borrower::new(own, first)),
+            lender: RefCell::default(),
+            wake: Notify::new(),
+        }
+    }
 }
 
 /// A request came for a service.
 pub fn want(gateway: &Gateway, service: &str) {
     if gateway.fleet.borrow().has_limits() {
-        *gateway.lending.wants.borrow_mut().entry(service.to_owned()).or_default() += 1;
+        gateway.lending.borrower.borrow_mut().want(service);
         gateway.lending.wake.notify_one();
     }
 }
@@ -84,8 +65,6 @@
 
 /// Asks for what is wanted, for ever.
 pub async fn ask(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    // An answer to the process before must not be taken for one to this.
-    gateway.lending.next.set(gateway.rng.borrow_mut().random());
     loop {
         gateway.lending.wake.notified().await;
         ask_once(&gateway, &socket);
@@ -95,59 +74,35 @@
 
 fn ask_once(gateway: &Gateway, socket: &UdpSocket) {
     let now = gateway.clock.now();
-    gateway.lending.note_silent(now);
+    let asks = gateway.lending.borrower.borrow_mut().ask(
+        &gateway.fleet.borrow(),
+        &gateway.gateways.borrow(),
+        gateway.stopping.get(),
+        &mut *gateway.rng.borrow_mut(),
+        now,
+    );
     let own = gateway.settings.borrow().ip;
-    for (ip, wants) in by_lender(gateway, now) {
-        if ip == own {
+    for Ask { lender, number, wants } in asks {
+        if lender == own {
             let loans = wants.into_iter().map(|(server, count)| lend(gateway, server, count, own));
-            take(gateway, loans.collect(), now);
+            lent(gateway, Lent { number, loans: loans.collect() });
             continue;
         }
-        let number = gateway.lending.next.get().wrapping_add(1);
-        gateway.lending.next.set(number);
-        gateway.lending.asked.borrow_mut().insert(number, Asked { ip, at: now });
         // What can't be encoded can't be sent; no message is of that kind.
         if let Ok(bytes) = postcard::to_stdvec(&Message::Borrow(Borrow { number, wants })) {
-            send(gateway, socket, gateway.internal_addr(ip), &bytes);
-        }
-    }
-}
-
-/// What is wanted, by the gateway that lends it.
-fn by_lender(gateway: &Gateway, now: Uptime) -> BTreeMap<IpAddr, Vec<(String, u32)>> {
-    let fleet = gateway.fleet.borrow();
-    let mut rng = gateway.rng.borrow_mut();
-    let mut asked: BTreeMap<IpAddr, Vec<(String, u32)>> = BTreeMap::new();
-    for (service, count) in gateway.lending.wants.take() {
-        let missing = fleet.tokens_missing(&service, now);
-        let servers = missing.choose_multiple(&mut *rng, SERVERS_ASKED);
-        let each = count.div_ceil(servers.len().max(1) as u32).min(TOKENS_ASKED);
-        for server in servers {
-            if let Some(ip) = lender(gateway, &server.id, &server.hall, now) {
-                asked.entry(ip).or_default().push((server.id.clone(), each));
-            }
+            send(gateway, socket, gateway.internal_addr(lender), &bytes);
         }
     }
-    asked
-}
-
-/// Who lends for a server, as far as this gateway can tell.
-fn lender(gateway: &Gateway, server: &str, hall: &str, now: Uptime) -> Option<IpAddr> {
-    let own = gateway.settings.borrow().ip;
-    let silent = gateway.lending.silent.borrow();
-    let mut lenders = gateway.gateways.borrow().lenders(hall, now);
-    let leaves = |ip: &IpAddr| *ip == own && gateway.stopping.get();
-    lenders.retain(|ip| !silent.contains_key(ip) && !leaves(ip));
-    lender_of(server, &lenders)
 }
 
 /// Takes up the servers for which this gateway lends, and leaves the others to others.
 pub fn tend(gateway: &Gateway) {
     let now = gateway.clock.now();
     let own = gateway.settings.borrow().ip;
-    let fleet = gateway.fleet.borrow();
-    let is_own = |id: &str, hall: &str| lender(gateway, id, hall, now) == Some(own);
-    let tended = fleet.limited().filter(|server| is_own(&server.id, &server.hall));
+    let (fleet, peers) = (gateway.fleet.borrow(), gateway.gateways.borrow());
+    let borrower = gateway.lending.borrower.borrow();
+    let lender = |server| borrower.lender(server, &peers, gateway.stopping.get(), now);
+    let tended = fleet.limited().filter(|server| lender(server) == Some(own));
     gateway.lending.lender.borrow_mut().tend(tended.map(|server| server.id.as_str()), now);
 }
 
@@ -183,9 +138,10 @@
 
 /// The answer of one that was asked.
 pub fn lent(gateway: &Gateway, lent: Lent) {
-    let asked = gateway.lending.asked.borrow_mut().remove(&lent.number);
+    let now = gateway.clock.now();
+    let asked = gateway.lending.borrower.borrow_mut().answered(lent.number, now);
     match asked {
-        Some(Asked { at, .. }) => take(gateway, lent.loans, at),
+        Some(asked) => take(gateway, lent.loans, asked),
         None => gateway.tally.count("tokens_total", "late"),
     }
 }
@@ -202,18 +158,3 @@
     }
     gateway.news.notify_waiters();
 }
-
-impl Lending {
-    /// Leaves out those who did not answer, and asks those again who did not long ago.
-    fn note_silent(&self, now: Uptime) {
-        let mut silent = self.silent.borrow_mut();
-        silent.retain(|_, at| now.since(*at) < SILENT_LASTS);
-        self.asked.borrow_mut().retain(|_, asked| {
-            let waits = now.since(asked.at) < ANSWER_LASTS;
-            if !waits {
-                silent.insert(asked.ip, now);
-            }
-            waits
-        });
-    }
-}
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -13,7 +13,7 @@
     },
     time::Uptime,
 };
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use slog::{Logger, info};
 use std::{
     cell::{Cell, RefCell},
@@ -127,6 +127,8 @@
     pub fn new(options: &GatewayOptions) -> Self {
         let settings = options.settings.borrow().clone();
         let seeded = options.seed.map(SmallRng::seed_from_u64);
+        let mut rng = seeded.unwrap_or_else(SmallRng::from_os_rng);
+        let first = rng.random();
         Self {
             clock: options.clock.clone(),
             log: options.log.new(slog::o!("instance" => settings.name.clone())),
@@ -136,7 +138,7 @@
             servers: Pool::default(),
             internal: Pool::default(),
             fleet: RefCell::new(Fleet::new(&settings.hall)),
-            rng: RefCell::new(seeded.unwrap_or_else(SmallRng::from_os_rng)),
+            rng: RefCell::new(rng),
             gateways: RefCell::new(Peers::new(Named {
                 ip: settings.ip,
                 hall: settings.hall.clone(),
@@ -151,7 +153,7 @@
             heard_config: Cell::new(None),
             looks: Looks::default(),
             unread_limits: Unread::default(),
-            lending: Lending::default(),
+            lending: Lending::new(settings.ip, first),
             waits: RefCell::default(),
             held: Cell::new(0),
             connections: Cell::new(0),
