Read how long a server wants no requests in one place

Cause: Retry-After and the two statuses that it goes with were read twice, for gateways and for agents. Change: one function beside the calls over HTTP serves both. Conclusion: a gateway now takes the header from answers that turn a request away only, as agents did.

--- a/src/mastweir/agent/engine.rs
+++ b/src/mastweir/agent/engine.rs
@@ -1,6 +1,7 @@
 //! The engine or plain service beside the agent, over HTTP.
 
 use super::{answer::End, engine_report::Report, jobs::Job};
+use crate::net::http;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::StreamExt;
 use mastweir_core::{
@@ -8,7 +9,7 @@
     switch::{RankOrder, RankReply},
     wire::{PIECE_MAX, Spent},
 };
-use reqwest::{Client, Method, RequestBuilder, Response, StatusCode, header};
+use reqwest::{Client, Method, RequestBuilder, Response, header};
 use serde::Deserialize;
 use std::time::Duration;
 use tokio::time;
@@ -106,7 +107,7 @@
         Err(error) if error.is_connect() => return End::Refused(Refusal::EngineAway),
         Err(_) => return End::Broken,
     };
-    if let Some(wait) = backoff(&response) {
+    if let Some(wait) = http::backs_off(response.status(), response.headers()) {
         backs_off(wait);
     }
     let content = response.headers().get(header::CONTENT_TYPE);
@@ -116,17 +117,6 @@
     if streamed { events(response, job).await } else { pieces(response, job).await }
 }
 
-/// How long the engine wants no requests, in seconds; a date, the header's other form, is
-/// not read.
-fn backoff(response: &Response) -> Option<Duration> {
-    let turned_away = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
-    if !turned_away.contains(&response.status()) {
-        return None;
-    }
-    let value = response.headers().get(header::RETRY_AFTER)?.to_str().ok()?;
-    Duration::try_from_secs_f64(value.trim().parse().ok()?).ok()
-}
-
 /// Takes a stream apart into events, one a unit.
 async fn events(response: Response, job: &Job) -> End {
     let mut stream = response.bytes_stream();
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -146,7 +146,7 @@
         }
     };
     let (parts, body) = response.into_parts();
-    let head = headers::read_answer(&parts.headers);
+    let head = headers::read_answer(parts.status, &parts.headers);
     gateway.fleet.borrow_mut().reached(&place.server.id);
     said(gateway, call, &place.server, Heard { status: parts.status, head: &head, asked });
     if !head.id.is_empty() && head.id != call.head.id {
--- a/src/mastweir/gateway/said.rs
+++ b/src/mastweir/gateway/said.rs
@@ -55,9 +55,7 @@
     if head.leaving && gateway.fleet.borrow_mut().leaves(id, *born, now) {
         log_leaves(gateway, id, "answer");
     }
-    let turned_away =
-        matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
-    if let Some(wait) = head.retry_after.filter(|_| turned_away) {
+    if let Some(wait) = head.retry_after {
         gateway.tally.count("servers_backing_off_total", "asked");
         gateway.fleet.borrow_mut().backs_off(id, *born, wait, now);
     }
--- a/src/mastweir/net/http.rs
+++ b/src/mastweir/net/http.rs
@@ -10,9 +10,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    HeaderMap, Request, Response,
+    HeaderMap, Request, Response, StatusCode,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
+    header,
 };
 use hyper_util::rt::TokioIo;
 use mastweir_core::time::Uptime;
@@ -32,6 +33,17 @@
 /// connection to a machine that is gone hangs for minutes.
 const UNACKED_LASTS: Duration = Duration::from_secs(4);
 
+/// How long whoever turns a request away wants no others, if its answer says so. A date, the
+/// header's other form, is not read.
+pub fn backs_off(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    let turned_away = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
+    if !turned_away.contains(&status) {
+        return None;
+    }
+    let value = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    Duration::try_from_secs_f64(value.trim().parse().ok()?).ok()
+}
+
 /// Why a request got no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
--- a/src/mastweir/platform/engine.rs
+++ b/src/mastweir/platform/engine.rs
@@ -4,7 +4,7 @@
 use crate::net::http::{CallError, Called, Pool};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, header};
+use hyper::{Method, Request, StatusCode, header};
 use mastweir_core::switch::hold::{GroupMap, Layers, Order, OrderKind, RankState, Taken};
 use serde::{
     Deserialize, Deserializer, Serialize,
@@ -212,7 +212,7 @@
     pub async fn state(&self) -> Result<EngineState, EngineError> {
         let Called { headers, body, .. } = self.get("/report").await?;
         let report: FileReport = serde_json::from_slice(&body)?;
-        Ok(state(report, &headers::read_answer(&headers)))
+        Ok(state(report, &headers::read_answer(StatusCode::OK, &headers)))
     }
 
     /// What its requests chose.
--- a/src/mastweir/platform/headers.rs
+++ b/src/mastweir/platform/headers.rs
@@ -1,6 +1,10 @@
 //! Headers of requests and answers.
 
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use crate::net::http;
+use hyper::{
+    StatusCode,
+    header::{self, HeaderMap, HeaderName, HeaderValue},
+};
 use mastweir_core::gateway::Rate;
 use std::time::Duration;
 
@@ -184,7 +188,7 @@
     pub keep: Option<Duration>,
     /// Whether the server says that it leaves.
     pub leaving: bool,
-    /// How long the server wants no requests of this process.
+    /// How long the server, which turned the request away, wants no others of this process.
     pub retry_after: Option<Duration>,
     /// The limit that the server names.
     pub limit: NamedLimit,
@@ -213,7 +217,7 @@
 }
 
 /// Reads the head of a server's answer.
-pub fn read_answer(headers: &HeaderMap) -> AnswerHead {
+pub fn read_answer(status: StatusCode, headers: &HeaderMap) -> AnswerHead {
     let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
     let closes = text(&header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close"));
     let keep = text(&KEEP_ALIVE).and_then(timeout).map(Duration::from_secs);
@@ -224,7 +228,7 @@
         load: text(&LOAD).and_then(load),
         keep: if closes { Some(Duration::ZERO) } else { keep },
         leaving: text(&LEAVING).is_some_and(|value| value.trim() == "1"),
-        retry_after: text(&header::RETRY_AFTER).and_then(seconds),
+        retry_after: http::backs_off(status, headers),
         limit: limit(headers),
     }
 }
@@ -236,12 +240,6 @@
     rate.filter(|_| values.next().is_none()).map_or(NamedLimit::Unreadable, NamedLimit::At)
 }
 
-/// Seconds, fractions too. A date, the header's other form, is none of the pages'.
-fn seconds(value: &str) -> Option<Duration> {
-    let seconds: f64 = value.trim().parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
-}
-
 fn timeout(value: &str) -> Option<u64> {
     let part = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
     part.unwrap_or(value).trim().parse().ok()
--- a/tests/testsuite/rate_limits.rs
+++ b/tests/testsuite/rate_limits.rs
@@ -1,7 +1,7 @@
 //! What servers name as their limits, as one gateway hears of it.
 
 use googletest::prelude::*;
-use hyper::{HeaderMap, header::HeaderValue};
+use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 use mastweir::platform::headers::{NamedLimit, read_answer};
 use mastweir_core::{
     gateway::{Fleet, LimitChange, LimitWord, Limited, Rate},
@@ -14,7 +14,7 @@
         let value = HeaderValue::from_str(value).expect("a header's value");
         headers.append("server-limit", value);
     }
-    read_answer(&headers).limit
+    read_answer(StatusCode::OK, &headers).limit
 }
 
 fn rate(per_s: f64) -> Option<Rate> {
