Note what is gone where a list is adopted

Cause: 'adopt, then tell what went' stood in two places, in one of them over an unnamed pair. Change: adopting changes takes the names of those that are gone. Conclusion: a third caller can't forget it.

--- a/src/mastweir/gateway/fetch.rs
+++ b/src/mastweir/gateway/fetch.rs
@@ -42,12 +42,12 @@
     match change {
         Ok(Some(change)) => {
             let whole = change.whole;
-            let gone = (change.gone.clone(), change.revision);
+            let gone = change.gone.clone();
             let directory = gateway.fleet.borrow().directory().changed(change);
             if whole {
                 gateway.adopt_whole(directory, false, &from.to_string());
-            } else if gateway.adopt_directory(directory, false, &from.to_string()) {
-                gateway.fleet.borrow_mut().went(&gone.0, gone.1);
+            } else {
+                gateway.adopt_changed(directory, &gone, false, &from.to_string());
             }
         }
         Ok(None) => (),
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -199,14 +199,27 @@
     /// Takes a list of servers into force that was read as a whole, if it is newer. Right
     /// behind an outage of the store it may lack some that live.
     pub fn adopt_whole(&self, directory: Directory, after_outage: bool, from: &str) {
-        if self.adopt_directory(directory, after_outage, from) {
+        if self.adopt(directory, after_outage, from) {
             self.fleet.borrow_mut().forget_between();
         }
     }
 
     /// Takes a list of servers into force that changes made of the one before, if it is
-    /// newer; says whether it was.
-    pub fn adopt_directory(&self, directory: Directory, after_outage: bool, from: &str) -> bool {
+    /// newer. `gone` are those that the changes name as gone.
+    pub fn adopt_changed(
+        &self,
+        directory: Directory,
+        gone: &[String],
+        after_outage: bool,
+        from: &str,
+    ) {
+        let revision = directory.revision;
+        if self.adopt(directory, after_outage, from) {
+            self.fleet.borrow_mut().went(gone, revision);
+        }
+    }
+
+    fn adopt(&self, directory: Directory, after_outage: bool, from: &str) -> bool {
         let before = self.fleet.borrow().directory().revision;
         let is_newer = self.fleet.borrow_mut().replace(directory, after_outage, self.clock.now());
         if is_newer {
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -161,9 +161,7 @@
                 }
             };
         }
-        if self.gateway.adopt_directory(listed.clone(), self.may_lapse(away), "store") {
-            self.gateway.fleet.borrow_mut().went(&went, listed.revision);
-        }
+        self.gateway.adopt_changed(listed.clone(), &went, self.may_lapse(away), "store");
     }
 
     async fn probe(&self, since: Revision) -> Result<bool, StoreError> {
