Take the refusal of a limited server for its own

Cause: a server that refuses beside empty places speaks for its whole group, which is then left out; one that names a limit has empty places and refuses what is beyond it. Change: such a refusal says nothing of its group. Measured: the other server of the group is chosen on (before: refused as standing); without a limit the group is left out as it was.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -233,9 +233,11 @@
     }
 
     /// A server refused a request that it had room for: its group stands still, and
-    /// with it all servers of that group, until their sidecars say otherwise.
+    /// with it all servers of that group, until their sidecars say otherwise. One that names a
+    /// limit has room in its places and speaks of itself alone.
     pub fn refused(&mut self, id: &str, load_milli: u32, now: Uptime) {
-        if f64::from(load_milli) >= REFUSED_ROOM * 1_000.0 {
+        let is_full = f64::from(load_milli) >= REFUSED_ROOM * 1_000.0;
+        if is_full || self.limit(id).is_some() {
             return;
         }
         let Some(seen) = self.seen.get_mut(id) else { return };
--- a/tests/testsuite/lending.rs
+++ b/tests/testsuite/lending.rs
@@ -256,3 +256,24 @@
     }
     expect_that!((fleet.limit("a"), fleet.limit("b").is_some()), eq((None, true)));
 }
+
+/// One that takes few turns a request away beside all its empty places; the others of its group
+/// go on, and so does it with the next token.
+#[googletest::test]
+fn a_limited_server_that_refuses_speaks_for_itself_alone() {
+    for limited in [true, false] {
+        let mut fleet = fleet(&["a", "b"]);
+        fleet.hears_sidecars(Some(at(0)));
+        let group = Some("g".to_owned());
+        let told = Told { group, group_open: true, pass_ms: 50, ..Told::default() };
+        fleet.told("a", told.clone(), at(3_000));
+        fleet.told("b", told, at(3_000));
+        limit(&mut fleet, "a", Some(1.0).filter(|_| limited), 3_000);
+        fleet.refused("a", 0, at(3_010));
+        let chosen = choose(&fleet, &["a"], None, 3_020);
+        expect_that!(
+            chosen,
+            eq(&if limited { Ok("b".to_owned()) } else { Err(Refusal::Standing) })
+        );
+    }
+}
