Take a limit that a report can't tell for no end of one

Cause: a sidecar whose server named something unreadable told gateways the same as one whose server names no limit any more. Change: it keeps what it read before; beside it the line of a refusal tells the limit that it named, and the wait told to callers where no lender has answered yet has a name of its own. Measured: the tests of limits pass; not provoked with a real sidecar. Conclusion: both ends of the path now treat an unreadable limit alike.

--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -12,7 +12,7 @@
 };
 use http_body_util::Full;
 use hyper::{Request, StatusCode, body::Incoming, http::response::Parts};
-use mastweir_core::gateway::{Answer, Candidate, Proof};
+use mastweir_core::gateway::{Answer, Candidate, Proof, Rate};
 use slog::info;
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time;
@@ -249,6 +249,7 @@
     gateway.tally.count("attempts_failed_total", "refused");
     info!(gateway.log, "server refused"; "id" => &call.head.id, "server" => &place.server.id,
         "proof" => ?proof, "load_milli" => place.server.load_milli, "leaving" => head.leaving,
+        "limit_per_s" => head.limit.rate().map(Rate::requests),
         "retry_after_ms" => head.retry_after.map(|wait| wait.as_millis() as u64),
         "report_age_ms" => place.server.report_age.map(|age| age.as_millis() as u64));
 }
--- a/src/mastweir/gateway/ending.rs
+++ b/src/mastweir/gateway/ending.rs
@@ -25,6 +25,8 @@
 /// On top of the time for which all servers want no requests, so that those who were refused
 /// meanwhile do not come back in one moment.
 const BACK_SPREAD: Range<Duration> = Duration::ZERO..Duration::from_millis(400);
+/// The same where all servers name limits, and no gateway that lends for them has told when.
+const BACK_UNTOLD: Duration = Duration::from_millis(1_000);
 /// The same while it is looked at whether servers ended under a request: two looks take half
 /// a second.
 const BACK_PROVED: Duration = Duration::from_millis(1_000);
@@ -73,8 +75,7 @@
         Refusal::Full if call.is_model() => gateway.rng.borrow_mut().random_range(BACK_CROWD),
         Refusal::Full => BACK_FULL,
         Refusal::Standing | Refusal::NoServer => BACK_DOWN,
-        // No one who lends has told yet when.
-        Refusal::Limited(left) if left.is_zero() => BACK_PROVED,
+        Refusal::Limited(left) if left.is_zero() => BACK_UNTOLD,
         Refusal::Backoff(left) | Refusal::Limited(left) => {
             left + gateway.rng.borrow_mut().random_range(BACK_SPREAD)
         }
--- a/src/mastweir/sidecar/rank.rs
+++ b/src/mastweir/sidecar/rank.rs
@@ -3,7 +3,7 @@
 use super::{poll, state::Sidecar};
 use crate::{
     gateway::message::{DATAGRAM_MAX, Greeting, Message, Report},
-    platform::engine::EngineState,
+    platform::{engine::EngineState, headers::NamedLimit},
 };
 use mastweir_core::{
     gateway::{Passes, Told},
@@ -46,8 +46,9 @@
     }
 }
 
-fn seen(sidecar: &Sidecar, state: EngineState, passes: &mut Passes) {
+fn seen(sidecar: &Sidecar, mut state: EngineState, passes: &mut Passes) {
     let now = sidecar.clock.now();
+    note_limit(sidecar, &mut state);
     let before = sidecar.state.borrow().as_ref().map(|before| before.born);
     if before.is_some_and(|before| before != state.born) {
         info!(sidecar.log, "model server started again"; "born" => state.born, "before" => before);
@@ -64,14 +65,22 @@
         info!(sidecar.log, "model server's pace changed"; "before_milli" => pace,
             "now_milli" => state.pace_milli);
     }
-    let limit = sidecar.state.borrow().as_ref().map(|before| before.limit).unwrap_or_default();
-    if limit != state.limit {
-        info!(sidecar.log, "model server's limit changed"; "before" => ?limit, "now" => ?state.limit);
-    }
     *sidecar.state.borrow_mut() = Some(state);
     tell_unaware_lead(sidecar, now);
 }
 
+/// Keeps the limit that the server named before where it can't be read: that is no end of it.
+fn note_limit(sidecar: &Sidecar, state: &mut EngineState) {
+    let before = sidecar.state.borrow().as_ref().map(|before| before.limit).unwrap_or_default();
+    if state.limit == NamedLimit::Unreadable {
+        state.limit = before;
+    }
+    if state.limit != before {
+        info!(sidecar.log, "model server's limit changed"; "before" => ?before,
+            "now" => ?state.limit);
+    }
+}
+
 /// A coordinator that was heard of and does not poll this rank is told that it is here.
 fn tell_unaware_lead(sidecar: &Sidecar, now: Uptime) {
     let is_polled = now.since(sidecar.polled.get()) < UNPOLLED;
