Ask for no more servers' tokens than there are requests

Cause: one request asked four servers for a token each, and three of them lapsed unused where its gateway had few callers. Change: as many servers as requests, four at most.

--- a/crates/mastweir-core/src/gateway/borrower.rs
+++ b/crates/mastweir-core/src/gateway/borrower.rs
@@ -16,7 +16,8 @@
     time::Duration,
 };
 
-/// Servers of a service that are asked for in one round.
+/// Servers of a service that are asked for in one round, and no more than there are requests:
+/// what is lent beyond those lapses here and is missing elsewhere.
 const SERVERS_ASKED: usize = 4;
 /// Tokens for one server in one round, at most.
 const TOKENS_ASKED: u32 = 64;
@@ -107,7 +108,7 @@
         for (service, count) in std::mem::take(&mut self.wants) {
             let missing = fleet.tokens_missing(&service, now);
             let servers: Vec<&Server> =
-                missing.choose_multiple(rng, SERVERS_ASKED).copied().collect();
+                missing.choose_multiple(rng, SERVERS_ASKED.min(count as usize)).copied().collect();
             let each = count.div_ceil(servers.len().max(1) as u32).min(TOKENS_ASKED);
             for server in servers {
                 let Some(lender) = self.lender(server, peers, leaving, now) else { continue };
--- a/tests/testsuite/limited_server.rs
+++ b/tests/testsuite/limited_server.rs
@@ -130,12 +130,22 @@
         &mut self,
         lasts: Duration,
         through: impl Fn(usize) -> usize,
+    ) -> Result<Vec<u16>> {
+        self.calls_every(NEXT, lasts, through).await
+    }
+
+    /// The same, so far apart.
+    async fn calls_every(
+        &mut self,
+        pause: Duration,
+        lasts: Duration,
+        through: impl Fn(usize) -> usize,
     ) -> Result<Vec<u16>> {
         let end = Instant::now() + lasts;
         let mut calls = JoinSet::new();
         while Instant::now() < end {
             calls.spawn(self.call(through(self.sent)));
-            time::sleep(NEXT).await;
+            time::sleep(pause).await;
         }
         let answers: Result<Vec<Answer>> = calls.join_all().await.into_iter().collect();
         Ok(answers?.iter().map(|answer| answer.status).collect())
@@ -204,6 +214,22 @@
     Ok(())
 }
 
+/// All servers name a limit, and each gateway has a caller now and then: a token that is lent to
+/// one that has nothing to send is lost to the others.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn gets_what_it_takes_though_callers_are_spread_thin() -> Result<()> {
+    let mut world = World::new(6, &[Some(1.0); 4]).await?;
+    let pause = Duration::from_millis(125);
+    world.calls_every(pause, Duration::from_secs(6), |sent| sent % 6).await?;
+    let statuses = world.calls_every(pause, Duration::from_secs(10), |sent| sent % 6).await?;
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    // Ten seconds of four requests, for twice as many callers.
+    expect_that!(served, all![ge(28), le(50)]);
+    expect_that!(world.exceeded(), is_empty());
+    Ok(())
+}
+
 /// Few callers come: none of them finds the gateway without a token for long, though none is
 /// saved up while nobody comes.
 #[googletest::test]
