--- a/crates/mastweir-bench/src/commands/mod.rs
+++ b/crates/mastweir-bench/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod experts;
+mod limits;
 mod outcomes;
 mod path;
 mod plans;
@@ -19,6 +20,7 @@
 pub enum Command {
     Control(control::Args),
     Experts(experts::Args),
+    Limits(limits::Args),
     Outcomes(outcomes::Args),
     Path(path::Args),
     Plans(plans::Args),
@@ -34,6 +36,7 @@
     match command {
         Command::Control(args) => return control::exec(&args).await,
         Command::Experts(args) => experts::exec(&args),
+        Command::Limits(args) => limits::exec(&args),
         Command::Outcomes(args) => return outcomes::exec(&args).await,
         Command::Path(args) => return path::exec(&args).await,
         Command::Plans(args) => plans::exec(&args),
--- a/crates/mastweir-bench/src/sim/mod.rs
+++ b/crates/mastweir-bench/src/sim/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod events;
 pub mod experts;
+pub mod limits;
 pub mod routing;
 pub mod shares;
