--- a/crates/mastweir-bench/src/commands/mod.rs
+++ b/crates/mastweir-bench/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod control;
 mod experts;
 mod limits;
+mod model;
 mod outcomes;
 mod path;
 mod plans;
@@ -21,6 +22,7 @@
     Control(control::Args),
     Experts(experts::Args),
     Limits(limits::Args),
+    Model(model::Args),
     Outcomes(outcomes::Args),
     Path(path::Args),
     Plans(plans::Args),
@@ -37,6 +39,7 @@
         Command::Control(args) => return control::exec(&args).await,
         Command::Experts(args) => experts::exec(&args),
         Command::Limits(args) => limits::exec(&args),
+        Command::Model(args) => return model::exec(&args),
         Command::Outcomes(args) => return outcomes::exec(&args).await,
         Command::Path(args) => return path::exec(&args).await,
         Command::Plans(args) => plans::exec(&args),
--- /dev/null
+++ b/crates/mastweir-model/src/server.rs
@@ -0,0 +1,124 @@
+//! A server: what it says in its answers, and the record of what it got.
+
+use mastweir_core::{
+    gateway::{LimitWord, Rate},
+    time::Uptime,
+};
+use mastweir_test_support::{
+    asked::Asked,
+    limited::{Exceeded, Limit},
+};
+use std::time::{Duration, Instant};
+
+/// What a server that is busy asks for.
+pub const PAUSE: Duration = Duration::from_millis(1_500);
+/// Time after which one that leaves gets nothing more.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// What an answer says of its server.
+#[derive(Clone, Copy, Debug)]
+pub struct Said {
+    /// Its limit.
+    pub rate: Option<Rate>,
+    /// How long it wants no requests.
+    pub pause: Option<Duration>,
+    /// Whether it leaves.
+    pub leaves: bool,
+}
+
+impl Said {
+    /// What it says of the limit, to a request that left then.
+    pub const fn limit(self, asked: Uptime, heard: Uptime) -> LimitWord {
+        LimitWord { rate: self.rate, asked, heard }
+    }
+}
+
+/// A server.
+#[derive(Debug)]
+pub struct Server {
+    per_s: Option<f64>,
+    busy: bool,
+    leaves: bool,
+    limit: Limit<usize>,
+    asked: Asked<usize>,
+    /// The most that it got where that was too much.
+    pub exceeded: Option<Exceeded>,
+}
+
+impl Server {
+    /// One that takes all that comes.
+    pub fn new() -> Self {
+        Self {
+            per_s: None,
+            busy: false,
+            leaves: false,
+            limit: Limit::default(),
+            asked: Asked::default(),
+            exceeded: None,
+        }
+    }
+
+    /// It names a limit from now on, or none.
+    pub fn set_limit(&mut self, per_s: Option<f64>, now: Instant) {
+        self.per_s = per_s;
+        self.limit.name(per_s, now);
+    }
+
+    /// It asks for pauses from now on, or no more.
+    pub const fn set_busy(&mut self, busy: bool) {
+        self.busy = busy;
+    }
+
+    /// It leaves, or another comes in its place, which has asked for nothing.
+    pub fn set_leaves(&mut self, leaves: bool) {
+        self.leaves = leaves;
+        if !leaves {
+            self.asked = Asked::default();
+        }
+    }
+
+    /// A gateway starts anew, stood still, or is cut off.
+    pub fn excuse(&mut self, gateway: usize) {
+        self.limit.excuse(gateway);
+        self.asked.excuse(gateway);
+    }
+
+    /// A request arrives that its caller sent to a gateway at `sent`; gives the answer and what
+    /// the arrival breaks. One of a gateway that is excused counts for nothing.
+    pub fn arrived(
+        &mut self,
+        gateway: usize,
+        is_excused: bool,
+        sent: Instant,
+        now: Instant,
+    ) -> (Said, Option<String>) {
+        let mut broken = None;
+        if !is_excused {
+            broken = self.asked.arrived(gateway, sent, DRAIN, now);
+            let exceeded = self.limit.arrived(gateway, now);
+            let before = self.exceeded.map_or(0, |before| before.all);
+            if exceeded.is_some_and(|exceeded| exceeded.all > before) {
+                self.exceeded = exceeded;
+            }
+        }
+        let said = Said {
+            rate: self.per_s.and_then(Rate::per_second),
+            pause: self.busy.then_some(PAUSE),
+            leaves: self.leaves,
+        };
+        (said, broken)
+    }
+
+    /// An answer reached a gateway.
+    pub fn told(&mut self, gateway: usize, said: Said, now: Instant) {
+        if said.rate.is_some() {
+            self.limit.told(gateway, now);
+        }
+        if let Some(pause) = said.pause {
+            self.asked.told_pause(gateway, pause, now);
+        }
+        if said.leaves {
+            self.asked.told_leaving(gateway, now);
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod limited_server;
 mod lives;
 mod messages;
+mod model;
 mod notices;
 mod odd_answers;
 mod others;
