Judge each life of a server in the model by what it said itself

Change: answers carry the life that gave them; a new life's record begins anew and it names its limit for the first time; all lives have a name; a gateway that starts again reads the present ones. Conclusion: the record is as strict as before for one life, which is what the promise is about.

--- a/crates/mastweir-model/src/fleet.rs
+++ b/crates/mastweir-model/src/fleet.rs
@@ -105,6 +105,8 @@
     servers: Vec<Server>,
     network: Network,
     through: Option<usize>,
+    /// The later lives of servers, as the store's list names them.
+    lives: Vec<Option<u64>>,
     outcome: Outcome,
 }
 
@@ -126,6 +128,7 @@
         servers: (0..scenario.servers).map(|_| Server::new()).collect(),
         network: Network::default(),
         through: None,
+        lives: vec![None; scenario.servers],
         outcome: Outcome::default(),
     };
     fleet.begin();
@@ -253,7 +256,7 @@
             }
             Fault::Pause { server } => self.servers[server].set_busy(begins),
             Fault::Leave { server } => {
-                self.servers[server].set_leaves(begins);
+                self.servers[server].set_leaves(begins, now);
                 if !begins {
                     self.replaced(server);
                 }
@@ -283,6 +286,7 @@
         self.gateways[number].is_up = !begins;
         self.gateways[number].excused_us = self.now_us + micros(EXCUSED);
         if !begins {
+            self.list(number);
             self.start(number);
         }
     }
@@ -290,15 +294,22 @@
     /// A server that left is followed by another life, which gateways see at once.
     fn replaced(&mut self, server: usize) {
         let born = self.now_us + 1;
-        for gateway in &mut self.gateways {
-            let mut directory = gateway.fleet.directory().clone();
-            directory.revision.number += 1;
-            if let Some(entry) = directory.servers.get_mut(&id(server)) {
+        self.lives[server] = Some(born);
+        (0..self.gateways.len()).for_each(|number| self.list(number));
+    }
+
+    /// A gateway reads the list of servers.
+    fn list(&mut self, number: usize) {
+        let gateway = &mut self.gateways[number];
+        let mut directory = gateway.fleet.directory().clone();
+        directory.revision.number += 1;
+        for (server, born) in self.lives.iter().enumerate() {
+            if let Some((entry, born)) = directory.servers.get_mut(&id(server)).zip(*born) {
                 entry.born = born;
                 entry.changed = directory.revision;
             }
-            gateway.fleet.replace(directory, false, Uptime(self.now_us - gateway.started_us));
         }
+        gateway.fleet.replace(directory, false, Uptime(self.now_us - gateway.started_us));
     }
 
     fn excuse(&mut self, gateway: usize) {
--- a/crates/mastweir-model/src/gateway.rs
+++ b/crates/mastweir-model/src/gateway.rs
@@ -18,6 +18,8 @@
 /// The one service.
 pub const SERVICE: &str = "s";
 const SLOTS: u32 = 1_000;
+/// Names the first life of each server.
+const FIRST_LIFE: u64 = 1;
 
 /// Address of a gateway.
 pub fn ip(number: usize) -> IpAddr {
@@ -121,7 +123,7 @@
 fn directory(scenario: &Scenario) -> Directory {
     let server = |number: usize| Server {
         id: id(number),
-        born: 0,
+        born: FIRST_LIFE,
         service: SERVICE.to_owned(),
         addr: SocketAddr::from(([10, 1, (number / 250) as u8, (number % 250) as u8], 80)),
         hall: hall(number % scenario.halls),
--- a/crates/mastweir-model/src/server.rs
+++ b/crates/mastweir-model/src/server.rs
@@ -18,6 +18,8 @@
 /// What an answer says of its server.
 #[derive(Clone, Copy, Debug)]
 pub struct Said {
+    /// The life that says so.
+    life: u32,
     /// Its limit.
     pub rate: Option<Rate>,
     /// How long it wants no requests.
@@ -36,6 +38,7 @@
 /// A server.
 #[derive(Debug)]
 pub struct Server {
+    life: u32,
     per_s: Option<f64>,
     busy: bool,
     leaves: bool,
@@ -49,6 +52,7 @@
     /// One that takes all that comes.
     pub fn new() -> Self {
         Self {
+            life: 0,
             per_s: None,
             busy: false,
             leaves: false,
@@ -69,11 +73,15 @@
         self.busy = busy;
     }
 
-    /// It leaves, or another comes in its place, which has asked for nothing.
-    pub fn set_leaves(&mut self, leaves: bool) {
+    /// It leaves, or another comes in its place, which has asked for nothing and names its
+    /// limit for the first time.
+    pub fn set_leaves(&mut self, leaves: bool, now: Instant) {
         self.leaves = leaves;
         if !leaves {
+            self.life += 1;
             self.asked = Asked::default();
+            self.limit = Limit::default();
+            self.limit.name(self.per_s, now);
         }
     }
 
@@ -102,6 +110,7 @@
             }
         }
         let said = Said {
+            life: self.life,
             rate: self.per_s.and_then(Rate::per_second),
             pause: self.busy.then_some(PAUSE),
             leaves: self.leaves,
@@ -109,8 +118,11 @@
         (said, broken)
     }
 
-    /// An answer reached a gateway.
+    /// An answer reached a gateway. One of the life before is no word of this one.
     pub fn told(&mut self, gateway: usize, said: Said, now: Instant) {
+        if said.life != self.life {
+            return;
+        }
         if said.rate.is_some() {
             self.limit.told(gateway, now);
         }
