Tell on the same limit of a server's next life

What callers saw: nothing; a server that had started again and named 1 request a second got 19 in 4 s of as many gateways, each of which had to be told by itself. Cause: a limit of the same rate was no news, so the life that it now belongs to was told to nobody. Change: another life's word is news whatever its rate.

--- a/crates/mastweir-core/src/gateway/rate_limits.rs
+++ b/crates/mastweir-core/src/gateway/rate_limits.rs
@@ -162,14 +162,16 @@
             return Some(LimitChange { before: None, now: word.rate });
         };
         let before = known.word;
-        if is_other(known.born, born) || word.is_later_than(before) {
+        // News even where another life names the same: others hold it for the life before.
+        let is_other_life = is_other(known.born, born);
+        if is_other_life || word.is_later_than(before) {
             known.word = word;
         } else if !before.is_later_than(word) && word.is_stricter_than(before) {
             known.word = word.or_later(before);
         }
         known.born = if born == 0 { known.born } else { born };
         let change = LimitChange { before: before.rate, now: known.word.rate };
-        if change.before == change.now {
+        if change.before == change.now && !is_other_life {
             return None;
         }
         known.changed = now;
--- a/tests/testsuite/rate_limits.rs
+++ b/tests/testsuite/rate_limits.rs
@@ -105,6 +105,20 @@
     expect_that!(told(&mut fleet, 40, None, 1_050), eq(change(Some(1.0), None)));
 }
 
+/// The next life of a server names the same limit: those who held it for the life before have
+/// to hear of it all the same. Taken for no news, it was told to nobody, and 19 gateways sent
+/// a request each in 4 s where 11 were allowed.
+#[googletest::test]
+fn the_same_limit_of_another_life_is_news() {
+    let mut fleet = Fleet::new("here");
+    fleet.named_limit("a", 70, word(Some(1.0), 1_000), at(1_000));
+    expect_that!(fleet.limits_told(false, at(9_000)), is_empty());
+    let news = fleet.named_limit("a", 40, word(Some(1.0), 9_000), at(9_000));
+    expect_that!(news, eq(change(Some(1.0), Some(1.0))));
+    let told = fleet.limits_told(false, at(9_100));
+    expect_that!(told.iter().map(|told| told.born).collect::<Vec<_>>(), eq(&vec![40]));
+}
+
 /// What is told on is what the other needs to hold the same.
 #[googletest::test]
 fn what_is_told_on_is_held_by_whoever_is_told() {
