Answer a gateway that takes itself for its hall's speaker

Cause: one that was cut off for four seconds forgets its hall and takes itself for a speaker; those that it then greets had no reason to greet it, as neither follower nor speaker, so it heard them for a moment every four seconds only, and went on. Change: a speaker greets those of its hall that say that they speak, whatever their place.

--- a/crates/mastweir-core/src/gateway/peers.rs
+++ b/crates/mastweir-core/src/gateway/peers.rs
@@ -13,7 +13,7 @@
 //! One that was heard itself lives for a while. One that another named is greeted, but
 //! not named on: otherwise the dead would be named in a circle for ever.
 
-use super::window::GATEWAYS_LEAST;
+use super::{lender::lender_of, window::GATEWAYS_LEAST};
 use crate::time::Uptime;
 use serde::{Deserialize, Serialize};
 use std::{
@@ -108,6 +108,8 @@
     followers: BTreeMap<IpAddr, Uptime>,
     /// Gateways of other halls that speak, as they say themselves.
     speaking: BTreeMap<IpAddr, Uptime>,
+    /// The same of the own hall, whatever their place is by what is known here.
+    claiming: BTreeMap<IpAddr, Uptime>,
     /// Gateways of other halls, as their speakers count them, and when one last did.
     in_halls: HashMap<String, (u32, Uptime)>,
     /// Most that were known of at once, this one included.
@@ -124,6 +126,7 @@
             peers: HashMap::new(),
             followers: BTreeMap::new(),
             speaking: BTreeMap::new(),
+            claiming: BTreeMap::new(),
             in_halls: HashMap::new(),
             most: 1,
             settled: false,
@@ -138,8 +141,10 @@
             // lost, and cut its last streams.
             self.followers.insert(ip, now);
             self.speaking.remove(&ip);
+            self.claiming.remove(&ip);
         } else if is.hall == self.own.hall {
             self.settled = true;
+            self.claiming.insert(ip, now);
         } else {
             self.in_halls.insert(is.hall.clone(), (said.in_hall, now));
             self.speaking.insert(ip, now);
@@ -179,6 +184,7 @@
         self.peers.retain(|_, peer| !gone(peer));
         self.followers.retain(|_, at| now.since(*at) < FOLLOWER_LASTS);
         self.speaking.retain(|_, at| now.since(*at) < ANSWER_LASTS);
+        self.claiming.retain(|_, at| now.since(*at) < ANSWER_LASTS);
         lost
     }
 
@@ -225,6 +231,11 @@
         if near.is_empty() { self.speakers(&self.own.hall, now) } else { near }
     }
 
+    /// Whether this gateway lends for a server of a hall, by which gateways it hears.
+    pub fn lends(&self, server: &str, hall: &str, now: Uptime) -> bool {
+        lender_of(server, &self.lenders(hall, now)) == Some(self.own.ip)
+    }
+
     /// The part of a limit that this gateway may lend for servers of a hall: that of the
     /// gateways for which it counts, over the most that were ever known of, since those that it
     /// does not hear may be cut off from it and send on. One that started while it was cut off
@@ -292,6 +303,9 @@
         if speaks {
             greeted.extend(self.followers());
             greeted.extend(self.far_speakers(now));
+            // One that was cut off takes itself for a speaker as long as it hears nobody, and
+            // those that it then greets have no other reason to answer.
+            greeted.extend(self.claiming.keys());
         }
         if speaks || round.is_multiple_of(FOLLOW_ROUNDS) {
             greeted.extend(self.speakers(&self.own.hall, now));
