--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -28,7 +28,7 @@
         echo "$what: DOES NOT COMPILE"
         tail -5 "$copy/log"
     else
-        echo "$what: caught by $(sed -n 's/^test \(.*\) \.\.\. FAILED$/\1/p' "$copy/log" | tr '\n' ' ')"
+        echo "$what: caught by $(sed -n 's/^    \([a-z_]*::[a-z_:]*\)$/\1/p' "$copy/log" | sort -u | tr '\n' ' ')"
     fi
     cp "$file" "$copy/$file"
 }
