Open the circle that limits had made among the gateway's files

Cause: the gateway's state holds what it borrows and which servers were logged once, and both stood in files that use the state; what is logged of servers and what is relayed used each other. Change: what the state holds has files of its own; both lines of a server's word stand in said. Conclusion: as layered as before.

--- a/src/mastweir/gateway/lending.rs
+++ b/src/mastweir/gateway/lending.rs
@@ -1,5 +1,6 @@
 //! Borrowing tokens for servers that name a limit, and lending them: the messages. Whom a
-//! gateway asks is decided by [`Borrower`], what it lends by [`Lender`].
+//! gateway asks is decided by [`Borrower`](mastweir_core::gateway::Borrower), what it lends by
+//! [`Lender`](mastweir_core::gateway::Lender).
 
 use super::{
     datagrams::send,
@@ -7,36 +8,16 @@
     state::Gateway,
 };
 use mastweir_core::{
-    gateway::{Ask, Borrower, Candidate, Lender, Loan, Needs, Refusal, Server, TOKEN_LASTS},
+    gateway::{Ask, Candidate, Loan, Needs, Refusal, Server, TOKEN_LASTS},
     time::Uptime,
 };
 use slog::info;
-use std::{cell::RefCell, net::IpAddr, rc::Rc, time::Duration};
-use tokio::{net::UdpSocket, sync::Notify, time};
+use std::{net::IpAddr, rc::Rc, time::Duration};
+use tokio::{net::UdpSocket, time};
 
 /// Least time between two rounds of asking; requests that find no server wait for it.
 const ASK_EVERY: Duration = Duration::from_millis(25);
 
-/// What a gateway borrows and lends.
-#[derive(Debug)]
-pub struct Lending {
-    borrower: RefCell<Borrower>,
-    lender: RefCell<Lender>,
-    /// Requests came that want tokens.
-    wake: Notify,
-}
-
-impl Lending {
-    /// Of a gateway that has just started. `first` is drawn.
-    pub fn new(own: IpAddr, first: u64) -> Self {
-        Self {
-            borrower: RefCell::new(Borrower::new(own, first)),
-            lender: RefCell::default(),
-            wake: Notify::new(),
-        }
-    }
-}
-
 /// A request came for a service.
 pub fn want(gateway: &Gateway, service: &str) {
     if gateway.fleet.borrow().has_limits() {
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod lending;
 mod limits;
 mod listen;
+mod loans;
 mod looks;
 pub mod message;
 mod peers;
@@ -32,6 +33,7 @@
 mod state;
 mod stream;
 mod suspects;
+mod told_once;
 mod unread;
 mod watch;
 
--- a/src/mastweir/gateway/relay.rs
+++ b/src/mastweir/gateway/relay.rs
@@ -10,14 +10,13 @@
     datagrams::send,
     fetch,
     message::{Greeting, LOADS_SENT, LeadSeen, Load, Loads, Message, Pace, Report},
-    said::log_limit,
+    said::{log_leaves, log_limit},
     state::Gateway,
 };
 use mastweir_core::{
     gateway::{News, Server, Told},
     time::Uptime,
 };
-use slog::info;
 use std::{
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
@@ -182,11 +181,6 @@
     }
 }
 
-/// The line of a server that says itself that it leaves, whatever the store's list says.
-pub fn log_leaves(gateway: &Gateway, id: &str, from: &'static str) {
-    info!(gateway.log, "server leaves"; "server" => id, "from" => from);
-}
-
 /// Keeps the coordinator with the highest token, and when its last poll was heard of.
 fn heard_of(gateway: &Gateway, lead: LeadSeen, now: Uptime) {
     let at = now - Duration::from_millis(u64::from(lead.age_ms));
--- a/src/mastweir/gateway/said.rs
+++ b/src/mastweir/gateway/said.rs
@@ -4,7 +4,7 @@
 //! All of it is about the server, and binds the requests that come; what the answer says of
 //! its own request is read in `attempt`.
 
-use super::{call::Call, relay::log_leaves, state::Gateway};
+use super::{call::Call, state::Gateway};
 use crate::platform::headers::{AnswerHead, NamedLimit};
 use hyper::StatusCode;
 use mastweir_core::{
@@ -12,22 +12,6 @@
     time::Uptime,
 };
 use slog::{info, warn};
-use std::{cell::RefCell, collections::HashSet};
-
-/// Servers that are remembered for a limit that can't be read: the log must not fill.
-const UNREAD_MAX: usize = 256;
-
-/// Servers whose unreadable limit was logged.
-#[derive(Debug, Default)]
-pub struct Unread(RefCell<HashSet<String>>);
-
-impl Unread {
-    /// Whether it is the first time for a server.
-    fn is_first(&self, server: &str) -> bool {
-        let mut told = self.0.borrow_mut();
-        told.len() < UNREAD_MAX && !told.contains(server) && told.insert(server.to_owned())
-    }
-}
 
 /// An answer whose head was read.
 #[derive(Clone, Copy, Debug)]
@@ -96,3 +80,8 @@
         "before_per_s" => change.before.map(|rate| rate.requests()),
         "now_per_s" => change.now.map(|rate| rate.requests()));
 }
+
+/// The line of a server that says itself that it leaves, whatever the store's list says.
+pub fn log_leaves(gateway: &Gateway, id: &str, from: &'static str) {
+    info!(gateway.log, "server leaves"; "server" => id, "from" => from);
+}
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -1,6 +1,8 @@
 //! What a gateway knows, shared by its tasks on one thread.
 
-use super::{lending::Lending, looks::Looks, message::LeadSeen, said::Unread, settings::Settings};
+use super::{
+    loans::Lending, looks::Looks, message::LeadSeen, settings::Settings, told_once::Unread,
+};
 use crate::{
     net::http::Pool,
     platform::store::Store,
