--- a/crates/mastweir-core/src/gateway/choice.rs
+++ b/crates/mastweir-core/src/gateway/choice.rs
@@ -9,6 +9,7 @@
     admission::{ServiceLoad, StreamRequest},
     directory::Server,
     fleet::Fleet,
+    homes::Homes,
     score::Score,
     server_notices::Exclusion,
     status::{LoadReport, REPORT_VALIDITY},
@@ -22,6 +23,8 @@
 pub enum Refusal {
     /// The service has no known server that may serve the request.
     NoServer,
+    /// The halls of all its servers are evacuated, or no home of the request.
+    NoHall,
     /// All servers are full.
     Full,
     /// The rank groups of all servers are stalled.
@@ -74,6 +77,8 @@
     pub gap_ms: f64,
     /// Set if the request is subject to admission by the mean load of the service.
     pub stream: Option<StreamRequest>,
+    /// Regions to which the request is confined.
+    pub homes: Homes<'a>,
 }
 
 impl Fleet {
@@ -100,7 +105,7 @@
         // Exclusions are checked before load: a server that rejects everything looks idle.
         let may_serve = |id: &str| {
             let is_tried = tried.iter().any(|other| other == id);
-            !is_tried && self.exclusion(id, now).is_none()
+            !is_tried && self.exclusion(id, now).is_none() && self.is_home(id, needs.homes)
         };
         let untried: Vec<&String> =
             ready.iter().filter(|id| may_serve(id) && self.registry.is_current(id, now)).collect();
@@ -118,16 +123,25 @@
         let (silent, reporting): (Vec<&String>, Vec<&String>) =
             open.iter().copied().partition(is_silent);
         if reporting.is_empty()
-            && let Some(refusal) = self.exclusion_refusal(ready, now)
+            && let Some(refusal) = self.exclusion_refusal(ready, needs.homes, now)
         {
             return Err(refusal);
         }
         // If no server looks reachable, the fault is more likely on this gateway's side.
         let reachable = [reporting, open, untried].into_iter().find(|ids| !ids.is_empty());
         let Some(reachable) = reachable else {
-            let missing =
-                self.registry.last_resort(service, may_serve, now).ok_or(Refusal::NoServer)?;
-            return Ok(self.candidate(missing, Score::default(), now));
+            let is_open = |server: &Server| {
+                !tried.contains(&server.id)
+                    && self.exclusion(&server.id, now).is_none()
+                    && self.is_hall_open(server, needs.homes, now)
+            };
+            let missing = self.registry.last_resort(service, is_open, now);
+            let refusal = if self.is_any_hall_open(ready, needs.homes, now) {
+                Refusal::NoServer
+            } else {
+                Refusal::NoHall
+            };
+            return Ok(self.candidate(missing.ok_or(refusal)?, Score::default(), now));
         };
         let usable = self.without_failing(reachable, now);
         if let Some(stream) = needs.stream {
@@ -169,7 +183,8 @@
     fn is_usable(&self, id: &String, needs: Requirements<'_>, now: Uptime) -> bool {
         let ready = self.registry.ready(needs.service);
         let is_limited = matches!(self.exclusion(id, now), Some(Exclusion::Limited(_)));
-        if !is_limited || needs.tried.contains(id) || !ready.contains(id) {
+        let is_unfit = needs.tried.contains(id) || !self.is_home(id, needs.homes);
+        if !is_limited || is_unfit || !ready.contains(id) {
             return false;
         }
         let most_servers_report = self.most_servers_report(ready, now);
@@ -181,12 +196,27 @@
         !is_avoided && self.registry.is_current(id, now)
     }
 
+    /// Whether a listed server is in a home of the request.
+    fn is_home(&self, id: &str, homes: Homes<'_>) -> bool {
+        // Spares the look-up, as most requests have no homes.
+        homes.is_empty()
+            || self.registry.server(id).is_some_and(|server| self.is_in_home(server, homes))
+    }
+
+    /// Whether requests may be sent to the hall of any of these servers. True without servers,
+    /// since their halls are unknown then.
+    fn is_any_hall_open(&self, ids: &[String], homes: Homes<'_>, now: Uptime) -> bool {
+        let servers = ids.iter().filter_map(|id| self.registry.server(id));
+        ids.is_empty() || servers.into_iter().any(|server| self.is_hall_open(server, homes, now))
+    }
+
     /// Returns the refusal of the temporary exclusion that ends first, if any server has one.
-    fn exclusion_refusal(&self, ids: &[String], now: Uptime) -> Option<Refusal> {
-        let refusals = ids.iter().filter_map(|id| match self.exclusion(id, now)? {
+    fn exclusion_refusal(&self, ids: &[String], homes: Homes<'_>, now: Uptime) -> Option<Refusal> {
+        let ids = ids.iter().filter(|id| self.is_home(id, homes));
+        let refusals = ids.filter_map(|id| match self.exclusion(id, now)? {
             Exclusion::Backoff(left) => Some((left, Refusal::Backoff(left))),
             Exclusion::Limited(left) => Some((left, Refusal::Limited(left))),
-            Exclusion::Leaving => None,
+            Exclusion::Leaving | Exclusion::Evacuated => None,
         });
         refusals.min_by_key(|(left, _)| *left).map(|(_, refusal)| refusal)
     }
--- a/crates/mastweir-core/src/gateway/config.rs
+++ b/crates/mastweir-core/src/gateway/config.rs
@@ -50,6 +50,8 @@
     pub public: bool,
     /// Whether a stream may be resumed by another server.
     pub resumable: bool,
+    /// Regions to which its requests are confined; empty for none.
+    pub homes: Vec<String>,
 }
 
 impl Route {
@@ -111,6 +113,8 @@
     pub connections: u32,
     /// Set if the servers run a model.
     pub model: Option<Model>,
+    /// Requests a second that a cold server takes from all clients together; zero for no bound.
+    pub warmup_per_s: f64,
 }
 
 /// Limits on requests of clients.
@@ -143,6 +147,8 @@
     pub services: HashMap<String, Service>,
     /// Customers by key; `None` if requests need no key.
     pub customers: Option<HashMap<String, String>>,
+    /// Regions to which the requests of a customer are confined, for customers that have any.
+    pub customer_homes: HashMap<String, Vec<String>>,
     pub limits: Limits,
 }
 
--- a/crates/mastweir-core/src/gateway/directory.rs
+++ b/crates/mastweir-core/src/gateway/directory.rs
@@ -29,6 +29,8 @@
     /// Requests that the server runs at once.
     pub slots: u32,
     pub state: ServerState,
+    /// Milliseconds for which the server is still cold, as of the entry's last change.
+    pub warmup_ms: u32,
     /// Revision at which the entry last changed.
     pub changed: Revision,
 }
--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -8,11 +8,14 @@
 use super::{
     admission::ServiceLoad,
     directory::{Directory, DirectoryChange, Server},
+    evacuations::{EvacuationList, Evacuations},
+    homes::Homes,
     permit_pool::PermitPool,
     rate_limits::{LimitChange, LimitReport, LimitUpdate, Rate, RateLimits},
     registry::ServerRegistry,
     server_notices::{Exclusion, ServerNotices},
     status::{LoadReport, REPORT_VALIDITY, SILENT_AFTER, ServerStatus},
+    warmups::Warmups,
 };
 use crate::{revision::Revision, time::Uptime};
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
@@ -43,6 +46,10 @@
     pub(super) notices: ServerNotices,
     pub(super) limits: RateLimits,
     pub(super) permits: PermitPool,
+    warmups: Warmups,
+    evacuations: Evacuations,
+    /// Region of each hall.
+    regions: HashMap<String, String>,
     /// By group.
     pub(super) forecasts: HashMap<String, PassForecast>,
     /// Last computed load of each service.
@@ -74,6 +81,27 @@
         Self { hall: hall.to_owned(), ..Self::default() }
     }
 
+    /// Sets the regions of the halls.
+    #[must_use]
+    pub fn with_regions(self, regions: HashMap<String, String>) -> Self {
+        Self { regions, ..self }
+    }
+
+    /// Sets the requests a second that a cold server takes, by service.
+    pub fn set_warmup_rates(&mut self, rates: HashMap<String, f64>) {
+        self.warmups.set_rates(rates);
+    }
+
+    /// Returns the evacuated halls.
+    pub const fn evacuations(&self) -> &EvacuationList {
+        self.evacuations.list()
+    }
+
+    /// Replaces the list of evacuated halls. Returns false if the list is not newer.
+    pub fn replace_evacuations(&mut self, list: EvacuationList, now: Uptime) -> bool {
+        self.evacuations.replace(list, now)
+    }
+
     /// Returns the current list of servers.
     pub const fn directory(&self) -> &Directory {
         self.registry.directory()
@@ -90,6 +118,7 @@
             status.listed_at.get_or_insert(now);
             status.set_incarnation(server.incarnation);
         }
+        self.warmups.record(self.registry.directory().servers.values(), now);
         self.forget_removed(now);
         true
     }
@@ -307,16 +336,51 @@
     /// Returns why a server gets no requests at present, if it excluded itself.
     pub fn exclusion(&self, id: &str, now: Uptime) -> Option<Exclusion> {
         // Fast path: each choice checks all servers, and usually none is excluded.
-        if self.notices.is_empty() && self.limits.is_empty() {
+        let is_any_excluded = !self.notices.is_empty() || self.needs_permits();
+        if !is_any_excluded && self.evacuations.is_empty() {
             return None;
         }
+        let hall = self.registry.server(id).map_or("", |server| server.hall.as_str());
+        if self.evacuations.includes(hall, now) {
+            return Some(Exclusion::Evacuated);
+        }
         let incarnation = self.statuses.get(id).map_or(0, |status| status.incarnation);
         let exclusion = self.notices.exclusion(id, incarnation, now);
-        exclusion.or_else(|| {
-            self.limits
-                .rate(id, incarnation)
-                .map(|_| Exclusion::Limited(self.permits.wait(id, now)))
-        })
+        let is_limited = || self.permit_rate(id, now).is_some();
+        exclusion.or_else(|| is_limited().then(|| Exclusion::Limited(self.permits.wait(id, now))))
+    }
+
+    /// Whether a server is in a home of a request.
+    pub(super) fn is_in_home(&self, server: &Server, homes: Homes<'_>) -> bool {
+        homes.include(&server.hall, &self.regions)
+    }
+
+    /// Whether a request with these homes may be sent to a server's hall.
+    pub(super) fn is_hall_open(&self, server: &Server, homes: Homes<'_>, now: Uptime) -> bool {
+        self.is_in_home(server, homes) && !self.evacuations.includes(&server.hall, now)
+    }
+
+    /// Whether any server needs permits.
+    pub fn needs_permits(&self) -> bool {
+        !self.limits.is_empty() || !self.warmups.is_empty()
+    }
+
+    /// Returns the rate for which permits are granted for a server, in requests a second; `None`
+    /// if it needs none.
+    pub fn permit_rate(&self, id: &str, now: Uptime) -> Option<Rate> {
+        let cold = self.registry.server(id).and_then(|server| self.warmups.rate(server, now));
+        match (self.limit(id), cold) {
+            (Some(limit), Some(cold)) => Some(limit.min(cold)),
+            (limit, cold) => limit.or(cold),
+        }
+    }
+
+    /// Returns the listed servers that need permits.
+    pub fn permit_servers(&self, now: Uptime) -> impl Iterator<Item = &Server> {
+        let has_no_limit = |id: &&str| self.limit(id).is_none();
+        let cold = self.warmups.cold(now).filter(has_no_limit);
+        let cold = cold.filter_map(|id| self.registry.server(id));
+        self.limited().chain(cold)
     }
 
     /// Whether any server has a rate limit.
@@ -334,7 +398,7 @@
         self.limits.limited().filter_map(|(id, _)| self.registry.server(id))
     }
 
-    /// Returns the rate-limited servers of a service for which permits should be requested.
+    /// Returns the servers of a service for which permits should be requested.
     pub fn permits_missing(&self, service: &str, now: Uptime) -> Vec<&Server> {
         let ready = self.registry.ready(service).iter();
         let is_missing = |id: &&String| {
@@ -356,7 +420,7 @@
 
     /// Takes a permit for a request to a server; returns false if there is none or no limit.
     pub fn take_permit(&mut self, id: &str, now: Uptime) -> bool {
-        self.limit(id).is_some() && self.permits.take(id, now)
+        self.permit_rate(id, now).is_some() && self.permits.take(id, now)
     }
 
     /// Whether a request may be sent to a server now. The server may have stated a limit since
@@ -365,7 +429,7 @@
         match self.exclusion(id, now) {
             None => true,
             Some(Exclusion::Limited(_)) => has_permit || self.permits.take(id, now),
-            Some(Exclusion::Leaving | Exclusion::Backoff(_)) => false,
+            Some(Exclusion::Leaving | Exclusion::Evacuated | Exclusion::Backoff(_)) => false,
         }
     }
 
--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -7,8 +7,8 @@
 //! stream ([`StreamRequest`]), and chooses a server ([`Fleet`]). After an attempt it decides
 //! what the outcome proves and what to do next ([`Proof`], [`next_action`]), and whether a retry
 //! is within the budget ([`RetryWindow`]). Requests that crash servers are quarantined
-//! ([`PoisonRequests`]). A server that states a rate limit gets only requests with a permit
-//! ([`PermitIssuer`]). Event streams are split into complete events ([`EventSplitter`]), so
+//! ([`PoisonRequests`]). A server that states a rate limit, or that is cold, gets only requests with a permit
+//! ([`PermitIssuer`]); the servers of an evacuated hall get none ([`EvacuationList`]). Event streams are split into complete events ([`EventSplitter`]), so
 //! that another server can resume them. Data of the platform's store is used only while the
 //! store is known to answer ([`Liveness`]).
 
@@ -17,9 +17,11 @@
 mod config;
 mod deferral;
 mod directory;
+mod evacuations;
 mod event_splitter;
 mod fingerprint;
 mod fleet;
+mod homes;
 mod lag;
 mod listeners;
 mod liveness;
@@ -38,15 +40,18 @@
 mod server_notices;
 mod status;
 mod stream_timing;
+mod warmups;
 
 pub use admission::StreamRequest;
 pub use choice::{Candidate, Refusal, Requirements};
 pub use config::{Config, Kind, Limits, Model, PassCost, Route, RouteIndex, Service, Target};
 pub use deferral::max_deferral;
 pub use directory::{Directory, DirectoryChange, Server, ServerState};
+pub use evacuations::EvacuationList;
 pub use event_splitter::EventSplitter;
 pub use fingerprint::{Fingerprint, RequestParts};
 pub use fleet::{Fleet, ReportChanges};
+pub use homes::Homes;
 pub use lag::{Lag, Versions};
 pub use listeners::Listeners;
 pub use liveness::{Liveness, PROBE_TIMEOUT, ProbeResult, WatchFailure};
--- a/crates/mastweir-core/src/gateway/peers.rs
+++ b/crates/mastweir-core/src/gateway/peers.rs
@@ -117,6 +117,8 @@
     max_known: u32,
     /// Whether a hello of a relay of the own hall was received.
     settled: bool,
+    /// The relays of the own hall at the last update, and since when they are the same.
+    own_relays: (Vec<IpAddr>, Uptime),
 }
 
 impl Peers {
@@ -131,6 +133,7 @@
             hall_sizes: HashMap::new(),
             max_known: 1,
             settled: false,
+            own_relays: (Vec::new(), Uptime::default()),
         }
     }
 
@@ -239,6 +242,22 @@
         issuer_of(server, &self.issuers(hall, now)) == Some(self.own.ip)
     }
 
+    /// Records the relays of the own hall. Called at intervals.
+    pub fn update_relays(&mut self, now: Uptime) {
+        let relays = self.relays(&self.own.hall, now);
+        if relays != self.own_relays.0 {
+            self.own_relays = (relays, now);
+        }
+    }
+
+    /// Returns since when the issuer of a server of a hall is the same: since the relays of the
+    /// own hall last changed. Changes of the relays of other halls are not noticed in time.
+    pub fn issuer_since(&self, hall: &str, now: Uptime) -> Uptime {
+        let (relays, since) = &self.own_relays;
+        let is_same = hall == self.own.hall && *relays == self.relays(hall, now);
+        if is_same { *since } else { now }
+    }
+
     /// Returns the share of a rate limit for which this gateway may grant permits to servers
     /// of a hall: the number of live gateways that it serves, over the largest number ever
     /// known, since gateways that are not heard from may be cut off and still send requests.
--- a/crates/mastweir-core/src/gateway/permit_issuer.rs
+++ b/crates/mastweir-core/src/gateway/permit_issuer.rs
@@ -18,7 +18,7 @@
 /// Time for which a permit is valid after it was requested.
 pub const PERMIT_LIFETIME: Duration = Duration::from_millis(500);
 /// Time for which unused permits accumulate. The bucket holds one permit more.
-const BURST_WINDOW: Duration = Duration::from_millis(250);
+pub(super) const BURST_WINDOW: Duration = Duration::from_millis(250);
 /// Lowest rate of permits, even if the limit is lower or zero. Some requests must reach the
 /// server, since the end of its limit may be stated only in answers.
 const MIN_PER_S: f64 = 0.05;
@@ -61,9 +61,20 @@
     /// Sets the servers for which this gateway is the issuer from now on. Keeps the buckets of
     /// those for which it was the issuer already.
     pub fn set_servers<'a>(&mut self, ids: impl Iterator<Item = &'a str>, now: Uptime) {
+        self.set_servers_since(ids.map(|id| (id, now)), now);
+    }
+
+    /// Does the same for servers of which this gateway would have been the issuer since a time,
+    /// had they needed permits. A server that is cold for a few seconds gets requests within
+    /// them only if no handover can be under way.
+    pub fn set_servers_since<'a>(
+        &mut self,
+        servers: impl Iterator<Item = (&'a str, Uptime)>,
+        now: Uptime,
+    ) {
         let mut buckets = std::mem::take(&mut self.0);
-        for id in ids {
-            let at = now + HANDOVER_DELAY;
+        for (id, since) in servers {
+            let at = now.max(since + HANDOVER_DELAY);
             let new = Bucket { active_from: at, permits: 0.0, updated: at, wait_until: at };
             self.0.insert(id.to_owned(), buckets.remove(id).unwrap_or(new));
         }
--- a/crates/mastweir-core/src/gateway/registry.rs
+++ b/crates/mastweir-core/src/gateway/registry.rs
@@ -178,13 +178,11 @@
     pub(super) fn last_resort(
         &self,
         service: &str,
-        may_serve: impl Fn(&str) -> bool,
+        may_serve: impl Fn(&Server) -> bool,
         now: Uptime,
     ) -> Option<&Server> {
         let is_match = |(server, since): &&(Server, Uptime)| {
-            server.service == service
-                && may_serve(&server.id)
-                && now.since(*since) < MISSING_RETENTION
+            server.service == service && may_serve(server) && now.since(*since) < MISSING_RETENTION
         };
         self.missing.values().find(is_match).map(|(server, _)| server)
     }
--- a/crates/mastweir-core/src/gateway/server_notices.rs
+++ b/crates/mastweir-core/src/gateway/server_notices.rs
@@ -18,9 +18,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Exclusion {
     Leaving,
+    /// The hall of the server is evacuated.
+    Evacuated,
     /// The server wants no requests for this time.
     Backoff(Duration),
-    /// The server states a rate limit and gets only requests with a permit. Contains the time
+    /// The server states a rate limit or is cold, and gets only requests with a permit. The time
     /// until a permit may be granted, or zero if that is unknown.
     Limited(Duration),
 }
--- a/crates/mastweir-model/src/gateway.rs
+++ b/crates/mastweir-model/src/gateway.rs
@@ -3,8 +3,8 @@
 use crate::scenario::Scenario;
 use mastweir_core::{
     gateway::{
-        Candidate, Directory, Fleet, PeerInfo, Peers, PermitIssuer, PermitRequester, Refusal,
-        Requirements, Server, ServerState,
+        Candidate, Directory, Fleet, Homes, PeerInfo, Peers, PermitIssuer, PermitRequester,
+        Refusal, Requirements, Server, ServerState,
     },
     revision::Revision,
     time::Uptime,
@@ -115,8 +115,14 @@
         now: Uptime,
         rng: &mut SmallRng,
     ) -> Result<Candidate, Refusal> {
-        let needs =
-            Requirements { service: SERVICE, tried, max_load: 3.0, gap_ms: 0.0, stream: None };
+        let needs = Requirements {
+            service: SERVICE,
+            tried,
+            max_load: 3.0,
+            gap_ms: 0.0,
+            stream: None,
+            homes: Homes::default(),
+        };
         self.fleet.choose(needs, now, rng)
     }
 }
@@ -130,6 +136,7 @@
         hall: hall(number % scenario.halls),
         slots: SLOTS,
         state: ServerState::Ready,
+        warmup_ms: 0,
         changed: Revision::new(0, 1),
     };
     let servers: BTreeMap<String, Server> =
--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 use slog::{Logger, o};
 use std::{
+    collections::HashMap,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     sync::{
         Arc,
@@ -108,6 +109,8 @@
 pub struct Site {
     /// The store's objects.
     pub platform: Arc<Platform>,
+    /// Whether gateways follow evacuations.
+    pub has_evacuations: bool,
     ips: Vec<IpAddr>,
     ports: Ports,
 }
@@ -135,7 +138,7 @@
         let ips: Vec<IpAddr> = (1..=gateways).map(ip).collect();
         let ports = free_ports(&ips, 3)?;
         let ports = Ports { internal: ports[0], callers: ports[1], ready: ports[2] };
-        Ok(Self { platform: Platform::new(), ips, ports })
+        Ok(Self { platform: Platform::new(), has_evacuations: false, ips, ports })
     }
 
     /// Writes a configuration into the store.
@@ -220,6 +223,8 @@
                 retry_window: Duration::from_secs(10),
                 retry_extra: 90.0,
             },
+            regions: HashMap::new(),
+            has_evacuations: self.has_evacuations,
         };
         let (sender, receiver) = watch::channel(settings);
         let clock = Clock::start();
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -8,7 +8,7 @@
     header::{HOST, HeaderValue},
 };
 use mastweir_core::{
-    gateway::{Fingerprint, Quarantine, RequestParts, Requirements, Route, StreamRequest},
+    gateway::{Fingerprint, Homes, Quarantine, RequestParts, Requirements, Route, StreamRequest},
     time::Uptime,
 };
 use std::{cell::OnceCell, rc::Rc, time::Duration};
@@ -86,7 +86,20 @@
     /// `max_load` is the highest load of an acceptable server, as a fraction of its slots.
     pub fn requirements<'a>(&'a self, tried: &'a [String], max_load: f64) -> Requirements<'a> {
         let gap_ms = self.route().gap_ms as f64;
-        Requirements { service: &self.service, tried, max_load, gap_ms, stream: None }
+        Requirements {
+            service: &self.service,
+            tried,
+            max_load,
+            gap_ms,
+            stream: None,
+            homes: self.homes(),
+        }
+    }
+
+    fn homes(&self) -> Homes<'_> {
+        let config = &self.active.config;
+        let customer = self.customer.as_ref().and_then(|name| config.customer_homes.get(name));
+        Homes { route: &self.route().homes, customer: customer.map_or(&[], Vec::as_slice) }
     }
 
     /// Returns what a request needs of a server if it is still subject to admission control.
--- a/src/mastweir/gateway/crash_probe.rs
+++ b/src/mastweir/gateway/crash_probe.rs
@@ -8,7 +8,7 @@
 
 use super::{call::Call, quarantine, state::Gateway};
 use crate::net::http::Connection;
-use mastweir_core::gateway::{Candidate, Fingerprint};
+use mastweir_core::gateway::{Candidate, Exclusion, Fingerprint};
 use slog::info;
 use std::{rc::Rc, time::Duration};
 use tokio::{task, time};
@@ -72,6 +72,11 @@
         return PortState::Open;
     }
     *open = None;
+    if gateway.fleet.borrow().exclusion(&server.id, gateway.clock.now())
+        == Some(Exclusion::Evacuated)
+    {
+        return PortState::Unknown;
+    }
     match gateway.server_pool.open(server.addr, PROBE_TIMEOUT).await {
         Ok(connection) => {
             *open = Some(connection);
--- a/src/mastweir/gateway/final_answer.rs
+++ b/src/mastweir/gateway/final_answer.rs
@@ -40,6 +40,7 @@
         Refusal::Backoff(_) => "backoff",
         Refusal::Limited(_) => "limited",
         Refusal::NoServer => "no_server",
+        Refusal::NoHall => "no_hall",
     };
     gateway.metrics.count("refusals_total", reason);
     info!(gateway.log, "no server found"; "id" => &call.head.id, "service" => &call.service,
@@ -77,7 +78,7 @@
             gateway.rng.borrow_mut().random_range(RETRY_AFTER_OVERLOAD)
         }
         Refusal::Full => RETRY_AFTER_FULL,
-        Refusal::Stalled | Refusal::NoServer => RETRY_AFTER_DOWN,
+        Refusal::Stalled | Refusal::NoServer | Refusal::NoHall => RETRY_AFTER_DOWN,
         Refusal::Limited(left) if left.is_zero() => RETRY_AFTER_LIMITED,
         Refusal::Backoff(left) | Refusal::Limited(left) => {
             left + gateway.rng.borrow_mut().random_range(RETRY_AFTER_JITTER)
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -90,7 +90,7 @@
     let arrived = gateway.clock.now();
     let (parts, body) = request.into_parts();
     let head = headers::read_request(&parts.headers);
-    let Some(active) = gateway.active() else {
+    let Some(active) = gateway.active().filter(|_| gateway.knows_evacuations()) else {
         return Err(refuse(gateway, &head.id, StatusCode::SERVICE_UNAVAILABLE, "no_config"));
     };
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
@@ -235,8 +235,8 @@
         };
         let is_final = |refusal: &Refusal| {
             let wait = match refusal {
-                // The caller gets `Retry-After` instead.
-                Refusal::Backoff(_) => return true,
+                // Waiting does not help: the caller gets `Retry-After` instead.
+                Refusal::Backoff(_) | Refusal::NoHall => return true,
                 Refusal::Limited(wait) => CHOICE_INTERVAL_MIN.max(*wait),
                 _ => CHOICE_INTERVAL_MIN,
             };
--- a/src/mastweir/gateway/limit_gossip.rs
+++ b/src/mastweir/gateway/limit_gossip.rs
@@ -26,7 +26,7 @@
 pub async fn run(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut round = 0_u32;
     loop {
-        if gateway.fleet.borrow().has_limits() {
+        if gateway.fleet.borrow().needs_permits() {
             permits::update_issuer(&gateway);
             send_updates(&gateway, &socket, round);
         }
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -69,6 +69,9 @@
     task::spawn_local(watch::config(gateway.clone()));
     task::spawn_local(watch::servers(gateway.clone()));
     task::spawn_local(watch::quarantine(gateway.clone()));
+    if gateway.settings.borrow().has_evacuations {
+        task::spawn_local(watch::evacuations(gateway.clone()));
+    }
     task::spawn_local(peers::run(gateway.clone(), socket));
     task::spawn_local(sweep(gateway.clone()));
     task::spawn_local(serve_ready(gateway.clone(), ready_listener));
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -7,7 +7,7 @@
 //! receives in proportion to either.
 
 use mastweir_core::{
-    gateway::{LimitUpdate, LoadReport, Model, PeerInfo, SuspectReport},
+    gateway::{EvacuationList, LimitUpdate, LoadReport, Model, PeerInfo, SuspectReport},
     revision::Revision,
     switch::{
         map_change::{OrderOutcome, RankState},
@@ -98,6 +98,8 @@
     pub config: u64,
     /// Revision of its list of servers.
     pub directory: Revision,
+    /// The evacuated halls, which are few.
+    pub evacuations: EvacuationList,
     pub leaving: bool,
     /// Whether it knows no other live gateway of its hall, and wants a hello in reply.
     pub wants_reply: bool,
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -80,6 +80,7 @@
         hall_size,
         fleet_size,
         known_peers,
+        evacuations,
         ..
     } = hello;
     {
@@ -88,6 +89,7 @@
         gateways.record_hello(peer, PeerState { leaving, is_follower, hall_size, fleet_size }, now);
         known_peers.into_iter().for_each(|info| gateways.record_mention(info, now));
     }
+    gateway.adopt_evacuations(evacuations, &from.to_string());
     gateway.peer_config.set(gateway.peer_config.get().max(Some(hello.config)));
     if wants_reply {
         let addr = gateway.internal_addr(from);
@@ -119,6 +121,7 @@
         power: settings.power,
         config: gateway.version(),
         directory: gateway.fleet.borrow().directory().revision,
+        evacuations: gateway.fleet.borrow().evacuations().clone(),
         leaving: gateway.stopping.get(),
         wants_reply: gateways.is_isolated(now),
         is_follower: !gateway.is_relay.get(),
@@ -157,6 +160,7 @@
         let settings = gateway.settings.borrow();
         settings.seeds.contains(&settings.ip)
     };
+    gateway.gateways.borrow_mut().update_relays(now);
     let gateways = gateway.gateways.borrow();
     let (is_relay, is_watcher) =
         (gateways.is_relay(is_seed, now), gateways.is_watcher(is_seed, now));
--- a/src/mastweir/gateway/permits.rs
+++ b/src/mastweir/gateway/permits.rs
@@ -26,7 +26,7 @@
 
 /// Counts a call as demand for permits of its service, if any server names a rate limit.
 pub fn add_demand(gateway: &Gateway, service: &str) {
-    if gateway.fleet.borrow().has_limits() {
+    if gateway.fleet.borrow().needs_permits() {
         gateway.permits.requester.borrow_mut().add_demand(service);
         gateway.permits.demand_added.notify_one();
     }
@@ -93,8 +93,9 @@
     let (fleet, peers) = (gateway.fleet.borrow(), gateway.gateways.borrow());
     let issues =
         |server: &Server| !gateway.stopping.get() && peers.is_issuer(&server.id, &server.hall, now);
-    let issued = fleet.limited().filter(|server| issues(server));
-    gateway.permits.issuer.borrow_mut().set_servers(issued.map(|server| server.id.as_str()), now);
+    let issued = fleet.permit_servers(now).filter(|server| issues(server));
+    let issued = issued.map(|server| (server.id.as_str(), peers.issuer_since(&server.hall, now)));
+    gateway.permits.issuer.borrow_mut().set_servers_since(issued, now);
 }
 
 /// Grants permits for a server to the gateway at `to`.
@@ -103,7 +104,7 @@
     let fleet = gateway.fleet.borrow();
     let hall = fleet.directory().servers.get(&server).map_or("", |server| server.hall.as_str());
     // The issuer raises the rate of a server whose limit isn't known yet to a minimum.
-    let per_s = fleet.limit(&server).map_or(0.0, |rate| rate.requests());
+    let per_s = fleet.permit_rate(&server, now).map_or(0.0, |rate| rate.requests());
     let share = gateway.gateways.borrow().limit_share(hall, now);
     let mut issuer = gateway.permits.issuer.borrow_mut();
     let PermitGrant { count, wait } = issuer.grant(&server, per_s * share, wanted, now);
--- a/src/mastweir/gateway/settings.rs
+++ b/src/mastweir/gateway/settings.rs
@@ -3,6 +3,7 @@
 //! They are read from the platform's settings file, see [`crate::platform::settings`].
 
 use std::{
+    collections::HashMap,
     io,
     net::{IpAddr, SocketAddr},
     path::PathBuf,
@@ -32,6 +33,10 @@
     /// CPU share of the instance, in thousandths of a core.
     pub power: u32,
     pub bounds: Bounds,
+    /// Region of each hall.
+    pub regions: HashMap<String, String>,
+    /// Whether operators may evacuate halls, so that gateways follow evacuations.
+    pub has_evacuations: bool,
 }
 
 /// Bounds that the operators guarantee.
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -15,8 +15,8 @@
 };
 use mastweir_core::{
     gateway::{
-        Candidate, Config, Directory, Fleet, PeerInfo, Peers, PoisonRequests, Refusal,
-        Requirements, RetryDetector, RetryWindow, Route, RouteIndex,
+        Candidate, Config, Directory, EvacuationList, Fleet, PeerInfo, Peers, PoisonRequests,
+        Refusal, Requirements, RetryDetector, RetryWindow, Route, RouteIndex,
     },
     time::Uptime,
 };
@@ -24,7 +24,7 @@
 use slog::{Logger, info};
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -135,7 +135,7 @@
             outages: Notify::new(),
             server_pool: Pool::default(),
             internal_pool: Pool::default(),
-            fleet: RefCell::new(Fleet::new(&settings.hall)),
+            fleet: RefCell::new(Fleet::new(&settings.hall).with_regions(settings.regions.clone())),
             rng: RefCell::new(rng),
             gateways: RefCell::new(Peers::new(PeerInfo {
                 ip: settings.ip,
@@ -174,7 +174,8 @@
 
     /// Returns whether the platform's balancer may send callers to this gateway.
     pub fn is_ready(&self) -> bool {
-        let has_lists = self.version() > 0 && self.fleet.borrow().directory().revision.is_some();
+        let has_servers = self.fleet.borrow().directory().revision.is_some();
+        let has_lists = self.version() > 0 && has_servers && self.knows_evacuations();
         let is_starting = self.clock.now().since(Uptime::default()) < STARTUP_WAIT;
         // A store that was restored from an older copy may return an older version than other
         // gateways have.
@@ -183,6 +184,12 @@
         has_lists && !is_behind && !self.stopping.get()
     }
 
+    /// Returns whether the evacuated halls are known, where operators may evacuate any.
+    pub fn knows_evacuations(&self) -> bool {
+        let has_evacuations = self.settings.borrow().has_evacuations;
+        !has_evacuations || self.fleet.borrow().evacuations().revision.is_some()
+    }
+
     /// Adopts a configuration if it is newer. `from` is its source, for the log.
     pub fn adopt_config(&self, config: Config, from: &str) {
         if config.version <= self.version() {
@@ -190,6 +197,9 @@
         }
         info!(self.log, "configuration adopted"; "version" => config.version, "before" => self.version(),
             "routes" => config.routes.len(), "from" => from);
+        let rates = config.services.iter().filter(|(_, service)| service.warmup_per_s > 0.0);
+        let rates = rates.map(|(name, service)| (name.clone(), service.warmup_per_s));
+        self.fleet.borrow_mut().set_warmup_rates(rates.collect());
         let index = RouteIndex::new(&config);
         *self.active.borrow_mut() = Some(Rc::new(ActiveConfig { config, index }));
     }
@@ -229,6 +239,21 @@
         is_newer
     }
 
+    /// Adopts a list of evacuated halls if it is newer. `from` is its source, for the log.
+    pub fn adopt_evacuations(&self, list: EvacuationList, from: &str) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let before = fleet.evacuations().clone();
+        if !fleet.replace_evacuations(list, now) || fleet.evacuations().halls == before.halls {
+            return;
+        }
+        let EvacuationList { revision, halls } = fleet.evacuations();
+        let names = |halls: &BTreeSet<String>| Vec::from_iter(halls.iter().cloned()).join(",");
+        info!(self.log, "evacuations changed"; "revision" => %revision, "from" => from,
+            "before" => names(&before.halls), "now" => names(halls));
+        self.metrics.count("evacuation_changes_total", "adopted");
+    }
+
     /// Drops servers whose entries expired during an outage of the store and did not reappear.
     pub fn drop_expired(&self) {
         for server in self.fleet.borrow_mut().drop_expired(self.clock.now()) {
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -12,10 +12,10 @@
     store::StoreError,
 };
 use mastweir_core::{
-    gateway::{Config, Directory, Server},
+    gateway::{Config, Directory, EvacuationList, Server},
     revision::Revision,
 };
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
 /// Shortest outage of the store, in heartbeat intervals, in which entries of live servers may
 /// expire: three heartbeats are missing then, and the first may fall before the outage.
@@ -43,6 +43,19 @@
     .await;
 }
 
+/// Follows the evacuations while this gateway is a watcher. Does not return.
+pub async fn evacuations(gateway: Rc<Gateway>) {
+    run_while_watcher(&gateway, async || {
+        let source = EvacuationSource {
+            gateway: &gateway,
+            halls: RefCell::default(),
+            unreadable: UnreadableLog::default(),
+        };
+        follow(&source, &gateway.outages, &gateway.log, &gateway.metrics).await;
+    })
+    .await;
+}
+
 /// Follows the quarantines while this gateway is a watcher. Does not return.
 pub async fn quarantine(gateway: Rc<Gateway>) {
     run_while_watcher(&gateway, async || quarantine::sync(&gateway).await).await;
@@ -175,3 +188,56 @@
         self.gateway.store.later_generation(since.generation).await;
     }
 }
+
+/// The evacuated halls. An unreadable object names none.
+struct EvacuationSource<'a> {
+    gateway: &'a Rc<Gateway>,
+    /// The halls as this watch has seen them.
+    halls: RefCell<BTreeSet<String>>,
+    unreadable: UnreadableLog,
+}
+
+impl EvacuationSource<'_> {
+    fn adopt(&self, revision: Revision) {
+        let halls = self.halls.borrow().clone();
+        self.gateway.adopt_evacuations(EvacuationList { revision, halls }, "store");
+    }
+}
+
+impl Source for EvacuationSource<'_> {
+    type Item = String;
+
+    const KIND: &'static str = "evacuations";
+
+    async fn list(&self, _away: Duration) -> Result<Revision, StoreError> {
+        let ObjectList { items, unreadable, revision } = self.gateway.store.evacuations().await?;
+        unreadable.iter().for_each(|obj| self.unreadable.log(self.gateway, Self::KIND, obj));
+        *self.halls.borrow_mut() = items.into_iter().collect();
+        self.adopt(revision);
+        Ok(revision)
+    }
+
+    async fn watch(&self, since: Revision, wait: Duration) -> Result<Changes<String>, StoreError> {
+        self.gateway.store.watch_evacuations(since, wait).await
+    }
+
+    fn apply(&self, changes: Changes<String>, _away: Duration) {
+        for change in changes.changes {
+            let mut halls = self.halls.borrow_mut();
+            match change {
+                Change::Updated(hall) => drop(halls.insert(hall)),
+                Change::Deleted(hall) => drop(halls.remove(&hall)),
+                Change::Unreadable(obj) => self.unreadable.log(self.gateway, Self::KIND, &obj),
+            }
+        }
+        self.adopt(changes.revision);
+    }
+
+    async fn probe(&self, since: Revision) -> Result<bool, StoreError> {
+        self.gateway.store.probe_evacuations(since).await
+    }
+
+    async fn later_generation(&self, since: Revision) {
+        self.gateway.store.later_generation(since.generation).await;
+    }
+}
--- a/src/mastweir/platform/config.rs
+++ b/src/mastweir/platform/config.rs
@@ -48,6 +48,8 @@
     public: bool,
     #[serde(default)]
     stream_resume: bool,
+    #[serde(default)]
+    allowed_regions: Vec<String>,
 }
 
 const fn one() -> u32 {
@@ -65,6 +67,8 @@
     name: String,
     #[serde(default)]
     max_connections: u32,
+    #[serde(default)]
+    warmup_per_s: f64,
     engine: Option<EngineSpec>,
 }
 
@@ -106,6 +110,8 @@
     name: String,
     #[serde(default)]
     api_keys: Vec<String>,
+    #[serde(default)]
+    allowed_regions: Vec<String>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -127,6 +133,7 @@
         return Ok(None);
     }
     let spec: ConfigSpec = serde_json::from_str(spec)?;
+    let customer_homes = homes(spec.tenants.as_deref().unwrap_or_default());
     let keys = |tenants: Vec<TenantSpec>| -> HashMap<String, String> {
         let pair = |tenant: TenantSpec| {
             tenant.api_keys.into_iter().map(move |key| (key, tenant.name.clone()))
@@ -138,10 +145,17 @@
         routes: spec.routes.into_iter().map(route).collect(),
         services: spec.services.into_iter().map(service).collect(),
         customers: spec.tenants.map(keys),
+        customer_homes,
         limits: limits(&spec.limits),
     }))
 }
 
+/// Returns the homes of the customers that are confined to any.
+fn homes(tenants: &[TenantSpec]) -> HashMap<String, Vec<String>> {
+    let confined = tenants.iter().filter(|tenant| !tenant.allowed_regions.is_empty());
+    confined.map(|tenant| (tenant.name.clone(), tenant.allowed_regions.clone())).collect()
+}
+
 fn route(route: RouteSpec) -> Route {
     let split = route.traffic_split.unwrap_or_default();
     let mut targets: Vec<Target> = split
@@ -170,6 +184,7 @@
         attempts: route.max_attempts.max(1),
         public: route.public,
         resumable: route.stream_resume,
+        homes: route.allowed_regions,
     }
 }
 
@@ -189,7 +204,12 @@
             expert_fraction: engine.expert_share,
         },
     });
-    (service.name, Service { connections: service.max_connections, model })
+    let properties = Service {
+        connections: service.max_connections,
+        model,
+        warmup_per_s: service.warmup_per_s.max(0.0),
+    };
+    (service.name, properties)
 }
 
 /// Returns the seconds to load an expert; 0 if the bandwidth is unknown.
--- a/src/mastweir/platform/mod.rs
+++ b/src/mastweir/platform/mod.rs
@@ -13,6 +13,7 @@
 
 pub mod config;
 pub mod engine;
+pub mod evacuations;
 pub mod headers;
 pub mod lease;
 pub mod objects;
--- a/src/mastweir/platform/servers.rs
+++ b/src/mastweir/platform/servers.rs
@@ -18,6 +18,9 @@
     #[serde(default)]
     slots: u32,
     state: String,
+    /// Milliseconds for which the server is still cold.
+    #[serde(default)]
+    warmup_left_ms: u32,
     /// Incarnation of the server: its start time, which is compared only for equality. May be
     /// missing where a server never restarts under the same id.
     born: Option<u64>,
@@ -39,6 +42,7 @@
         hall: entry.zone,
         slots: entry.slots,
         state: if ready { ServerState::Ready } else { ServerState::Leaving },
+        warmup_ms: entry.warmup_left_ms,
         incarnation: entry.born.unwrap_or_default(),
         changed,
     })
--- a/src/mastweir/platform/settings.rs
+++ b/src/mastweir/platform/settings.rs
@@ -6,6 +6,7 @@
 use crate::gateway::settings::{Bounds, Settings, SettingsFileError};
 use serde::Deserialize;
 use std::{
+    collections::HashMap,
     env, fs,
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
@@ -30,6 +31,9 @@
     #[serde(default = "default_heartbeat_ms")]
     heartbeat_ms: u64,
     bounds: BoundsTable,
+    /// Region of each hall.
+    #[serde(default)]
+    zones: HashMap<String, String>,
     platform: PlatformTable,
     #[serde(default)]
     limits: LimitsTable,
@@ -62,6 +66,8 @@
     retry_budget_ratio: f64,
     budget_window_s: f64,
     retry_budget_extra: f64,
+    /// Present where operators evacuate halls.
+    evacuate_ms: Option<u64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -133,6 +139,8 @@
             retry_window: Duration::from_secs_f64(file.bounds.budget_window_s.clamp(0.1, 3_600.0)),
             retry_extra: file.bounds.retry_budget_extra.max(0.0),
         },
+        regions: file.zones,
+        has_evacuations: file.bounds.evacuate_ms.is_some(),
     })
 }
 
--- a/src/mastweir/platform/store.rs
+++ b/src/mastweir/platform/store.rs
@@ -10,7 +10,7 @@
 //! if the generation changes while they run.
 
 use super::{
-    config, headers,
+    config, evacuations, headers,
     objects::{self, Changes, DecodedPage, ObjectList, ReadSpec},
     quarantine::{self, StoredQuarantine},
     servers,
@@ -143,6 +143,38 @@
         self.watch(servers::KIND, since, wait, servers::read).await
     }
 
+    /// Lists the evacuated halls.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`].
+    pub async fn evacuations(&self) -> Result<ObjectList<String>, StoreError> {
+        self.list(evacuations::KIND, evacuations::read).await
+    }
+
+    /// Waits for changes of the evacuated halls since a revision, for `wait` at most.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`].
+    pub async fn watch_evacuations(
+        &self,
+        since: Revision,
+        wait: Duration,
+    ) -> Result<Changes<String>, StoreError> {
+        self.watch(evacuations::KIND, since, wait, evacuations::read).await
+    }
+
+    /// Returns whether an evacuation has changed since a revision. Reads from a replica that may
+    /// lag by seconds.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`].
+    pub async fn probe_evacuations(&self, since: Revision) -> Result<bool, StoreError> {
+        self.probe(evacuations::KIND, since).await
+    }
+
     /// Lists the quarantined requests.
     ///
     /// # Errors
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -3,7 +3,7 @@
 
 use googletest::prelude::*;
 use mastweir_core::{
-    gateway::{Directory, Fleet, LoadReport, Refusal, Requirements, Server, ServerState},
+    gateway::{Directory, Fleet, Homes, LoadReport, Refusal, Requirements, Server, ServerState},
     revision::Revision,
     time::Uptime,
 };
@@ -19,6 +19,7 @@
         hall: "here".to_owned(),
         slots: 10,
         state,
+        warmup_ms: 0,
         changed: Revision::new(0, 1),
     };
     (id.to_owned(), server)
@@ -47,8 +48,15 @@
 }
 
 /// Requirements of a stream with a gap objective of 120 ms.
-const fn needs(tried: &[String]) -> Requirements<'_> {
-    Requirements { service: "s", tried, max_load: 1.06, gap_ms: 120.0, stream: None }
+fn needs(tried: &[String]) -> Requirements<'_> {
+    Requirements {
+        service: "s",
+        tried,
+        max_load: 1.06,
+        gap_ms: 120.0,
+        stream: None,
+        homes: Homes::default(),
+    }
 }
 
 fn choose(fleet: &Fleet, at: Uptime) -> std::result::Result<String, Refusal> {
--- a/tests/testsuite/fuzz_generations.rs
+++ b/tests/testsuite/fuzz_generations.rs
@@ -12,7 +12,7 @@
     },
 };
 use mastweir_core::{
-    gateway::{Directory, DirectoryChange, Fleet, Lag, Requirements, ServerState, Versions},
+    gateway::{Directory, DirectoryChange, Fleet, Homes, Lag, Requirements, ServerState, Versions},
     revision::Revision,
     switch::election::Election,
     time::Uptime,
@@ -233,8 +233,14 @@
     let mut tried = Vec::new();
     let mut rng = SmallRng::seed_from_u64(1);
     loop {
-        let needs =
-            Requirements { service: "s", tried: &tried, max_load: 9.0, gap_ms: 0.0, stream: None };
+        let needs = Requirements {
+            service: "s",
+            tried: &tried,
+            max_load: 9.0,
+            gap_ms: 0.0,
+            stream: None,
+            homes: Homes::default(),
+        };
         match fleet.choose(needs, at, &mut rng) {
             Ok(found) => tried.push(found.id),
             Err(_) => break,
--- a/tests/testsuite/gateway_core.rs
+++ b/tests/testsuite/gateway_core.rs
@@ -30,6 +30,7 @@
         attempts: 2,
         public: true,
         resumable: false,
+        homes: Vec::new(),
     }
 }
 
@@ -41,6 +42,7 @@
         routes: routes.iter().map(|(host, prefix)| route(host, prefix)).collect(),
         services: HashMap::new(),
         customers: None,
+        customer_homes: HashMap::new(),
         limits: Limits::default(),
     };
     let index = RouteIndex::new(&config);
--- a/tests/testsuite/gossip_loops.rs
+++ b/tests/testsuite/gossip_loops.rs
@@ -3,7 +3,7 @@
 use eyre::Result;
 use googletest::prelude::*;
 use mastweir::gateway::message::{Hello, Message, PassForecast};
-use mastweir_core::revision::Revision;
+use mastweir_core::{gateway::EvacuationList, revision::Revision};
 use mastweir_test_support::site::{Running, Site, route};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
@@ -47,6 +47,7 @@
         power: 100,
         config: 0,
         directory: Revision::default(),
+        evacuations: EvacuationList::default(),
         leaving: false,
         wants_reply,
         is_follower,
--- a/tests/testsuite/incarnations.rs
+++ b/tests/testsuite/incarnations.rs
@@ -13,7 +13,7 @@
     sidecar::{aggregation::SelectionHistory, rank_views::RankViews},
 };
 use mastweir_core::{
-    gateway::{Fleet, LoadReport, Requirements, Server, ServerState},
+    gateway::{Fleet, Homes, LoadReport, Requirements, Server, ServerState},
     switch::map_change::RankState,
     time::Uptime,
 };
@@ -49,8 +49,14 @@
 }
 
 fn load_milli(fleet: &Fleet, at: Uptime) -> Option<u32> {
-    let needs =
-        Requirements { service: "s", tried: &[], max_load: 10.0, gap_ms: 0.0, stream: None };
+    let needs = Requirements {
+        service: "s",
+        tried: &[],
+        max_load: 10.0,
+        gap_ms: 0.0,
+        stream: None,
+        homes: Homes::default(),
+    };
     let mut rng = SmallRng::seed_from_u64(3);
     fleet.choose(needs, at, &mut rng).ok().map(|found| found.load_milli)
 }
--- a/tests/testsuite/messages.rs
+++ b/tests/testsuite/messages.rs
@@ -8,7 +8,7 @@
     RankStatus, RequestPermits, ServerGrant, ServerLoad, SubtreeReport,
 };
 use mastweir_core::{
-    gateway::{LimitUpdate, LoadReport, PeerInfo, Rate},
+    gateway::{EvacuationList, LimitUpdate, LoadReport, PeerInfo, Rate},
     revision::Revision,
     switch::{
         map_change::RankState,
@@ -141,6 +141,10 @@
         power: 16_000,
         config: 1_000_000,
         directory: Revision::new(1 << 20, 1 << 40),
+        evacuations: EvacuationList {
+            revision: Revision::new(1 << 20, 1 << 40),
+            halls: (1..=7).map(|at| format!("region-{at}-hall-a")).collect(),
+        },
         leaving: false,
         wants_reply: true,
         is_follower: true,
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -7,7 +7,9 @@
 
 use googletest::prelude::*;
 use mastweir_core::{
-    gateway::{Directory, Fleet, LoadReport, Requirements, Server, ServerState, StreamRequest},
+    gateway::{
+        Directory, Fleet, Homes, LoadReport, Requirements, Server, ServerState, StreamRequest,
+    },
     revision::Revision,
     time::Uptime,
 };
@@ -93,6 +95,7 @@
         hall: "here".to_owned(),
         slots: SLOTS as u32,
         state: ServerState::Ready,
+        warmup_ms: 0,
         changed: Revision::new(0, 1),
     };
     let servers: BTreeMap<String, Server> =
@@ -157,8 +160,14 @@
         for (arrived, gateway, draw, events) in std::mem::take(&mut self.held) {
             let stream = StreamRequest { draw, is_retry: false };
             let stream = Some(stream).filter(|_| self.case.admits);
-            let needs =
-                Requirements { service: "s", tried: &[], max_load: 1.06, gap_ms: GAP_MS, stream };
+            let needs = Requirements {
+                service: "s",
+                tried: &[],
+                max_load: 1.06,
+                gap_ms: GAP_MS,
+                stream,
+                homes: Homes::default(),
+            };
             match self.fleets[gateway].choose(needs, now, &mut self.rng) {
                 Ok(found) => {
                     let server: usize = found.id[2..].parse().expect("ids hold numbers");
--- a/tests/testsuite/permits.rs
+++ b/tests/testsuite/permits.rs
@@ -8,8 +8,8 @@
 use googletest::prelude::*;
 use mastweir_core::{
     gateway::{
-        Exclusion, Fleet, HANDOVER_DELAY, LimitReport, LoadReport, PermitGrant, PermitIssuer, Rate,
-        Refusal, Requirements, ServerState, StreamRequest,
+        Exclusion, Fleet, HANDOVER_DELAY, Homes, LimitReport, LoadReport, PermitGrant,
+        PermitIssuer, Rate, Refusal, Requirements, ServerState, StreamRequest,
     },
     time::Uptime,
 };
@@ -185,7 +185,14 @@
     ms: u64,
 ) -> std::result::Result<String, Refusal> {
     let tried: Vec<String> = tried.iter().map(|id| (*id).to_owned()).collect();
-    let needs = Requirements { service: "s", tried: &tried, max_load: 1.06, gap_ms: 0.0, stream };
+    let needs = Requirements {
+        service: "s",
+        tried: &tried,
+        max_load: 1.06,
+        gap_ms: 0.0,
+        stream,
+        homes: Homes::default(),
+    };
     fleet.choose(needs, at(ms), &mut SmallRng::seed_from_u64(3)).map(|found| found.id)
 }
 
--- a/tests/testsuite/server_notices.rs
+++ b/tests/testsuite/server_notices.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use mastweir_core::{
     gateway::{
-        Directory, Exclusion, Fleet, LoadReport, Refusal, Requirements, Server, ServerState,
+        Directory, Exclusion, Fleet, Homes, LoadReport, Refusal, Requirements, Server, ServerState,
     },
     time::Uptime,
 };
@@ -30,8 +30,14 @@
 
 fn choose(fleet: &Fleet, tried: &[&str], now: Uptime) -> std::result::Result<String, Refusal> {
     let tried: Vec<String> = tried.iter().map(|id| (*id).to_owned()).collect();
-    let needs =
-        Requirements { service: "s", tried: &tried, max_load: 3.0, gap_ms: 0.0, stream: None };
+    let needs = Requirements {
+        service: "s",
+        tried: &tried,
+        max_load: 3.0,
+        gap_ms: 0.0,
+        stream: None,
+        homes: Homes::default(),
+    };
     let mut rng = SmallRng::seed_from_u64(3);
     fleet.choose(needs, now, &mut rng).map(|found| found.id)
 }
