--- a/crates/mastweir-core/src/gateway/choice.rs
+++ b/crates/mastweir-core/src/gateway/choice.rs
@@ -101,23 +101,31 @@
         if let Some(refusal) = refused {
             return Err(refusal);
         }
-        let ready = self.registry.ready(service);
+        let ready = self.ready(service);
         // Exclusions are checked before load: a server that rejects everything looks idle.
         let may_serve = |id: &str| {
             let is_tried = tried.iter().any(|other| other == id);
             !is_tried && self.exclusion(id, now).is_none() && self.is_home(id, needs.homes)
         };
-        let untried: Vec<&String> =
-            ready.iter().filter(|id| may_serve(id) && self.registry.is_current(id, now)).collect();
+        let is_untried = |id: &&String| may_serve(id) && self.registry.is_current(id, now);
+        let mut untried: Vec<&String> = ready.iter().filter(is_untried).collect();
+        if untried.is_empty() {
+            // There may be servers outside of this gateway's view.
+            untried = self.registry.ready(service).iter().filter(is_untried).collect();
+        }
         let most_servers_report = self.most_servers_report(ready, now);
         let is_unconnectable = |id: &&String| {
             self.statuses.get(*id).is_some_and(|status| status.is_unconnectable(now))
         };
         let open: Vec<&String> =
             untried.iter().copied().filter(|id| !is_unconnectable(id)).collect();
+        // A server that has just come into the view looks idle until its first report.
+        let needs_report = self.view.ready(service).is_some();
         let is_silent = |id: &&String| {
             self.statuses.get(*id).is_some_and(|status| {
-                status.is_silent(most_servers_report, self.reception_end(status, now), now)
+                let is_unknown = needs_report && !status.has_report(now);
+                is_unknown
+                    || status.is_silent(most_servers_report, self.reception_end(status, now), now)
             })
         };
         let (silent, reporting): (Vec<&String>, Vec<&String>) =
@@ -181,7 +189,7 @@
 
     /// Whether a rate-limited server may get a request under a permit.
     fn is_usable(&self, id: &String, needs: Requirements<'_>, now: Uptime) -> bool {
-        let ready = self.registry.ready(needs.service);
+        let ready = self.ready(needs.service);
         let is_limited = matches!(self.exclusion(id, now), Some(Exclusion::Limited(_)));
         let is_unfit = needs.tried.contains(id) || !self.is_home(id, needs.homes);
         if !is_limited || is_unfit || !ready.contains(id) {
--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -8,17 +8,22 @@
 use super::{
     admission::ServiceLoad,
     directory::{Directory, DirectoryChange, Server},
-    evacuations::{EvacuationList, Evacuations},
-    homes::Homes,
+    evacuations::Evacuations,
     permit_pool::PermitPool,
-    rate_limits::{LimitChange, LimitReport, LimitUpdate, Rate, RateLimits},
+    rate_limits::{LimitChange, LimitReport, RateLimits},
     registry::ServerRegistry,
-    server_notices::{Exclusion, ServerNotices},
-    status::{LoadReport, REPORT_VALIDITY, SILENT_AFTER, ServerStatus},
+    server_notices::ServerNotices,
+    status::{LoadReport, SILENT_AFTER, ServerStatus},
+    views::{View, ViewKey, ViewSize},
     warmups::Warmups,
 };
 use crate::{revision::Revision, time::Uptime};
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 /// Greatest age of a load report that is forwarded. A sidecar that is silent for longer is
 /// ignored.
@@ -46,16 +51,17 @@
     pub(super) notices: ServerNotices,
     pub(super) limits: RateLimits,
     pub(super) permits: PermitPool,
-    warmups: Warmups,
-    evacuations: Evacuations,
+    pub(super) warmups: Warmups,
+    pub(super) evacuations: Evacuations,
     /// Region of each hall.
-    regions: HashMap<String, String>,
+    pub(super) regions: HashMap<String, String>,
     /// By group.
     pub(super) forecasts: HashMap<String, PassForecast>,
     /// Last computed load of each service.
     pub(super) service_loads: RefCell<HashMap<String, ServiceLoad>>,
     /// Since when sidecars report to this gateway, if they do.
     receiving: Option<Uptime>,
+    pub(super) view: View,
 }
 
 /// What a load report changed.
@@ -81,25 +87,28 @@
         Self { hall: hall.to_owned(), ..Self::default() }
     }
 
-    /// Sets the regions of the halls.
+    /// Sets the address of this gateway, on which its view depends.
     #[must_use]
-    pub fn with_regions(self, regions: HashMap<String, String>) -> Self {
-        Self { regions, ..self }
+    pub fn with_ip(mut self, ip: IpAddr) -> Self {
+        self.view = View::new(ip);
+        self
     }
 
-    /// Sets the requests a second that a cold server takes, by service.
-    pub fn set_warmup_rates(&mut self, rates: HashMap<String, f64>) {
-        self.warmups.set_rates(rates);
+    /// Sets the number of followers in the hall, which relays state with the loads that they
+    /// forward; zero if this gateway receives the reports of all servers.
+    pub fn set_followers(&mut self, followers: usize) {
+        self.view.set_followers(followers, &self.registry);
     }
 
-    /// Returns the evacuated halls.
-    pub const fn evacuations(&self) -> &EvacuationList {
-        self.evacuations.list()
+    /// Returns the ready servers of a service that this gateway chooses from.
+    pub(super) fn ready(&self, service: &str) -> &[String] {
+        self.view.ready(service).unwrap_or_else(|| self.registry.ready(service))
     }
 
-    /// Replaces the list of evacuated halls. Returns false if the list is not newer.
-    pub fn replace_evacuations(&mut self, list: EvacuationList, now: Uptime) -> bool {
-        self.evacuations.replace(list, now)
+    /// Sets the regions of the halls.
+    #[must_use]
+    pub fn with_regions(self, regions: HashMap<String, String>) -> Self {
+        Self { regions, ..self }
     }
 
     /// Returns the current list of servers.
@@ -119,6 +128,7 @@
             status.set_incarnation(server.incarnation);
         }
         self.warmups.record(self.registry.directory().servers.values(), now);
+        self.view.update(&self.registry);
         self.forget_removed(now);
         true
     }
@@ -137,6 +147,7 @@
     /// Drops expired servers that did not reappear in their grace period and returns their ids.
     pub fn drop_expired(&mut self, now: Uptime) -> Vec<String> {
         let removed = self.registry.drop_expired(now);
+        self.view.update(&self.registry);
         self.forget_removed(now);
         removed
     }
@@ -163,9 +174,8 @@
         age: Duration,
         now: Uptime,
     ) -> ReportChanges {
-        if self.registry.server(id).is_none() {
-            return ReportChanges::default();
-        }
+        let Some(server) = self.registry.server(id) else { return ReportChanges::default() };
+        self.view.add_service(&server.service, &self.registry);
         let status = self.statuses.entry(id.to_owned()).or_default();
         if !status.set_incarnation(report.incarnation) {
             return ReportChanges::default();
@@ -193,6 +203,12 @@
         self.receiving = since;
     }
 
+    /// Returns the size of the followers' views of a service, and a server's key for them.
+    pub fn view_of(&self, server: &Server, followers: usize) -> (ViewSize, ViewKey) {
+        let size = ViewSize::new(self.registry.count(&server.service), followers);
+        (size, self.registry.view_key(&server.id))
+    }
+
     /// Returns the load reports that are recent enough to forward, with their servers and ages.
     pub fn loads(&self, now: Uptime) -> impl Iterator<Item = (&Server, Duration, &LoadReport)> {
         self.registry.directory().servers.values().filter_map(move |server| {
@@ -239,9 +255,7 @@
     pub fn record_answer_load(&mut self, id: &str, running: u32, waiting: u32, now: Uptime) {
         let Some(status) = self.statuses.get_mut(id) else { return };
         // A sidecar's report has more detail.
-        let fresh = status.from_sidecar
-            && status.report.as_ref().is_some_and(|(at, _)| now.since(*at) < REPORT_VALIDITY);
-        if fresh {
+        if status.has_report(now) {
             return;
         }
         let report = LoadReport { running, waiting, group_open: true, ..LoadReport::default() };
@@ -294,145 +308,11 @@
             .for_each(|(_, report)| report.group_open = false);
     }
 
-    /// Records that an incarnation of a server is leaving and gets no new requests. Returns true
-    /// if that is new.
-    pub fn mark_leaving(&mut self, id: &str, incarnation: u64, now: Uptime) -> bool {
-        !self.is_superseded(id, incarnation) && self.notices.mark_leaving(id, incarnation, now)
-    }
-
-    /// Records that an incarnation of a server wants no requests of this gateway for a time.
-    pub fn set_backoff(&mut self, id: &str, incarnation: u64, wait: Duration, now: Uptime) {
-        if !self.is_superseded(id, incarnation) {
-            self.notices.set_backoff(id, incarnation, now + wait, now);
-        }
-    }
-
-    /// Records the rate limit of an incarnation of a server, or its absence, as stated in an
-    /// answer or by another gateway. Returns the change, if any.
-    pub fn record_limit(
-        &mut self,
-        id: &str,
-        incarnation: u64,
-        report: LimitReport,
-        now: Uptime,
-    ) -> Option<LimitChange> {
-        if self.is_superseded(id, incarnation) {
-            None
-        } else {
-            self.limits.record(id, incarnation, report, now)
-        }
-    }
-
-    /// Returns the limits to send to other gateways: those that changed recently, or `all`.
-    pub fn limits_to_send(&self, all: bool, now: Uptime) -> Vec<LimitUpdate> {
-        self.limits.updates(all, now)
-    }
-
     /// Whether a later incarnation of a server is known, so that late reports are ignored.
-    fn is_superseded(&self, id: &str, incarnation: u64) -> bool {
+    pub(super) fn is_superseded(&self, id: &str, incarnation: u64) -> bool {
         self.statuses.get(id).is_some_and(|status| status.is_superseded(incarnation))
     }
 
-    /// Returns why a server gets no requests at present, if it excluded itself.
-    pub fn exclusion(&self, id: &str, now: Uptime) -> Option<Exclusion> {
-        // Fast path: each choice checks all servers, and usually none is excluded.
-        let is_any_excluded = !self.notices.is_empty() || self.needs_permits();
-        if !is_any_excluded && self.evacuations.is_empty() {
-            return None;
-        }
-        let hall = self.registry.server(id).map_or("", |server| server.hall.as_str());
-        if self.evacuations.includes(hall, now) {
-            return Some(Exclusion::Evacuated);
-        }
-        let incarnation = self.statuses.get(id).map_or(0, |status| status.incarnation);
-        let exclusion = self.notices.exclusion(id, incarnation, now);
-        let is_limited = || self.permit_rate(id, now).is_some();
-        exclusion.or_else(|| is_limited().then(|| Exclusion::Limited(self.permits.wait(id, now))))
-    }
-
-    /// Whether a server is in a home of a request.
-    pub(super) fn is_in_home(&self, server: &Server, homes: Homes<'_>) -> bool {
-        homes.include(&server.hall, &self.regions)
-    }
-
-    /// Whether a request with these homes may be sent to a server's hall.
-    pub(super) fn is_hall_open(&self, server: &Server, homes: Homes<'_>, now: Uptime) -> bool {
-        self.is_in_home(server, homes) && !self.evacuations.includes(&server.hall, now)
-    }
-
-    /// Whether any server needs permits.
-    pub fn needs_permits(&self) -> bool {
-        !self.limits.is_empty() || !self.warmups.is_empty()
-    }
-
-    /// Returns the rate for which permits are granted for a server, in requests a second; `None`
-    /// if it needs none.
-    pub fn permit_rate(&self, id: &str, now: Uptime) -> Option<Rate> {
-        let cold = self.registry.server(id).and_then(|server| self.warmups.rate(server, now));
-        match (self.limit(id), cold) {
-            (Some(limit), Some(cold)) => Some(limit.min(cold)),
-            (limit, cold) => limit.or(cold),
-        }
-    }
-
-    /// Returns the listed servers that need permits.
-    pub fn permit_servers(&self, now: Uptime) -> impl Iterator<Item = &Server> {
-        let has_no_limit = |id: &&str| self.limit(id).is_none();
-        let cold = self.warmups.cold(now).filter(has_no_limit);
-        let cold = cold.filter_map(|id| self.registry.server(id));
-        self.limited().chain(cold)
-    }
-
-    /// Whether any server has a rate limit.
-    pub fn has_limits(&self) -> bool {
-        !self.limits.is_empty()
-    }
-
-    /// Returns a server's rate limit, if it has one.
-    pub fn limit(&self, id: &str) -> Option<Rate> {
-        self.limits.rate(id, self.statuses.get(id).map_or(0, |status| status.incarnation))
-    }
-
-    /// Returns the listed servers that have a rate limit.
-    pub fn limited(&self) -> impl Iterator<Item = &Server> {
-        self.limits.limited().filter_map(|(id, _)| self.registry.server(id))
-    }
-
-    /// Returns the servers of a service for which permits should be requested.
-    pub fn permits_missing(&self, service: &str, now: Uptime) -> Vec<&Server> {
-        let ready = self.registry.ready(service).iter();
-        let is_missing = |id: &&String| {
-            let is_limited = matches!(self.exclusion(id, now), Some(Exclusion::Limited(_)));
-            is_limited && self.permits.is_needed(id, now)
-        };
-        ready.filter(is_missing).filter_map(|id| self.registry.server(id)).collect()
-    }
-
-    /// Adds granted permits for a server, which are valid until the given time.
-    pub fn add_permits(&mut self, id: &str, count: u32, until: Uptime) {
-        self.permits.add(id, count, until);
-    }
-
-    /// Records that no permit was granted for a server, and none will be before a time.
-    pub fn deny_permits_before(&mut self, id: &str, before: Uptime) {
-        self.permits.set_retry(id, before);
-    }
-
-    /// Takes a permit for a request to a server; returns false if there is none or no limit.
-    pub fn take_permit(&mut self, id: &str, now: Uptime) -> bool {
-        self.permit_rate(id, now).is_some() && self.permits.take(id, now)
-    }
-
-    /// Whether a request may be sent to a server now. The server may have stated a limit since
-    /// it was chosen; a permit is taken then, unless the request has one (`has_permit`).
-    pub fn may_send(&mut self, id: &str, has_permit: bool, now: Uptime) -> bool {
-        match self.exclusion(id, now) {
-            None => true,
-            Some(Exclusion::Limited(_)) => has_permit || self.permits.take(id, now),
-            Some(Exclusion::Leaving | Exclusion::Evacuated | Exclusion::Backoff(_)) => false,
-        }
-    }
-
     /// Records that a server answered in any way.
     pub fn record_reached(&mut self, id: &str) {
         if let Some(status) = self.statuses.get_mut(id) {
@@ -466,7 +346,12 @@
         if status.is_superseded(incarnation) {
             return true;
         }
-        let ready = self.registry.server(id).map(|server| self.registry.ready(&server.service));
+        // A server that has left the view is not silent: its reports go to other gateways.
+        let server = self.registry.server(id);
+        if server.is_some_and(|server| !self.view.contains(server)) {
+            return false;
+        }
+        let ready = server.map(|server| self.ready(&server.service));
         let most_servers_report = ready.is_some_and(|ready| self.most_servers_report(ready, now));
         status.is_silent(most_servers_report, self.reception_end(status, now), now)
     }
--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -1,7 +1,8 @@
 //! Decisions of a gateway that forwards requests to servers.
 //!
 //! A sidecar beside each server reports the server's load to a few gateways of its hall, the
-//! relays, which forward the reports to the other gateways ([`Peers`]).
+//! relays, which forward the reports to the other gateways ([`Peers`]), to each those of a part of
+//! the servers ([`ViewSize`]).
 //!
 //! A gateway finds the route of a request ([`Config`]), decides whether the service admits a
 //! stream ([`StreamRequest`]), and chooses a server ([`Fleet`]). After an attempt it decides
@@ -19,6 +20,7 @@
 mod directory;
 mod evacuations;
 mod event_splitter;
+mod exclusions;
 mod fingerprint;
 mod fleet;
 mod homes;
@@ -40,6 +42,7 @@
 mod server_notices;
 mod status;
 mod stream_timing;
+mod views;
 mod warmups;
 
 pub use admission::StreamRequest;
@@ -67,3 +70,4 @@
 pub use server_notices::Exclusion;
 pub use status::LoadReport;
 pub use stream_timing::StreamTiming;
+pub use views::{ViewKey, ViewSize};
--- a/crates/mastweir-core/src/gateway/registry.rs
+++ b/crates/mastweir-core/src/gateway/registry.rs
@@ -9,7 +9,10 @@
 //! - A server that was removed, but is listed by an older copy, has *returned*. Its entry is
 //!   ignored until it is written again or a timeout passes.
 
-use super::directory::{Directory, DirectoryChange, Server, ServerState};
+use super::{
+    directory::{Directory, DirectoryChange, Server, ServerState},
+    views::ViewKey,
+};
 use crate::{revision::Revision, time::Uptime};
 use std::{
     collections::{HashMap, VecDeque},
@@ -39,6 +42,10 @@
     by_service: HashMap<String, Vec<String>>,
     /// Newest server at each address.
     by_addr: HashMap<SocketAddr, String>,
+    /// By id.
+    view_keys: HashMap<String, ViewKey>,
+    /// Number of servers of each service.
+    counts: HashMap<String, usize>,
     /// Removed servers, with the revision that removed them.
     removed: VecDeque<(Revision, String)>,
     /// Revision since which all removed servers are remembered.
@@ -67,6 +74,16 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the number of servers of a service, whether they take requests or not.
+    pub(super) fn count(&self, service: &str) -> usize {
+        self.counts.get(service).copied().unwrap_or(0)
+    }
+
+    /// Returns a server's key for views.
+    pub(super) fn view_key(&self, id: &str) -> ViewKey {
+        self.view_keys.get(id).copied().unwrap_or_default()
+    }
+
     /// Replaces the list; returns false if it is not newer. After an outage, unlisted servers
     /// are kept as expired.
     pub(super) fn replace(
@@ -231,6 +248,13 @@
 
     fn index(&mut self) {
         self.by_service.clear();
+        self.counts.clear();
+        let mut known = std::mem::take(&mut self.view_keys);
+        for (id, server) in &self.directory.servers {
+            let key = known.remove(id).unwrap_or_else(|| ViewKey::of_server(id));
+            self.view_keys.insert(id.clone(), key);
+            *self.counts.entry(server.service.clone()).or_default() += 1;
+        }
         // The entry of a crashed server stays for a while, and a new server may use the same
         // address meanwhile.
         let mut newest: HashMap<SocketAddr, Revision> = HashMap::new();
--- a/crates/mastweir-core/src/gateway/status.rs
+++ b/crates/mastweir-core/src/gateway/status.rs
@@ -150,6 +150,12 @@
         }
     }
 
+    /// Whether a report of the sidecar is recent enough to be used.
+    pub(super) fn has_report(&self, now: Uptime) -> bool {
+        let report = self.report.as_ref().filter(|_| self.from_sidecar);
+        report.is_some_and(|(at, _)| now.since(*at) < REPORT_VALIDITY)
+    }
+
     /// Whether requests have failed repeatedly and recently.
     pub(super) fn is_failing(&self, now: Uptime) -> bool {
         self.failing_since.is_some_and(|since| now.since(since) < BACKOFF)
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -153,6 +153,9 @@
     pub groups: Vec<String>,
     pub loads: Vec<ServerLoad>,
     pub coordinators: Vec<CoordinatorSeen>,
+    /// Number of followers that the relay shares its reports among, which each get a part of
+    /// them; zero if these are all reports of the relay's hall.
+    pub followers: u32,
 }
 
 /// A forwarded report on a server.
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -166,7 +166,11 @@
         (gateways.is_relay(is_seed, now), gateways.is_watcher(is_seed, now));
     let was_relay = gateway.is_relay.replace(is_relay);
     if was_relay != is_relay {
-        gateway.fleet.borrow_mut().set_receiving(is_relay.then_some(now));
+        let mut fleet = gateway.fleet.borrow_mut();
+        fleet.set_receiving(is_relay.then_some(now));
+        if is_relay {
+            fleet.set_followers(0);
+        }
     }
     let watcher_changed = gateway.is_watcher.send_if_modified(|before| {
         let changed = *before != is_watcher;
--- a/src/mastweir/gateway/relay.rs
+++ b/src/mastweir/gateway/relay.rs
@@ -20,7 +20,7 @@
     state::Gateway,
 };
 use mastweir_core::{
-    gateway::{LoadReport, ReportChanges, Server},
+    gateway::{LoadReport, ReportChanges, Server, ViewKey, ViewSize},
     time::Uptime,
 };
 use std::{
@@ -61,12 +61,29 @@
     let followers: Vec<IpAddr> = gateways.followers().collect();
     let remote = if gateway.is_relay.get() { gateways.remote_relays(now) } else { Vec::new() };
     drop(gateways);
-    let hall = gateway.settings.borrow().hall.clone();
-    if !followers.is_empty() {
-        send_all(gateway, socket, &followers, &load_messages(gateway, |_| true));
+    if followers.is_empty() && remote.is_empty() {
+        return;
+    }
+    let fleet = gateway.fleet.borrow();
+    let coordinators = recent_coordinators(gateway, now);
+    let loads = fleet
+        .loads(now)
+        .map(|(server, age, report)| (server, ForwardedLoad { server: server.addr, age, report }));
+    let loads: Vec<(&Server, ForwardedLoad<'_>)> = loads.collect();
+    let views = loads.iter().map(|(server, load)| (fleet.view_of(server, followers.len()), *load));
+    let views: Vec<((ViewSize, ViewKey), ForwardedLoad<'_>)> = views.collect();
+    for ip in &followers {
+        let key = ViewKey::of_gateway(*ip);
+        let seen = views.iter().filter(|((size, server), _)| size.contains(key, *server));
+        let seen: Vec<ForwardedLoad<'_>> = seen.map(|(_, load)| *load).collect();
+        let messages = load_messages(&seen, coordinators.clone(), followers.len());
+        send_all(gateway, socket, &[*ip], &messages);
     }
     if !remote.is_empty() {
-        send_all(gateway, socket, &remote, &load_messages(gateway, |server| server.hall == hall));
+        let hall = &gateway.settings.borrow().hall;
+        let own = loads.iter().filter(|(server, _)| server.hall == *hall);
+        let own: Vec<ForwardedLoad<'_>> = own.map(|(_, load)| *load).collect();
+        send_all(gateway, socket, &remote, &load_messages(&own, coordinators, 0));
     }
 }
 
@@ -78,31 +95,36 @@
     }
 }
 
-/// Encodes the reports on the servers that `is_included` selects, in as many datagrams as needed.
-fn load_messages(gateway: &Gateway, is_included: impl Fn(&Server) -> bool) -> Vec<Vec<u8>> {
-    let now = gateway.clock.now();
-    let fleet = gateway.fleet.borrow();
-    let selected: Vec<(SocketAddr, Duration, &LoadReport)> = fleet
-        .loads(now)
-        .filter(|(server, ..)| is_included(server))
-        .map(|(server, age, report)| (server.addr, age, report))
-        .collect();
-    let mut coordinators = recent_coordinators(gateway, now);
-    let mut chunks: Vec<Loads> = selected.chunks(LOADS_PER_DATAGRAM).map(loads_message).collect();
+/// A report to forward.
+#[derive(Clone, Copy)]
+struct ForwardedLoad<'a> {
+    server: SocketAddr,
+    age: Duration,
+    report: &'a LoadReport,
+}
+
+/// Encodes reports in as many datagrams as needed, at least one.
+fn load_messages(
+    loads: &[ForwardedLoad<'_>],
+    coordinators: Vec<CoordinatorSeen>,
+    followers: usize,
+) -> Vec<Vec<u8>> {
+    let mut chunks: Vec<Loads> = loads.chunks(LOADS_PER_DATAGRAM).map(loads_message).collect();
     if chunks.is_empty() {
         chunks.push(Loads::default());
     }
-    chunks[0].coordinators.append(&mut coordinators);
+    chunks[0].coordinators = coordinators;
+    let followers = u32::try_from(followers).unwrap_or(u32::MAX);
     let bytes = chunks.into_iter().filter_map(|chunk| {
         // Encoding does not fail for these messages.
-        postcard::to_stdvec(&Message::Loads(chunk)).ok()
+        postcard::to_stdvec(&Message::Loads(Loads { followers, ..chunk })).ok()
     });
     bytes.collect()
 }
 
-fn loads_message(loads: &[(SocketAddr, Duration, &LoadReport)]) -> Loads {
+fn loads_message(loads: &[ForwardedLoad<'_>]) -> Loads {
     let mut groups: Vec<String> = Vec::new();
-    let load = |(server, age, report): &(SocketAddr, Duration, &LoadReport)| {
+    let load = |ForwardedLoad { server, age, report }: &ForwardedLoad<'_>| {
         let group = report.group.as_ref().and_then(|name| {
             let known = groups.iter().position(|other| other == name);
             let at = known.unwrap_or_else(|| {
@@ -112,15 +134,11 @@
             u8::try_from(at).ok()
         });
         let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        ServerLoad {
-            server: *server,
-            age_ms,
-            group,
-            load: LoadReport { group: None, ..(*report).clone() },
-        }
+        let load = LoadReport { group: None, ..(*report).clone() };
+        ServerLoad { server: *server, age_ms, group, load }
     };
     let loads = loads.iter().map(load).collect();
-    Loads { groups, loads, coordinators: Vec::new() }
+    Loads { groups, loads, ..Loads::default() }
 }
 
 fn recent_coordinators(gateway: &Gateway, now: Uptime) -> Vec<CoordinatorSeen> {
@@ -173,9 +191,13 @@
 /// Records reports that another gateway forwarded.
 pub fn handle_loads(gateway: &Gateway, loads: Loads) {
     let now = gateway.clock.now();
-    let Loads { groups, loads, coordinators } = loads;
+    let Loads { groups, loads, coordinators, followers } = loads;
     coordinators.into_iter().for_each(|coordinator| record_coordinator(gateway, coordinator, now));
     let mut fleet = gateway.fleet.borrow_mut();
+    // A relay of another hall may still take this gateway for a relay.
+    if followers > 0 && !gateway.is_relay.get() {
+        fleet.set_followers(followers as usize);
+    }
     for ServerLoad { server, age_ms, group, load: report } in loads {
         let Some(id) = fleet.id_at(server).map(str::to_owned) else { continue };
         let group = group.and_then(|at| groups.get(usize::from(at)).cloned());
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -135,7 +135,11 @@
             outages: Notify::new(),
             server_pool: Pool::default(),
             internal_pool: Pool::default(),
-            fleet: RefCell::new(Fleet::new(&settings.hall).with_regions(settings.regions.clone())),
+            fleet: RefCell::new(
+                Fleet::new(&settings.hall)
+                    .with_ip(settings.ip)
+                    .with_regions(settings.regions.clone()),
+            ),
             rng: RefCell::new(rng),
             gateways: RefCell::new(Peers::new(PeerInfo {
                 ip: settings.ip,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -48,4 +48,5 @@
 mod store_restore;
 mod suspension;
 mod unreadable;
+mod views;
 mod warmups;
--- a/tests/testsuite/messages.rs
+++ b/tests/testsuite/messages.rs
@@ -130,6 +130,7 @@
         groups: (0..4).map(|_| group()).collect(),
         loads: (0..LOADS_PER_DATAGRAM).map(load).collect(),
         coordinators: Vec::new(),
+        followers: 4_000,
     });
     let coordinators = Message::Loads(Loads {
         coordinators: (0..16).map(coordinator).collect(),
