--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -9,12 +9,13 @@
     admission::ServiceLoad,
     directory::{Directory, DirectoryChange, Server},
     evacuations::Evacuations,
+    follower_view::FollowerView,
     permit_pool::PermitPool,
     rate_limits::{LimitChange, LimitReport, RateLimits},
     registry::ServerRegistry,
     server_notices::ServerNotices,
     status::{LoadReport, SILENT_AFTER, ServerStatus},
-    views::{View, ViewKey, ViewSize},
+    views::{ViewKey, ViewSize},
     warmups::Warmups,
 };
 use crate::{revision::Revision, time::Uptime};
@@ -61,7 +62,7 @@
     pub(super) service_loads: RefCell<HashMap<String, ServiceLoad>>,
     /// Since when sidecars report to this gateway, if they do.
     receiving: Option<Uptime>,
-    pub(super) view: View,
+    pub(super) view: FollowerView,
 }
 
 /// What a load report changed.
@@ -90,7 +91,7 @@
     /// Sets the address of this gateway, on which its view depends.
     #[must_use]
     pub fn with_ip(mut self, ip: IpAddr) -> Self {
-        self.view = View::new(ip);
+        self.view = FollowerView::new(ip);
         self
     }
 
--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod exclusions;
 mod fingerprint;
 mod fleet;
+mod follower_view;
 mod homes;
 mod lag;
 mod listeners;
--- a/crates/mastweir-core/src/gateway/views.rs
+++ b/crates/mastweir-core/src/gateway/views.rs
@@ -10,11 +10,7 @@
 //! part of the larger one. Relays state the number of followers with the loads, from which both
 //! sides compute the same view.
 
-use super::{directory::Server, registry::ServerRegistry};
-use std::{
-    collections::{BTreeSet, HashMap},
-    net::IpAddr,
-};
+use std::net::IpAddr;
 
 /// Largest and smallest size of a view. Sizes are rounded down by up to a half; a choice among
 /// four of a dozen servers evens out loads nearly as well as one among four of hundreds.
@@ -67,66 +63,6 @@
     }
 }
 
-/// The view of this gateway, if it is a follower.
-#[derive(Clone, Debug, Default)]
-pub(super) struct View {
-    own: ViewKey,
-    /// Followers of the hall, as its relays state it; zero if all loads are forwarded.
-    followers: usize,
-    /// Services whose servers have sidecars.
-    services: BTreeSet<String>,
-    /// Ready servers in the view, for each service whose view is not complete.
-    ready: HashMap<String, Vec<String>>,
-}
-
-impl View {
-    pub(super) fn new(own: IpAddr) -> Self {
-        Self { own: ViewKey::of_gateway(own), ..Self::default() }
-    }
-
-    pub(super) fn set_followers(&mut self, followers: usize, registry: &ServerRegistry) {
-        if self.followers != followers {
-            self.followers = followers;
-            self.update(registry);
-        }
-    }
-
-    /// Records that the servers of a service have sidecars.
-    pub(super) fn add_service(&mut self, service: &str, registry: &ServerRegistry) {
-        if !self.services.contains(service) {
-            self.services.insert(service.to_owned());
-            self.update(registry);
-        }
-    }
-
-    /// Determines the view anew after a change of the list of servers.
-    pub(super) fn update(&mut self, registry: &ServerRegistry) {
-        self.ready.clear();
-        if self.followers == 0 {
-            return;
-        }
-        for service in &self.services {
-            let size = ViewSize::new(registry.count(service), self.followers);
-            if size.is_complete() {
-                continue;
-            }
-            let is_seen = |id: &&String| size.contains(self.own, registry.view_key(id));
-            let seen = registry.ready(service).iter().filter(is_seen).cloned().collect();
-            self.ready.insert(service.clone(), seen);
-        }
-    }
-
-    /// Returns the ready servers of a service in the view; `None` if all are.
-    pub(super) fn ready(&self, service: &str) -> Option<&[String]> {
-        self.ready.get(service).map(Vec::as_slice)
-    }
-
-    /// Whether a server is in the view.
-    pub(super) fn contains(&self, server: &Server) -> bool {
-        self.ready(&server.service).is_none_or(|seen| seen.contains(&server.id))
-    }
-}
-
 /// Finalizer of the splitmix64 generator.
 const fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
