--- a/tests/testsuite/platform_file.rs
+++ b/tests/testsuite/platform_file.rs
@@ -2,7 +2,11 @@
 //! invalid settings must name the remedy.
 
 use googletest::prelude::*;
-use mastweir::platform::settings::{engine, listeners, parse};
+use mastweir::platform::{
+    config, servers,
+    settings::{engine, listeners, parse},
+};
+use mastweir_core::revision::Revision;
 
 const GATEWAY: &str = r#"
 node = "north-1"
@@ -33,6 +37,39 @@
     Ok(())
 }
 
+#[googletest::test]
+fn reads_regions_and_whether_halls_are_evacuated() -> eyre::Result<()> {
+    let text = GATEWAY.replace("another = true", "evacuate_ms = 5000");
+    let settings = parse(&format!("{text}[zones]\nnorth = \"east\"\n"))?;
+    expect_that!(settings.has_evacuations, eq(true));
+    expect_that!(settings.regions.get("north"), some(eq("east")));
+    Ok(())
+}
+
+#[googletest::test]
+fn reads_warm_ups_and_homes() -> eyre::Result<()> {
+    let entry = |warmup: &str| {
+        let spec = format!(
+            r#"{{"service":"s","address":"10.0.0.1:80","zone":"north","state":"ready","warmup_left_ms":{warmup}}}"#
+        );
+        servers::read("a", Revision::new(0, 1), &spec)
+    };
+    expect_that!(entry("2500")?.warmup_ms, eq(2_500));
+    // Such an entry names no server; the others hold.
+    expect_that!(entry("-1"), err(anything()));
+    expect_that!(entry("1e99"), err(anything()));
+    let spec = r#"{"version":1,"services":[{"name":"s","warmup_per_s":26.0}],
+        "routes":[{"name":"r","host":"h","path_prefix":"/","kind":"safe","timeout_ms":9,
+        "service":"s","allowed_regions":["east"]}],
+        "tenants":[{"name":"north","api_keys":["k"],"allowed_regions":["west"]},{"name":"free"}]}"#;
+    let config = config::read("main", Revision::new(0, 1), spec)?.expect("it is the one");
+    expect_that!(config.services["s"].warmup_per_s, eq(26.0));
+    expect_that!(config.routes[0].homes, elements_are![eq("east")]);
+    expect_that!(config.customer_homes.get("north"), some(elements_are![eq("west")]));
+    expect_that!(config.customer_homes.get("free"), none());
+    Ok(())
+}
+
 #[test]
 fn errors_of_invalid_settings_name_the_remedy() -> eyre::Result<()> {
     let change = |from: &str, to: &str| {
