--- a/crates/mastweir-core/src/gateway/choice.rs
+++ b/crates/mastweir-core/src/gateway/choice.rs
@@ -119,8 +119,9 @@
         };
         let open: Vec<&String> =
             untried.iter().copied().filter(|id| !is_unconnectable(id)).collect();
-        // A server that has just come into the view looks idle until its first report.
-        let needs_report = self.view.ready(service).is_some();
+        // A server that has just come into the view looks idle until its first report. Where most
+        // have no sidecar, there is none to wait for.
+        let needs_report = self.view.ready(service).is_some() && most_servers_report;
         let is_silent = |id: &&String| {
             self.statuses.get(*id).is_some_and(|status| {
                 let is_unknown = needs_report && !status.has_report(now);
--- a/tests/testsuite/views.rs
+++ b/tests/testsuite/views.rs
@@ -121,6 +121,19 @@
     expect_that!(chosen(&fleet, &[], at(20), &mut rng), some(anything()));
 }
 
+/// Servers without a sidecar are used as well where most of a service have none.
+#[googletest::test]
+fn servers_without_sidecars_are_chosen_if_most_have_none() {
+    let (mut fleet, seen) = follower(7, 576, 84);
+    let few: BTreeSet<String> = seen.iter().take(4).cloned().collect();
+    // The reports of the others are too old.
+    report(&mut fleet, &few, at(20_000));
+    let mut rng = SmallRng::seed_from_u64(1);
+    let found: BTreeSet<String> =
+        (0..2_000).filter_map(|_| chosen(&fleet, &[], at(20_010), &mut rng)).collect();
+    expect_that!(found.len(), gt(few.len() * 2));
+}
+
 /// If no server of the view can serve a request, the others are tried.
 #[googletest::test]
 fn other_servers_are_a_fallback() {
