Rank requests by the priorities of customers and routes

Cause: priorities of routes were decoded and read by no decision; priorities of customers were not decoded. One priority out of range made the whole configuration unreadable.

Change: `gateway::urgency` ranks a request among the urgencies that the configuration allows at its service, customer before route. The gateway's calls and streams carry their level, and refusals have two more reasons for the admission that will use it. Priorities that are out of range or unreadable count as the nearest one or as missing, and are logged. How long requests wait and when refused callers return has a module of its own.

Result: no decision changes yet.

--- a/crates/mastweir-core/src/gateway/admission.rs
+++ b/crates/mastweir-core/src/gateway/admission.rs
@@ -12,6 +12,7 @@
 //! First attempts are preferred to retries: only they can still meet their objective, and
 //! admitting retries first would only make others retry.
 
+use super::urgency::UrgencyLevel;
 use crate::time::Uptime;
 
 /// Mean load, as a fraction of slots, up to which all streams are admitted.
@@ -28,6 +29,7 @@
     pub draw: f64,
     /// Whether an earlier attempt of the caller was refused.
     pub is_retry: bool,
+    pub level: UrgencyLevel,
 }
 
 impl StreamRequest {
--- a/crates/mastweir-core/src/gateway/choice.rs
+++ b/crates/mastweir-core/src/gateway/choice.rs
@@ -27,6 +27,10 @@
     NoHall,
     /// All servers are full.
     Full,
+    /// At the present load, only more urgent streams are admitted.
+    LessUrgent,
+    /// Passes are longer than the gap objective, and only more urgent streams are admitted.
+    LongPasses,
     /// The rank groups of all servers are stalled.
     Stalled,
     /// No server is usable, and the first one that will be asked for a backoff, which ends after
--- a/crates/mastweir-core/src/gateway/config.rs
+++ b/crates/mastweir-core/src/gateway/config.rs
@@ -42,7 +42,7 @@
     pub objective_ms: u64,
     /// Longest desired gap between two events of a stream, in milliseconds.
     pub gap_ms: u64,
-    /// Priority among routes; 0 is the highest.
+    /// Priority among routes, 0 to 9; 0 is the highest.
     pub priority: u8,
     /// Number of servers to which one request may be sent.
     pub attempts: u32,
@@ -149,6 +149,12 @@
     pub customers: Option<HashMap<String, String>>,
     /// Regions to which the requests of a customer are confined, for customers that have any.
     pub customer_homes: HashMap<String, Vec<String>>,
+    /// Priorities of the customers that have one, 0 to 9; 0 is the highest.
+    pub customer_priorities: HashMap<String, u8>,
+    /// Routes and customers whose priority is out of range or unreadable, for the log. Not sent
+    /// to other gateways.
+    #[serde(skip)]
+    pub invalid_priorities: Vec<String>,
     pub limits: Limits,
 }
 
--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod server_notices;
 mod status;
 mod stream_timing;
+mod urgency;
 mod views;
 mod warmups;
 
@@ -71,4 +72,5 @@
 pub use server_notices::Exclusion;
 pub use status::LoadReport;
 pub use stream_timing::StreamTiming;
+pub use urgency::{PRIORITY_DEFAULT, PRIORITY_MAX, Urgency, UrgencyLevel, UrgencyLevels};
 pub use views::{ViewKey, ViewSize};
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -8,7 +8,10 @@
     header::{HOST, HeaderValue},
 };
 use mastweir_core::{
-    gateway::{Fingerprint, Homes, Quarantine, RequestParts, Requirements, Route, StreamRequest},
+    gateway::{
+        Fingerprint, Homes, Quarantine, RequestParts, Requirements, Route, StreamRequest, Urgency,
+        UrgencyLevel,
+    },
     time::Uptime,
 };
 use std::{cell::OnceCell, rc::Rc, time::Duration};
@@ -108,13 +111,22 @@
         tried: &'a [String],
         max_load: f64,
     ) -> Requirements<'a> {
-        let stream = StreamRequest { draw: self.draw, is_retry: self.is_retry };
+        let stream =
+            StreamRequest { draw: self.draw, is_retry: self.is_retry, level: self.level() };
         Requirements {
             stream: Some(stream).filter(|_| self.is_model()),
             ..self.requirements(tried, max_load)
         }
     }
 
+    /// Returns the rank of the request among the urgencies of its service.
+    pub fn level(&self) -> UrgencyLevel {
+        let customer = self.customer.as_ref();
+        let priorities = &self.active.config.customer_priorities;
+        let own = customer.and_then(|name| priorities.get(name)).copied();
+        self.active.levels.level(&self.service, Urgency::new(own, self.route().priority))
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.since(self.clock.now())
--- a/src/mastweir/gateway/final_answer.rs
+++ b/src/mastweir/gateway/final_answer.rs
@@ -2,11 +2,11 @@
 //!
 //! In the gateway's process. If no server has answered, the status tells the caller whether the
 //! request may have run: 503 with `Retry-After` states that it has not, 502 and 504 leave it
-//! open. `Retry-After` depends on the reason of the refusal and is spread at random where many
-//! callers are refused together.
+//! open. [`super::return_times`] decides on `Retry-After`.
 
 use super::{
     call::{Call, Progress},
+    return_times::{RETRY_AFTER_FULL, retry_after},
     state::Gateway,
     stream::Reply,
 };
@@ -14,21 +14,9 @@
 use http_body_util::{Either, Full};
 use hyper::{Response, StatusCode};
 use mastweir_core::gateway::{NextAction, QUARANTINE_DURATION, Quarantine, Refusal};
-use rand::Rng;
 use slog::info;
-use std::{ops::Range, time::Duration};
+use std::time::Duration;
 
-/// `Retry-After` if a service without a model is full: its requests take some ten milliseconds.
-pub const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
-/// Range of `Retry-After` if a model's servers are full: their streams take seconds.
-const RETRY_AFTER_OVERLOAD: Range<Duration> =
-    Duration::from_millis(600)..Duration::from_millis(2_400);
-/// `Retry-After` if no server is available or all groups are stalled: a restart takes seconds.
-const RETRY_AFTER_DOWN: Duration = Duration::from_millis(2_500);
-/// Random time on top of the servers' backoff or wait for a permit.
-const RETRY_AFTER_JITTER: Range<Duration> = Duration::ZERO..Duration::from_millis(400);
-/// `Retry-After` if all servers are rate limited and no permit issuer has stated a time.
-const RETRY_AFTER_LIMITED: Duration = Duration::from_millis(1_000);
 /// `Retry-After` while servers are probed for a crash under the request: longer than two probes.
 const RETRY_AFTER_PROBES: Duration = Duration::from_millis(1_000);
 
@@ -36,6 +24,8 @@
 pub fn no_server(gateway: &Gateway, call: &Call, progress: &Progress, refusal: Refusal) -> Reply {
     let reason = match refusal {
         Refusal::Full => "full",
+        Refusal::LessUrgent => "less_urgent",
+        Refusal::LongPasses => "long_passes",
         Refusal::Stalled => "standing",
         Refusal::Backoff(_) => "backoff",
         Refusal::Limited(_) => "limited",
@@ -71,21 +61,6 @@
     if progress.possible_runs > 0 { NextAction::EndUnknown } else { NextAction::EndNotRun }
 }
 
-/// Returns the `Retry-After` of a refusal.
-fn retry_after(gateway: &Gateway, call: &Call, refusal: Refusal) -> Duration {
-    match refusal {
-        Refusal::Full if call.is_model() => {
-            gateway.rng.borrow_mut().random_range(RETRY_AFTER_OVERLOAD)
-        }
-        Refusal::Full => RETRY_AFTER_FULL,
-        Refusal::Stalled | Refusal::NoServer | Refusal::NoHall => RETRY_AFTER_DOWN,
-        Refusal::Limited(left) if left.is_zero() => RETRY_AFTER_LIMITED,
-        Refusal::Backoff(left) | Refusal::Limited(left) => {
-            left + gateway.rng.borrow_mut().random_range(RETRY_AFTER_JITTER)
-        }
-    }
-}
-
 /// Returns the gateway's own final answer to a request. `retry_after` is sent only if the request
 /// has not run.
 pub fn end(
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -9,9 +9,10 @@
     attempt::{ServerAnswer, attempt, may_retry},
     call::{Call, Progress},
     crash_probe::suspect_crash,
-    final_answer::{RETRY_AFTER_FULL, end, log_outcome, no_server, quarantined, refuse},
+    final_answer::{end, log_outcome, no_server, quarantined, refuse},
     in_flight::InFlight,
     permits,
+    return_times::{RETRY_AFTER_FULL, wait_limit},
     state::Gateway,
     stream::{self, Reply},
 };
@@ -22,12 +23,9 @@
     body::Incoming,
     header::{CONNECTION, HOST, HeaderValue},
 };
-use mastweir_core::{
-    gateway::{
-        AttemptResult, AttemptState, Candidate, Kind, NextAction, Refusal, Route, final_action,
-        max_deferral, next_action,
-    },
-    time::Uptime,
+use mastweir_core::gateway::{
+    AttemptResult, AttemptState, Candidate, Kind, NextAction, Refusal, Route, final_action,
+    max_deferral, next_action,
 };
 use rand::Rng;
 use slog::info;
@@ -45,9 +43,6 @@
 const MODEL_MAX_LOAD: f64 = 1.06;
 /// The same for a server without a model; above 1, requests wait in the server's queue.
 const PLAIN_MAX_LOAD: f64 = 3.0;
-/// Fraction of the route's objective for which a request waits for capacity. The rest leaves the
-/// caller time to retry after a refusal.
-const WAIT_FRACTION: f64 = 0.2;
 /// Shortest time between two attempts to choose a server.
 const CHOICE_INTERVAL_MIN: Duration = Duration::from_millis(8);
 /// Added to the shortest time unless a server's state changes earlier.
@@ -229,7 +224,7 @@
                 Refusal::Limited(wait) => CHOICE_INTERVAL_MIN.max(*wait),
                 _ => CHOICE_INTERVAL_MIN,
             };
-            gateway.clock.now() + wait >= wait_limit(call)
+            gateway.clock.now() + wait >= wait_limit(gateway, call, *refusal)
         };
         if let Some(refusal) = refusal.filter(is_final) {
             return Err(refusal);
@@ -243,14 +238,6 @@
     }
 }
 
-/// Returns the time until which a request waits for capacity. A retry waits no longer than a first
-/// attempt: under lasting overload it would hold its caller in vain, and its chance does not
-/// improve while it waits.
-fn wait_limit(call: &Call) -> Uptime {
-    let objective = Duration::from_millis(call.route().objective_ms);
-    (call.arrived + objective.mul_f64(WAIT_FRACTION)).min(call.deadline)
-}
-
 /// Returns whether a request may be sent now. Its first send is deferred, as long as the objective
 /// allows, while passes at the chosen server are too long for the route's desired gap.
 fn is_deferral_over(call: &Call, progress: &Progress, server: &Candidate) -> bool {
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod permits;
 mod quarantine;
 mod relay;
+mod return_times;
 mod server_notices;
 pub mod settings;
 mod state;
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -16,12 +16,12 @@
 use mastweir_core::{
     gateway::{
         Candidate, Config, Directory, EvacuationList, Fleet, PeerInfo, Peers, PoisonRequests,
-        Refusal, Requirements, RetryDetector, RetryWindow, Route, RouteIndex,
+        Refusal, Requirements, RetryDetector, RetryWindow, Route, RouteIndex, UrgencyLevels,
     },
     time::Uptime,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeSet, HashMap},
@@ -58,6 +58,8 @@
     pub config: Config,
     /// Routes by host and path prefix.
     pub index: RouteIndex,
+    /// Urgencies of the requests of each service.
+    pub levels: UrgencyLevels,
 }
 
 impl ActiveConfig {
@@ -204,8 +206,12 @@
         let rates = config.services.iter().filter(|(_, service)| service.warmup_per_s > 0.0);
         let rates = rates.map(|(name, service)| (name.clone(), service.warmup_per_s));
         self.fleet.borrow_mut().set_warmup_rates(rates.collect());
-        let index = RouteIndex::new(&config);
-        *self.active.borrow_mut() = Some(Rc::new(ActiveConfig { config, index }));
+        if !config.invalid_priorities.is_empty() {
+            warn!(self.log, "invalid priorities; give whole numbers from 0 to 9"; "version" => config.version,
+                "routes_and_customers" => config.invalid_priorities.join(","));
+        }
+        let (index, levels) = (RouteIndex::new(&config), UrgencyLevels::new(&config));
+        *self.active.borrow_mut() = Some(Rc::new(ActiveConfig { config, index, levels }));
     }
 
     /// Adopts a complete list of servers if it is newer. A list from right after an outage of the
--- a/src/mastweir/platform/config.rs
+++ b/src/mastweir/platform/config.rs
@@ -3,10 +3,14 @@
 //! [`mastweir_core::gateway::Config`].
 
 use mastweir_core::{
-    gateway::{Config, Kind, Limits, Model, PassCost, Route, Service, Target},
+    gateway::{
+        Config, Kind, Limits, Model, PRIORITY_DEFAULT, PRIORITY_MAX, PassCost, Route, Service,
+        Target,
+    },
     revision::Revision,
 };
 use serde::Deserialize;
+use serde_json::Value;
 use std::collections::HashMap;
 
 /// Kind of the configuration's object.
@@ -38,7 +42,7 @@
     #[serde(default)]
     gap_aim_ms: u64,
     #[serde(default)]
-    priority: u8,
+    priority: Value,
     service: Option<String>,
     /// Weights by service. Their sum is arbitrary.
     traffic_split: Option<Vec<SplitSpec>>,
@@ -112,6 +116,8 @@
     api_keys: Vec<String>,
     #[serde(default)]
     allowed_regions: Vec<String>,
+    #[serde(default)]
+    priority: Value,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -133,7 +139,10 @@
         return Ok(None);
     }
     let spec: ConfigSpec = serde_json::from_str(spec)?;
-    let customer_homes = homes(spec.tenants.as_deref().unwrap_or_default());
+    let tenants = spec.tenants.as_deref().unwrap_or_default();
+    let customer_homes = homes(tenants);
+    let customer_priorities = priorities(tenants);
+    let invalid_priorities = invalid_priorities(&spec.routes, tenants);
     let keys = |tenants: Vec<TenantSpec>| -> HashMap<String, String> {
         let pair = |tenant: TenantSpec| {
             tenant.api_keys.into_iter().map(move |key| (key, tenant.name.clone()))
@@ -146,6 +155,8 @@
         services: spec.services.into_iter().map(service).collect(),
         customers: spec.tenants.map(keys),
         customer_homes,
+        customer_priorities,
+        invalid_priorities,
         limits: limits(&spec.limits),
     }))
 }
@@ -156,6 +167,32 @@
     confined.map(|tenant| (tenant.name.clone(), tenant.allowed_regions.clone())).collect()
 }
 
+/// Returns the priorities of the customers that have one.
+fn priorities(tenants: &[TenantSpec]) -> HashMap<String, u8> {
+    let known = |tenant: &TenantSpec| Some((tenant.name.clone(), priority(&tenant.priority)?));
+    tenants.iter().filter_map(known).collect()
+}
+
+/// Returns a priority, or `None` if it is missing or no whole number. One unreadable priority must
+/// not make the whole configuration unreadable. A number out of range counts as the nearest
+/// priority.
+fn priority(value: &Value) -> Option<u8> {
+    let number = value.as_i64().or_else(|| value.as_u64().map(|_| i64::MAX))?;
+    u8::try_from(number.clamp(0, i64::from(PRIORITY_MAX))).ok()
+}
+
+/// Returns the names of routes and customers whose priority is out of range or unreadable.
+fn invalid_priorities(routes: &[RouteSpec], tenants: &[TenantSpec]) -> Vec<String> {
+    let routes = routes.iter().map(|route| (&route.name, &route.priority));
+    let tenants = tenants.iter().map(|tenant| (&tenant.name, &tenant.priority));
+    let is_valid = |value: &Value| {
+        let number = value.as_u64();
+        value.is_null() || number.is_some_and(|number| number <= u64::from(PRIORITY_MAX))
+    };
+    let invalid = routes.chain(tenants).filter(|(_, value)| !is_valid(value));
+    invalid.map(|(name, _)| name.clone()).collect()
+}
+
 fn route(route: RouteSpec) -> Route {
     let split = route.traffic_split.unwrap_or_default();
     let mut targets: Vec<Target> = split
@@ -180,7 +217,7 @@
         timeout_ms: route.timeout_ms,
         objective_ms: route.target_latency_ms,
         gap_ms: route.gap_aim_ms,
-        priority: route.priority,
+        priority: priority(&route.priority).unwrap_or(PRIORITY_DEFAULT),
         attempts: route.max_attempts.max(1),
         public: route.public,
         resumable: route.stream_resume,
--- a/tests/testsuite/gateway_core.rs
+++ b/tests/testsuite/gateway_core.rs
@@ -43,6 +43,8 @@
         services: HashMap::new(),
         customers: None,
         customer_homes: HashMap::new(),
+        customer_priorities: HashMap::new(),
+        invalid_priorities: Vec::new(),
         limits: Limits::default(),
     };
     let index = RouteIndex::new(&config);
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -9,6 +9,7 @@
 use mastweir_core::{
     gateway::{
         Directory, Fleet, Homes, LoadReport, Requirements, Server, ServerState, StreamRequest,
+        UrgencyLevel,
     },
     revision::Revision,
     time::Uptime,
@@ -181,7 +182,7 @@
                 self.held.push(held);
                 continue;
             }
-            let stream = StreamRequest { draw, is_retry };
+            let stream = StreamRequest { draw, is_retry, level: UrgencyLevel::default() };
             let stream = Some(stream).filter(|_| self.case.admits);
             let needs = Requirements {
                 service: "s",
--- a/tests/testsuite/platform_file.rs
+++ b/tests/testsuite/platform_file.rs
@@ -6,7 +6,10 @@
     config, servers,
     settings::{engine, listeners, parse},
 };
-use mastweir_core::revision::Revision;
+use mastweir_core::{
+    gateway::{Urgency, UrgencyLevel, UrgencyLevels},
+    revision::Revision,
+};
 
 const GATEWAY: &str = r#"
 node = "north-1"
@@ -70,6 +73,42 @@
     Ok(())
 }
 
+/// A priority that is no whole number, or out of range, must not make the configuration unreadable.
+#[googletest::test]
+fn reads_priorities_and_levels_of_urgency() -> eyre::Result<()> {
+    let route = |name: &str, priority: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"h","path_prefix":"/{name}/","kind":"streaming",
+            "timeout_ms":9,"service":"s"{priority}}}"#
+        )
+    };
+    let routes = [
+        route("draft", r#","priority":0"#),
+        route("plan", r#","priority":2"#),
+        route("huge", r#","priority":300"#),
+        route("below", r#","priority":-1"#),
+        route("text", r#","priority":"high""#),
+        route("none", ""),
+    ];
+    let spec = format!(
+        r#"{{"version":1,"services":[{{"name":"s"}}],"routes":[{}],"tenants":[
+        {{"name":"north","api_keys":["k"],"priority":1}},{{"name":"free","api_keys":["f"]}}]}}"#,
+        routes.join(",")
+    );
+    let config = config::read("main", Revision::new(0, 1), &spec)?.expect("it is the one");
+    let priorities: Vec<u8> = config.routes.iter().map(|route| route.priority).collect();
+    expect_that!(priorities, container_eq([0, 2, 9, 0, 5, 5]));
+    expect_that!(config.invalid_priorities, elements_are![eq("huge"), eq("below"), eq("text")]);
+    expect_that!(config.customer_priorities.get("north"), some(eq(&1)));
+    let levels = UrgencyLevels::new(&config);
+    let level = |customer, route| levels.level("s", Urgency::new(customer, route));
+    // The customer comes before the route: four priorities of routes for each of two customers.
+    expect_that!(level(Some(1), 9), eq(UrgencyLevel { rank: 3, count: 8 }));
+    expect_that!(level(None, 0), eq(UrgencyLevel { rank: 4, count: 8 }));
+    expect_that!(levels.level("other", Urgency::new(None, 0)).is_ranked(), eq(false));
+    Ok(())
+}
+
 #[test]
 fn errors_of_invalid_settings_name_the_remedy() -> eyre::Result<()> {
     let change = |from: &str, to: &str| {
