Estimate the rest of an outage for refused and returning callers

Around a cut of a hall, callers were refused, told to return after a fixed 2.5 s, and refused again, which loses them.

Each gateway now records since when all groups of a service are stalled, and whether all its servers report again. For services with ranked levels, a first attempt is refused at once with a Retry-After of the outage's age, from 0.6 s up to a third of the caller's time, spread by level. A returning caller waits for up to 1.8 s if the outage ends meanwhile with a chance of one in four, or if its end is near; after that it waits for a slot as usual. The begin and end of an outage are logged and counted. Other services keep their waits and return times.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -10,7 +10,8 @@
 //! is within the budget ([`RetryWindow`]). Requests that crash servers are quarantined
 //! ([`PoisonRequests`]). A server that states a rate limit, or that is cold, gets only requests with a permit
 //! ([`PermitIssuer`]); the servers of an evacuated hall get none ([`EvacuationList`]). Event streams are split into complete events ([`EventSplitter`]), so
-//! that another server can resume them. Data of the platform's store is used only while the
+//! that another server can resume them. Callers that an outage refuses are told when to return, or
+//! wait for its end ([`OutageTracker`]). Data of the platform's store is used only while the
 //! store is known to answer ([`Liveness`]).
 
 mod admission;
@@ -28,6 +29,8 @@
 mod lag;
 mod listeners;
 mod liveness;
+mod outage_waits;
+mod outages;
 mod passes;
 mod peers;
 mod permit_issuer;
@@ -36,6 +39,7 @@
 mod poison_requests;
 mod rate_limits;
 mod registry;
+mod reporting;
 mod retry_detector;
 mod retry_policy;
 mod retry_window;
@@ -60,6 +64,8 @@
 pub use lag::{Lag, Versions};
 pub use listeners::Listeners;
 pub use liveness::{Liveness, PROBE_TIMEOUT, ProbeResult, WatchFailure};
+pub use outage_waits::{FORM_TIME, OUTAGE_WAIT_MAX, RefusedCaller, spread_by_level};
+pub use outages::{CONTINUED_WITHIN, EndedOutage, IDLE_END, Outage, OutageTracker};
 pub use passes::PassTimer;
 pub use peers::{PeerInfo, PeerState, Peers};
 pub use permit_issuer::{HANDOVER_DELAY, PERMIT_LIFETIME, PermitGrant, PermitIssuer, issuer_of};
--- a/crates/mastweir-core/src/gateway/status.rs
+++ b/crates/mastweir-core/src/gateway/status.rs
@@ -11,7 +11,7 @@
 /// Greatest age of a report that is used: four missing reports.
 pub(super) const REPORT_VALIDITY: Duration = Duration::from_millis(1_000);
 /// Silence of a sidecar after which the server is assumed to have no sidecar.
-const SILENT_UNTIL: Duration = Duration::from_secs(10);
+pub(super) const SILENT_UNTIL: Duration = Duration::from_secs(10);
 /// The same for a sidecar that never reported to this gateway while most others of the service
 /// do. A gateway that has just started can't tell whether such a server has a sidecar.
 const UNREPORTED_UNTIL: Duration = Duration::from_secs(4);
--- a/src/mastweir/gateway/final_answer.rs
+++ b/src/mastweir/gateway/final_answer.rs
@@ -6,7 +6,7 @@
 
 use super::{
     call::{Call, Progress},
-    return_times::{RETRY_AFTER_FULL, retry_after},
+    return_times::{RETRY_AFTER_FULL, present_outage, retry_after},
     state::Gateway,
     stream::Reply,
 };
@@ -19,6 +19,9 @@
 
 /// `Retry-After` while servers are probed for a crash under the request: longer than two probes.
 const RETRY_AFTER_PROBES: Duration = Duration::from_millis(1_000);
+/// Age from which a refused request counts as one that has waited. A body is usually read in less,
+/// and a request that waits does so for tens of milliseconds at least.
+const WAITED_MIN: Duration = Duration::from_millis(30);
 
 /// Returns the final answer to a request for which no server was found.
 pub fn no_server(gateway: &Gateway, call: &Call, progress: &Progress, refusal: Refusal) -> Reply {
@@ -33,11 +36,21 @@
         Refusal::NoHall => "no_hall",
     };
     gateway.metrics.count("refusals_total", reason);
+    let outage = present_outage(gateway, call).filter(|_| refusal == Refusal::Stalled);
+    if outage.is_some() {
+        let waited = if call.age() < WAITED_MIN { "at_once" } else { "waited" };
+        gateway.metrics.count("outage_refusals_total", waited);
+    }
+    let retry_after = retry_after(gateway, call, refusal);
     info!(gateway.log, "no server found"; "id" => &call.head.id, "service" => &call.service,
         "reason" => reason, "tried" => progress.tried.join(","),
         "returned" => call.is_retry, "left_ms" => call.time_left().as_millis() as u64,
+        "waited_ms" => call.age().as_millis() as u64, "level" => call.level().rank,
+        "outage_ms" => outage.map(|outage| outage.age.as_millis() as u64),
+        "rest_ms" => outage.map(|outage| outage.expected_rest().as_millis() as u64),
+        "retry_after_ms" => retry_after.as_millis() as u64,
         "directory" => %gateway.fleet.borrow().directory().revision);
-    end(gateway, call, progress, end_action(progress), retry_after(gateway, call, refusal))
+    end(gateway, call, progress, end_action(progress), retry_after)
 }
 
 /// Returns the final answer to a quarantined request. `Retry-After` is the time after which the
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -6,7 +6,7 @@
 //! the open ones to end.
 
 use super::{
-    fetch, forward, generations, peers,
+    fetch, forward, generations, peers, service_outages,
     state::{Gateway, GatewayOptions},
     watch,
 };
@@ -113,6 +113,7 @@
         gateway.server_pool.close_expired();
         gateway.internal_pool.close_expired();
         gateway.drop_expired();
+        service_outages::log_ended(&gateway, gateway.clock.now());
         gateway.suspects.borrow_mut().expire(gateway.clock.now());
     }
 }
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -34,6 +34,7 @@
 mod relay;
 mod return_times;
 mod server_notices;
+mod service_outages;
 pub mod settings;
 mod state;
 mod stream;
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -6,7 +6,7 @@
 
 use super::{
     log_once::LoggedOnce, message::CoordinatorSeen, pending_probes::PendingProbes,
-    permit_state::PermitState, settings::Settings,
+    permit_state::PermitState, service_outages, settings::Settings,
 };
 use crate::{
     net::http::Pool,
@@ -15,8 +15,9 @@
 };
 use mastweir_core::{
     gateway::{
-        Candidate, Config, Directory, EvacuationList, Fleet, PeerInfo, Peers, PoisonRequests,
-        Refusal, Requirements, RetryDetector, RetryWindow, Route, RouteIndex, UrgencyLevels,
+        Candidate, Config, Directory, EvacuationList, Fleet, OutageTracker, PeerInfo, Peers,
+        PoisonRequests, Refusal, Requirements, RetryDetector, RetryWindow, Route, RouteIndex,
+        UrgencyLevels,
     },
     time::Uptime,
 };
@@ -86,6 +87,8 @@
     /// Connections to other gateways.
     pub internal_pool: Pool,
     pub fleet: RefCell<Fleet>,
+    /// Outages of services.
+    pub service_outages: RefCell<OutageTracker>,
     /// Source of random choices.
     pub rng: RefCell<SmallRng>,
     /// The other gateways.
@@ -142,6 +145,7 @@
                     .with_ip(settings.ip)
                     .with_regions(settings.regions.clone()),
             ),
+            service_outages: RefCell::default(),
             rng: RefCell::new(rng),
             gateways: RefCell::new(Peers::new(PeerInfo {
                 ip: settings.ip,
@@ -277,8 +281,10 @@
     ///
     /// [`Refusal`] says why there is no such server.
     pub fn choose(&self, requirements: Requirements<'_>) -> Result<Candidate, Refusal> {
-        let mut rng = self.rng.borrow_mut();
-        self.fleet.borrow().choose(requirements, self.clock.now(), &mut *rng)
+        let now = self.clock.now();
+        let chosen = self.fleet.borrow().choose(requirements, now, &mut *self.rng.borrow_mut());
+        service_outages::record(self, requirements.service, chosen.as_ref().err().copied(), now);
+        chosen
     }
 
     /// Counts a request of a service towards its retry budget.
