Take a gateway for cut off only if most sidecars fell silent

A service with a single sidecar would have been in an outage as soon as that one stopped, although its other servers work and never report.

--- a/crates/mastweir-core/src/gateway/reporting.rs
+++ b/crates/mastweir-core/src/gateway/reporting.rs
@@ -16,15 +16,15 @@
         !self.ready(service).is_empty() && self.report_ages(service, now).all(is_recent)
     }
 
-    /// Whether this gateway seems cut off from the servers of a service: sidecars reported, but no
-    /// report is recent enough to tell whether its group is stalled.
+    /// Whether this gateway seems cut off from the servers of a service: the sidecars of most
+    /// reported, but no report is recent enough to tell whether its group is stalled.
     pub fn are_all_silent(&self, service: &str, now: Uptime) -> bool {
-        let mut was_heard = false;
-        let are_old = self.report_ages(service, now).all(|age| {
-            was_heard |= age.is_some_and(|age| age < SILENT_UNTIL);
-            age.is_none_or(|age| age >= REPORT_VALIDITY)
-        });
-        are_old && was_heard
+        let is_old = |age: Option<Duration>| age.is_none_or(|age| age >= REPORT_VALIDITY);
+        let was_heard = |age: &Option<Duration>| age.is_some_and(|age| age < SILENT_UNTIL);
+        // The first report that is recent ends the search.
+        self.report_ages(service, now).all(is_old)
+            && self.report_ages(service, now).filter(was_heard).count() * 2
+                > self.ready(service).len()
     }
 
     /// Returns the age of each server's last report of its sidecar.
--- a/tests/testsuite/outages.rs
+++ b/tests/testsuite/outages.rs
@@ -241,6 +241,8 @@
     expect_that!(seen(&Fleet::default(), 500), eq((false, false)));
     fleet.record_report("a", LoadReport::default(), at(1_000));
     expect_that!(seen(&fleet, 1_100), eq((false, false)));
+    // The other server may have no sidecar, and work.
+    expect_that!(seen(&fleet, 2_500), eq((false, false)));
     fleet.record_report("b", LoadReport::default(), at(1_100));
     expect_that!(seen(&fleet, 1_200), eq((true, false)));
     expect_that!(seen(&fleet, 1_699), eq((true, false)));
