Queue requests that wait for a server in order of urgency

Cause: each waiting request polled for a server every 8 to 40 ms, so chance decided which of them got a slot that came free, and nothing bounded how many waited.

Change: each gateway keeps one queue (core: gateway::wait_queue), by level, then by customers' shares (start-time fair queueing), then requests that can still meet their objective before late ones, then arrival. One task (gateway::waiting) tries the waiting requests in order when servers change, at most once in 8 ms and at least once in 40 ms. A guard removes the entry of a caller that leaves. The queue holds 512 requests and 16 MB of bodies over all services. The slot and the permit are now taken when the server is chosen, so that one pass does not give the same room away twice.

A request now ends its wait at its limit, after one more try. Before, the last poll could come up to 48 ms after the limit.

All 12 tests of the queue fail with their code taken out.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -5,7 +5,8 @@
 //! the servers ([`ViewSize`]).
 //!
 //! A gateway finds the route of a request ([`Config`]), decides whether the service admits a
-//! stream ([`StreamRequest`]), and chooses a server ([`Fleet`]). After an attempt it decides
+//! stream ([`StreamRequest`]), and chooses a server ([`Fleet`]); requests for which there is none
+//! wait in a queue ([`WaitQueue`]). After an attempt it decides
 //! what the outcome proves and what to do next ([`Proof`], [`next_action`]), and whether a retry
 //! is within the budget ([`RetryWindow`]). Requests that crash servers are quarantined
 //! ([`PoisonRequests`]). A server that states a rate limit, or that is cold, gets only requests with a permit
@@ -45,6 +46,7 @@
 mod stream_timing;
 mod urgency;
 mod views;
+mod wait_queue;
 mod warmups;
 
 pub use admission::StreamRequest;
@@ -74,3 +76,6 @@
 pub use stream_timing::StreamTiming;
 pub use urgency::{PRIORITY_DEFAULT, PRIORITY_MAX, Urgency, UrgencyLevel, UrgencyLevels};
 pub use views::{ViewKey, ViewSize};
+pub use wait_queue::{
+    Enqueued, WaitBounds, WaitQueue, WaitQueueFull, WaitTicket, WaitingRequest, is_shared_refusal,
+};
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -51,13 +51,19 @@
 pub struct SlotGuard {
     gateway: Rc<Gateway>,
     pub server: Candidate,
+    /// Whether a permit was taken for the request.
+    has_permit: bool,
     failed: Cell<bool>,
 }
 
 impl SlotGuard {
-    fn acquire(gateway: &Rc<Gateway>, server: Candidate) -> Self {
-        gateway.fleet.borrow_mut().record_sent(&server.id, gateway.clock.now());
-        Self { gateway: gateway.clone(), server, failed: Cell::new(false) }
+    /// Counts a request in the load of its server, and takes a permit if the server needs one.
+    pub fn acquire(gateway: &Rc<Gateway>, server: Candidate) -> Self {
+        let now = gateway.clock.now();
+        let mut fleet = gateway.fleet.borrow_mut();
+        fleet.record_sent(&server.id, now);
+        let has_permit = fleet.take_permit(&server.id, now);
+        Self { gateway: gateway.clone(), server, has_permit, failed: Cell::new(false) }
     }
 
     /// Records that the server failed or gave no complete answer.
@@ -75,7 +81,7 @@
     }
 }
 
-/// Sends a request to a server and reads the head of the answer. `last_event` is the id of the last
+/// Sends a request to the server of a slot and reads the head of the answer. `last_event` is the id of the last
 /// event that the caller got, if a stream is resumed.
 ///
 /// # Errors
@@ -84,16 +90,14 @@
 pub async fn attempt(
     gateway: &Rc<Gateway>,
     call: &Call,
-    server: Candidate,
+    slot: SlotGuard,
     last_event: Option<&str>,
     progress: &mut Progress,
 ) -> Result<ServerAnswer, AttemptResult> {
-    progress.tried.push(server.id.clone());
+    progress.tried.push(slot.server.id.clone());
     progress.send_delay.get_or_insert(call.age());
-    let slot = SlotGuard::acquire(gateway, server);
     let addr = slot.server.addr;
     let id = &slot.server.id;
-    let permit = gateway.fleet.borrow_mut().take_permit(id, gateway.clock.now());
     let idle = if call.route().is_repeatable() { gateway.server_pool.reuse(addr) } else { None };
     let opened = match idle {
         Some(connection) => Ok(connection),
@@ -104,7 +108,7 @@
         AttemptResult::NotRun(Proof::NeverSent)
     })?;
     // The server may have been excluded or limited while the connection was opened.
-    if !gateway.fleet.borrow_mut().may_send(id, permit, gateway.clock.now()) {
+    if !gateway.fleet.borrow_mut().may_send(id, slot.has_permit, gateway.clock.now()) {
         gateway.server_pool.release(connection, None);
         return Err(AttemptResult::NotRun(Proof::NeverSent));
     }
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Whether the request may be served in any region.
+    pub fn has_no_homes(&self) -> bool {
+        self.homes().is_empty()
+    }
+
     fn homes(&self) -> Homes<'_> {
         let config = &self.active.config;
         let customer = self.customer.as_ref().and_then(|name| config.customer_homes.get(name));
--- a/src/mastweir/gateway/final_answer.rs
+++ b/src/mastweir/gateway/final_answer.rs
@@ -20,9 +20,9 @@
 /// `Retry-After` while servers are probed for a crash under the request: longer than two probes.
 const RETRY_AFTER_PROBES: Duration = Duration::from_millis(1_000);
 
-/// Returns the final answer to a request for which no server was found.
-pub fn no_server(gateway: &Gateway, call: &Call, progress: &Progress, refusal: Refusal) -> Reply {
-    let reason = match refusal {
+/// Returns the name of a refusal in logs and metrics.
+pub const fn refusal_label(refusal: Refusal) -> &'static str {
+    match refusal {
         Refusal::Full => "full",
         Refusal::LessUrgent => "less_urgent",
         Refusal::LongPasses => "long_passes",
@@ -31,7 +31,12 @@
         Refusal::Limited(_) => "limited",
         Refusal::NoServer => "no_server",
         Refusal::NoHall => "no_hall",
-    };
+    }
+}
+
+/// Returns the final answer to a request for which no server was found.
+pub fn no_server(gateway: &Gateway, call: &Call, progress: &Progress, refusal: Refusal) -> Reply {
+    let reason = refusal_label(refusal);
     gateway.metrics.count("refusals_total", reason);
     info!(gateway.log, "no server found"; "id" => &call.head.id, "service" => &call.service,
         "reason" => reason, "tried" => progress.tried.join(","),
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -11,10 +11,10 @@
     crash_probe::suspect_crash,
     final_answer::{end, log_outcome, no_server, quarantined, refuse},
     in_flight::InFlight,
-    permits,
-    return_times::{RETRY_AFTER_FULL, wait_limit},
+    return_times::RETRY_AFTER_FULL,
     state::Gateway,
     stream::{self, Reply},
+    waiting::wait_for_server,
 };
 use crate::platform::headers;
 use http_body_util::{BodyExt, Either, Full, Limited};
@@ -24,8 +24,7 @@
     header::{CONNECTION, HOST, HeaderValue},
 };
 use mastweir_core::gateway::{
-    AttemptResult, AttemptState, Candidate, Kind, NextAction, Refusal, Route, final_action,
-    max_deferral, next_action,
+    AttemptResult, AttemptState, Kind, NextAction, Route, final_action, next_action,
 };
 use rand::Rng;
 use slog::info;
@@ -34,19 +33,9 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::time;
 
 /// Largest answer that is buffered.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
-/// Load, as a fraction of its slots, up to which a model's server counts as having capacity.
-/// Admission of a stream depends on the mean load of the service as well.
-const MODEL_MAX_LOAD: f64 = 1.06;
-/// The same for a server without a model; above 1, requests wait in the server's queue.
-const PLAIN_MAX_LOAD: f64 = 3.0;
-/// Shortest time between two attempts to choose a server.
-const CHOICE_INTERVAL_MIN: Duration = Duration::from_millis(8);
-/// Added to the shortest time unless a server's state changes earlier.
-const CHOICE_INTERVAL_MAX: Duration = Duration::from_millis(40);
 /// For requests without a deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
@@ -158,11 +147,11 @@
         if let Some(quarantine) = call.quarantine(gateway) {
             return quarantined(gateway, &call, &progress, quarantine);
         }
-        let server = match chosen {
-            Ok(server) => server,
+        let slot = match chosen {
+            Ok(slot) => slot,
             Err(refusal) => return no_server(gateway, &call, &progress, refusal),
         };
-        let attempted = attempt(gateway, &call, server, None, &mut progress).await;
+        let attempted = attempt(gateway, &call, slot, None, &mut progress).await;
         let result = match attempted {
             Err(result) => result,
             Ok(answer) if is_stream(&call, &answer) => {
@@ -202,51 +191,6 @@
     }
 }
 
-/// Chooses a server, and waits for some time if none has capacity.
-async fn wait_for_server(
-    gateway: &Gateway,
-    call: &Call,
-    progress: &Progress,
-) -> Result<Candidate, Refusal> {
-    let max_load = if call.is_model() { MODEL_MAX_LOAD } else { PLAIN_MAX_LOAD };
-    permits::add_demand(gateway, &call.service);
-    loop {
-        let changed = gateway.server_changes.notified();
-        let refusal = match gateway.choose(call.first_requirements(&progress.tried, max_load)) {
-            Ok(server) if is_deferral_over(call, progress, &server) => return Ok(server),
-            Ok(_) => None,
-            Err(refusal) => Some(refusal),
-        };
-        let is_final = |refusal: &Refusal| {
-            let wait = match refusal {
-                // Waiting does not help: the caller gets `Retry-After` instead.
-                Refusal::Backoff(_) | Refusal::NoHall => return true,
-                Refusal::Limited(wait) => CHOICE_INTERVAL_MIN.max(*wait),
-                _ => CHOICE_INTERVAL_MIN,
-            };
-            gateway.clock.now() + wait >= wait_limit(gateway, call, *refusal)
-        };
-        if let Some(refusal) = refusal.filter(is_final) {
-            return Err(refusal);
-        }
-        if matches!(refusal, Some(Refusal::Limited(_))) {
-            permits::add_demand(gateway, &call.service);
-        }
-        time::sleep(CHOICE_INTERVAL_MIN).await;
-        // Notified of reports on servers, of answers on permits, and of ended requests.
-        let _ = time::timeout(CHOICE_INTERVAL_MAX, changed).await;
-    }
-}
-
-/// Returns whether a request may be sent now. Its first send is deferred, as long as the objective
-/// allows, while passes at the chosen server are too long for the route's desired gap.
-fn is_deferral_over(call: &Call, progress: &Progress, server: &Candidate) -> bool {
-    let route = call.route();
-    let objective = Duration::from_millis(route.objective_ms);
-    let deferral = max_deferral(server.pass_ms, route.gap_ms as f64, objective);
-    progress.send_delay.is_some() || call.age() + CHOICE_INTERVAL_MIN > deferral
-}
-
 /// Reads an answer completely and returns it for the caller.
 ///
 /// # Errors
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -8,7 +8,7 @@
 use super::{
     fetch, forward, generations, peers,
     state::{Gateway, GatewayOptions},
-    watch,
+    waiting, watch,
 };
 use crate::net::internal;
 use bytes::Bytes;
@@ -74,6 +74,7 @@
     }
     task::spawn_local(peers::run(gateway.clone(), socket));
     task::spawn_local(sweep(gateway.clone()));
+    task::spawn_local(waiting::run(gateway.clone()));
     task::spawn_local(serve_ready(gateway.clone(), ready_listener));
     if let Some(port) = options.metrics_port {
         let listener = bind(SocketAddr::new(ip, port)).await?;
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -1,8 +1,8 @@
 //! The gateway: a reverse proxy between callers and the servers of the fleet.
 //!
 //! Each instance runs one gateway process with one thread. `listen` accepts connections; `forward`
-//! finds the route, customer and server of a request (`call`) and makes one or more attempts
-//! (`attempt`) until there is a final answer (`final_answer`); `stream` forwards streams of events
+//! finds the route, customer and server of a request (`call`), for which it may have to wait
+//! (`waiting`), and makes one or more attempts (`attempt`) until there is a final answer (`final_answer`); `stream` forwards streams of events
 //! and resumes them at another server if they break. `crash_probe` finds out whether a server
 //! crashed under a request.
 //!
@@ -39,6 +39,7 @@
 mod stream;
 mod suspect_gossip;
 mod unreadable;
+mod waiting;
 mod watch;
 
 pub use listen::run;
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -6,7 +6,7 @@
 
 use super::{
     log_once::LoggedOnce, message::CoordinatorSeen, pending_probes::PendingProbes,
-    permit_state::PermitState, settings::Settings,
+    permit_state::PermitState, settings::Settings, waiting::WaitState,
 };
 use crate::{
     net::http::Pool,
@@ -111,6 +111,8 @@
     pub invalid_limits: LoggedOnce,
     /// Permits for rate-limited servers.
     pub permits: PermitState,
+    /// Requests that wait for a server.
+    pub waiting: WaitState,
     pub retry_detector: RefCell<RetryDetector>,
     /// Number of requests in flight.
     pub in_flight: Cell<usize>,
@@ -158,6 +160,7 @@
             pending_probes: PendingProbes::default(),
             invalid_limits: LoggedOnce::default(),
             permits: PermitState::new(settings.ip, first_number),
+            waiting: WaitState::default(),
             retry_detector: RefCell::default(),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -252,9 +252,10 @@
             let until = self.gateway.clock.now() + RESUME_TIMEOUT.min(self.call.time_left());
             let needs = self.call.requirements(tried, RESUME_MAX_LOAD);
             let Ok(server) = choose_until(&self.gateway, needs, until).await else { return false };
+            let slot = SlotGuard::acquire(&self.gateway, server);
             let last = self.events.last_id().map(str::to_owned);
             let answered =
-                attempt(&self.gateway, &self.call, server, last.as_deref(), &mut self.progress);
+                attempt(&self.gateway, &self.call, slot, last.as_deref(), &mut self.progress);
             match answered.await {
                 Ok(answer) if answer.parts.status == StatusCode::OK => {
                     info!(self.gateway.log, "stream resumed"; "id" => &self.call.head.id,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -49,4 +49,5 @@
 mod suspension;
 mod unreadable;
 mod views;
+mod wait_queue;
 mod warmups;
