Set Request-Priority by the level of a request

Cause: servers let more urgent requests into the batch first, but the gateway told them nothing of urgency.

Change: for services with ranked levels, first attempts get 2 to 5 by level and retries one more (3 to 6). Resumed streams keep 1. For other services the header stays as it was: 7 for retries of a model, else none.

Measured: the test sees 2, 4, 5 for the first attempts of three levels and 3, 5, 6 for their retries, 2, 5 and 3, 6 for two, and the old headers where all are the same; it fails without the rule.

--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -183,10 +183,15 @@
 }
 
 /// Returns the request's priority in its server's queue. A resumed stream goes first, since its
-/// caller waits for the next event. A retry after a refusal goes last, since it is late already.
+/// caller waits for the next event. Where requests differ in urgency, it follows from the level.
+/// Elsewhere a retry after a refusal goes last, since it is late already.
 fn priority(call: &Call, last_event: Option<&str>) -> QueuePriority {
+    let level = call.level();
     match last_event {
         Some(_) => QueuePriority::First,
+        None if level.is_ranked() => {
+            QueuePriority::Level { fraction: level.fraction(), is_retry: call.is_retry }
+        }
         None if call.is_model() && call.is_retry => QueuePriority::Last,
         None => QueuePriority::Normal,
     }
--- a/src/mastweir/platform/headers.rs
+++ b/src/mastweir/platform/headers.rs
@@ -114,10 +114,15 @@
 }
 
 /// Priority of a request in its server's queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QueuePriority {
     /// Before all others.
     First,
+    /// By urgency: from 0 for the most urgent level of the service to 1 for the least urgent one.
+    Level {
+        fraction: f64,
+        is_retry: bool,
+    },
     Normal,
     /// After all others.
     Last,
@@ -125,11 +130,15 @@
 
 impl QueuePriority {
     /// Returns the header's value. Servers run lower numbers first and use 5 if it is missing.
-    const fn priority(self) -> Option<&'static str> {
+    fn priority(self) -> Option<u16> {
         match self {
-            Self::First => Some("1"),
+            Self::First => Some(1),
+            Self::Level { fraction, is_retry } => {
+                // 2 to 5 for first attempts; a retry is late already, and goes one further back.
+                Some(2 + (fraction.clamp(0.0, 1.0) * 3.0).round() as u16 + u16::from(is_retry))
+            }
             Self::Normal => None,
-            Self::Last => Some("7"),
+            Self::Last => Some(7),
         }
     }
 }
@@ -142,7 +151,9 @@
     set(&mut headers, EXPECT_SERVER, Some(added.server_id));
     set(&mut headers, CUSTOMER, added.customer);
     set(&mut headers, LAST_EVENT, added.last_event);
-    set(&mut headers, PRIORITY, added.priority.priority());
+    if let Some(priority) = added.priority.priority() {
+        headers.insert(PRIORITY, priority.into());
+    }
     headers
 }
 
--- a/tests/testsuite/wait_queue.rs
+++ b/tests/testsuite/wait_queue.rs
@@ -9,7 +9,7 @@
 use mastweir_test_support::{
     Served,
     scripted::{Act, Got, Scripted},
-    site::{Answer, KEY, Running, Site, exchange, request, route, wait_for},
+    site::{Answer, HOST, KEY, Running, Site, exchange, request, route, wait_for},
 };
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
@@ -370,3 +370,43 @@
     expect_that!(fixture.got().len(), eq(4));
     Ok(())
 }
+
+/// Returns the priorities that the server got for a first attempt on each path and for a retry.
+async fn priorities(routes: &[Value], is_model: bool) -> Result<Vec<[Option<String>; 2]>> {
+    let fixture = Fixture::start(routes, is_model).await?;
+    // Both attempts carry a header of the caller, which is not forwarded.
+    for route in routes {
+        let path = format!("{}a", route["path_prefix"].as_str().unwrap_or_default());
+        for left_ms in [4_000, 2_000] {
+            let more = format!("Request-Deadline: {left_ms}\r\nRequest-Priority: 9\r\n");
+            let answer = fixture.call(&path, "r-1", 0, &more).await??;
+            expect_that!(answer.status, eq(200), "{HOST}{path}");
+        }
+    }
+    let got = fixture.server.got();
+    let got: Vec<Option<String>> =
+        got.iter().map(|got| got.header("request-priority").map(str::to_owned)).collect();
+    Ok(got.chunks(2).map(|pair| [pair[0].clone(), pair[1].clone()]).collect())
+}
+
+/// Guards against servers that put less urgent requests into the batch first, and against a header
+/// where nothing is configured.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_priority_follows_from_the_level() -> Result<()> {
+    let some = |value: &str| Some(value.to_owned());
+    let routes = [ranked("/a/", 0, 400), ranked("/b/", 1, 400), ranked("/c/", 7, 400)];
+    for is_model in [false, true] {
+        let three = [["2", "3"], ["4", "5"], ["5", "6"]].map(|pair| pair.map(some));
+        expect_that!(priorities(&routes, is_model).await?, eq(&three.to_vec()));
+        let two = [["2", "3"], ["5", "6"]].map(|pair| pair.map(some));
+        expect_that!(priorities(&routes[..2], is_model).await?, eq(&two.to_vec()));
+    }
+    // Where all are the same, only retries at a model go last.
+    let same = [ranked("/a/", 3, 400), ranked("/b/", 3, 400)];
+    let unranked = vec![[None, some("7")], [None, some("7")]];
+    expect_that!(priorities(&same, true).await?, eq(&unranked));
+    let unranked = vec![[None, None], [None, None]];
+    expect_that!(priorities(&same, false).await?, eq(&unranked));
+    Ok(())
+}
