--- a/src/mastweir/gateway/final_answer.rs
+++ b/src/mastweir/gateway/final_answer.rs
@@ -23,9 +23,9 @@
 /// and a request that waits does so for tens of milliseconds at least.
 const WAITED_MIN: Duration = Duration::from_millis(30);
 
-/// Returns the final answer to a request for which no server was found.
-pub fn no_server(gateway: &Gateway, call: &Call, progress: &Progress, refusal: Refusal) -> Reply {
-    let reason = match refusal {
+/// Returns the name of a refusal in logs and metrics.
+pub const fn refusal_label(refusal: Refusal) -> &'static str {
+    match refusal {
         Refusal::Full => "full",
         Refusal::LessUrgent => "less_urgent",
         Refusal::LongPasses => "long_passes",
@@ -34,7 +34,12 @@
         Refusal::Limited(_) => "limited",
         Refusal::NoServer => "no_server",
         Refusal::NoHall => "no_hall",
-    };
+    }
+}
+
+/// Returns the final answer to a request for which no server was found.
+pub fn no_server(gateway: &Gateway, call: &Call, progress: &Progress, refusal: Refusal) -> Reply {
+    let reason = refusal_label(refusal);
     gateway.metrics.count("refusals_total", reason);
     let outage = present_outage(gateway, call).filter(|_| refusal == Refusal::Stalled);
     if outage.is_some() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -52,4 +52,5 @@
 mod suspension;
 mod unreadable;
 mod views;
+mod wait_queue;
 mod warmups;
