Delegate the last two orders of a map change

A coordinator whose instance freezes when all other ranks have the new map scheduled holds its group: nobody knows whether its own rank has the map (4.1 s without a pass were seen). Now another sidecar schedules the map at the coordinator's server and resumes the group, by the internal call /finish.

Direct queries of a silent rank's server log why they failed, once per change of state.

--- a/crates/mastweir-core/src/switch/mod.rs
+++ b/crates/mastweir-core/src/switch/mod.rs
@@ -18,6 +18,7 @@
 //! [`Lease`]) and decide how it reaches the ranks ([`subtrees`], [`maps`]).
 
 mod coordinator;
+pub mod delegation;
 pub mod election;
 mod lease;
 mod loss;
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -10,6 +10,7 @@
     gateway::{EvacuationList, LimitUpdate, LoadReport, Model, PeerInfo, SuspectReport},
     revision::Revision,
     switch::{
+        delegation::FinalOrders,
         map_change::{OrderOutcome, RankState},
         maps::MapDelta,
     },
@@ -307,3 +308,22 @@
 
 /// Answers to a batch, by server.
 pub type BatchReplies = Vec<(SocketAddr, OrderReply)>;
+
+/// Asks a delegate for the last two orders of a map change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinishRequest {
+    pub orders: FinalOrders,
+    /// Where the server of the coordinator's rank listens.
+    pub own: SocketAddr,
+    /// Where the server of the paused rank listens.
+    pub paused: SocketAddr,
+}
+
+/// A delegate's answer to [`FinishRequest`].
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FinishReply {
+    /// Reply of the coordinator's rank to the order to schedule the version.
+    pub schedule: OrderReply,
+    /// Reply of the paused rank. `None` if the order to resume the group was not sent.
+    pub resume: Option<OrderReply>,
+}
--- a/src/mastweir/sidecar/coordinator.rs
+++ b/src/mastweir/sidecar/coordinator.rs
@@ -63,7 +63,7 @@
     /// Number of maps that this coordinator has chosen.
     version_count: u64,
     /// Whether a rank has refused an order because it has seen a higher fencing token.
-    is_fenced: bool,
+    pub(super) is_fenced: bool,
     /// Measures the share of orders without an answer.
     order_loss: OrderLoss,
     /// Whether a part of the map is inferred, since a rank could not be read.
@@ -76,6 +76,8 @@
     previous: Option<IpAddr>,
     /// Servers whose sidecars lack the base map of a delta, and need the full map.
     without_base: HashSet<SocketAddr>,
+    /// Version and pass of the last change that was delegated.
+    pub(super) delegated: Option<(u64, u64)>,
 }
 
 /// Coordinates the group until another coordinator takes over.
@@ -94,6 +96,7 @@
         forecast_count: 0,
         previous: previous.filter(|ip| *ip != sidecar.ip),
         without_base: HashSet::new(),
+        delegated: None,
     };
     while !coordinator.is_over() {
         coordinator.query_silent();
@@ -122,7 +125,7 @@
         let mut state = self.shared.state.borrow_mut();
         let state = &mut *state;
         while let Some(result) = state.ranks.next_result() {
-            state.ranks.record_result(self.sidecar, result);
+            state.ranks.record_result(&self.sidecar.log, result);
         }
         state.ranks.query_silent(self.sidecar, &self.shared.group, state.members.keys());
     }
@@ -177,7 +180,9 @@
                 true
             }
             Action::Orders(orders) => {
-                self.send_orders(&states, orders).await;
+                if !self.delegate(snapshot, &orders).await {
+                    self.send_orders(&states, orders).await;
+                }
                 true
             }
         }
--- a/src/mastweir/sidecar/mod.rs
+++ b/src/mastweir/sidecar/mod.rs
@@ -7,12 +7,14 @@
 //!
 //! One sidecar of each group is the coordinator (`election`). `poller` polls the ranks,
 //! `group_state` and `rank_views` hold their answers, `coordinator` plans expert maps and puts
-//! them in force, `map_lookup` finds the map in force, and `orders` sends orders to the ranks.
+//! them in force, `map_lookup` finds the map in force, `orders` sends orders to the ranks, and
+//! `delegate` has another sidecar give the last two.
 //! The decisions are made in [`mastweir_core::switch`] and
 //! [`mastweir_core::experts::layer_planner`].
 
 pub mod aggregation;
 mod coordinator;
+mod delegate;
 mod election;
 mod group_state;
 mod map_lookup;
--- a/src/mastweir/sidecar/order_executor.rs
+++ b/src/mastweir/sidecar/order_executor.rs
@@ -6,7 +6,10 @@
 
 use super::state::Sidecar;
 use crate::{
-    gateway::message::{BatchOrder, BatchOrderKind, BatchReplies, OrderBatch, OrderReply},
+    gateway::message::{
+        BatchOrder, BatchOrderKind, BatchReplies, FinishReply, FinishRequest, OrderBatch,
+        OrderReply,
+    },
     net::internal,
     platform::engine::{EngineClient, EngineError},
 };
@@ -15,8 +18,9 @@
     map_change::{Order, OrderKind, OrderOutcome},
     maps::{MapDelta, round_robin_map},
 };
-use slog::warn;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use slog::{info, warn};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use tokio::task;
 
 /// Covers the way to a sidecar of the same hall and its server, and back. Shorter than the
 /// coordinator's wait for the whole batch.
@@ -26,14 +30,25 @@
 /// is cheaper than another batch, which takes as long as its slowest rank.
 const ATTEMPTS_MAX: u32 = 4;
 
+/// Time for a delegate to read the state of a rank after an order. Short, since the group is
+/// paused, and the coordinator's server may have become unreachable.
+const FINAL_STATE_TIMEOUT: Duration = Duration::from_millis(40);
+
 /// Handles a call of another sidecar. Returns the encoded answer, or `None` for an unknown path,
 /// a malformed body, or data that this sidecar lacks.
-pub async fn handle_call(sidecar: &Sidecar, path: &str, body: &[u8]) -> Option<Vec<u8>> {
+pub async fn handle_call(sidecar: &Rc<Sidecar>, path: &str, body: &[u8]) -> Option<Vec<u8>> {
     match path {
         "/orders" => {
             let batch: OrderBatch = postcard::from_bytes(body).ok()?;
             postcard::to_stdvec(&execute_batch(sidecar, batch).await).ok()
         }
+        "/finish" => {
+            let request: FinishRequest = postcard::from_bytes(body).ok()?;
+            let delegate = sidecar.clone();
+            // A task of its own, so that the end of the coordinator's connection doesn't stop it.
+            let finishing = task::spawn_local(async move { finish(&delegate, &request).await });
+            postcard::to_stdvec(&finishing.await.ok()?).ok()
+        }
         "/state" => postcard::to_stdvec(
             &reply_with_state(sidecar, &sidecar.engine, SendResult::default()).await,
         )
@@ -68,6 +83,44 @@
     join_all(results).await
 }
 
+/// Gives the last two orders of a map change as the coordinator's delegate: schedules the version
+/// at the coordinator's rank, and resumes the group only if that rank has it.
+async fn finish(sidecar: &Sidecar, request: &FinishRequest) -> FinishReply {
+    let FinishRequest { orders, own, paused } = request;
+    let schedule = execute_final(sidecar, *own, &orders.schedule()).await;
+    let resume = if orders.may_resume(schedule.outcome, schedule.state.as_ref()) {
+        Some(execute_final(sidecar, *paused, &orders.resume()).await)
+    } else {
+        None
+    };
+    info!(sidecar.log, "finished map change as delegate"; "token" => orders.token,
+        "epoch" => orders.epoch, "version" => orders.version, "pass" => orders.pass,
+        "server" => %own, "schedule" => ?schedule.outcome,
+        "scheduled" => ?schedule.state.as_ref().and_then(|state| state.scheduled),
+        "resume" => ?resume.as_ref().and_then(|reply| reply.outcome));
+    FinishReply { schedule, resume }
+}
+
+async fn execute_final(sidecar: &Sidecar, server: SocketAddr, order: &Order) -> OrderReply {
+    let engine = EngineClient::new(server, sidecar.peer_pool.clone());
+    let SendResult { outcome, unanswered } = send_order(sidecar, &engine, order).await;
+    let until = sidecar.clock.now() + FINAL_STATE_TIMEOUT;
+    let state = match sidecar.clock.timeout_at(until, engine.state()).await {
+        Ok(Ok(state)) => state.rank,
+        Ok(Err(error)) => {
+            warn!(sidecar.log, "failed to read state after order"; "server" => %server,
+                "error" => %error);
+            None
+        }
+        Err(_) => {
+            warn!(sidecar.log, "failed to read state after order"; "server" => %server,
+                "error" => "no answer in time");
+            None
+        }
+    };
+    OrderReply { outcome, state, read_at: sidecar.clock.now(), needs_map: false, unanswered }
+}
+
 async fn forward_order(sidecar: &Sidecar, order: BatchOrder, map: Option<&MapDelta>) -> OrderReply {
     let server = order.server;
     let batch = OrderBatch { map: map.cloned(), orders: vec![order] };
--- a/src/mastweir/sidecar/rank_views.rs
+++ b/src/mastweir/sidecar/rank_views.rs
@@ -4,9 +4,13 @@
 //! directly, in the background, so that a suspended instance does not delay the others.
 
 use super::state::Sidecar;
-use crate::{gateway::message::RankStatus, net::http::Pool, platform::engine::EngineClient};
+use crate::{
+    gateway::message::RankStatus,
+    net::http::Pool,
+    platform::engine::{EngineClient, EngineError, EngineState},
+};
 use mastweir_core::{switch::map_change::RankState, time::Uptime};
-use slog::info;
+use slog::{Logger, info, warn};
 use std::{
     collections::{BTreeMap, HashSet},
     net::{IpAddr, SocketAddr},
@@ -46,15 +50,32 @@
     pub read_at: Option<Uptime>,
 }
 
+/// Why a direct query of a server brought no state of its rank.
+#[derive(Debug, thiserror::Error)]
+pub enum QueryError {
+    #[error(transparent)]
+    Engine(#[from] EngineError),
+    #[error("the server is not in the group; wait for the gateways' lists to follow")]
+    OtherGroup,
+    #[error("the server states no valid rank; check the size of its group")]
+    NoRank,
+}
+
 /// Result of querying a server directly.
 #[derive(Debug)]
 pub struct QueryResult {
-    server: SocketAddr,
-    at: Uptime,
-    /// `None` if the server did not answer.
-    state: Option<RankState>,
-    slowdown_milli: u32,
-    incarnation: u64,
+    pub server: SocketAddr,
+    /// When the query was sent.
+    pub at: Uptime,
+    pub answer: Result<QueriedRank, QueryError>,
+}
+
+/// State of a rank that its server stated when queried directly.
+#[derive(Debug)]
+pub struct QueriedRank {
+    pub state: RankState,
+    pub slowdown_milli: u32,
+    pub incarnation: u64,
 }
 
 /// The last order to load a map that a rank has accepted.
@@ -227,22 +248,25 @@
         self.result_rx.try_recv().ok()
     }
 
-    /// Records the result of a direct query.
-    pub fn record_result(&mut self, sidecar: &Sidecar, result: QueryResult) {
-        let QueryResult { server, at, state, slowdown_milli, incarnation } = result;
+    /// Records the result of a direct query. Logs when the server is lost, with the reason, or
+    /// regained.
+    pub fn record_result(&mut self, log: &Logger, result: QueryResult) {
+        let QueryResult { server, at, answer } = result;
         self.pending.remove(&server);
-        let is_lost = state.is_none();
-        let changed = if is_lost {
-            self.unreachable.insert(server)
-        } else {
-            self.unreachable.remove(&server)
+        let QueriedRank { state, slowdown_milli, incarnation } = match answer {
+            Ok(rank) => rank,
+            Err(error) => {
+                if self.unreachable.insert(server) {
+                    warn!(log, "silent rank's server changed state"; "server" => %server,
+                        "state" => "lost", "error" => %error);
+                }
+                return;
+            }
         };
-        if changed {
-            let state = if is_lost { "lost" } else { "regained" };
-            info!(sidecar.log, "silent rank's server changed state"; "server" => %server,
-                "state" => state);
+        if self.unreachable.remove(&server) {
+            info!(log, "silent rank's server changed state"; "server" => %server,
+                "state" => "regained");
         }
-        let Some(state) = state else { return };
         let load = self.views.get(&state.rank).map_or(0, |view| view.load);
         self.record(RankView {
             server,
@@ -265,11 +289,16 @@
     at: Uptime,
     result_tx: mpsc::UnboundedSender<QueryResult>,
 ) {
-    let state = EngineClient::new(server, pool).state().await.ok();
-    let state = state.filter(|state| state.group.as_deref() == Some(&group));
-    let slowdown_milli = state.as_ref().map_or(1_000, |state| state.slowdown_milli);
-    let incarnation = state.as_ref().map_or(0, |state| state.incarnation);
-    let state = state.and_then(|state| state.rank);
+    let state = EngineClient::new(server, pool).state().await;
+    let answer = state.map_err(QueryError::from).and_then(|state| queried_rank(state, &group));
     // The coordinator, which receives the result, may have ended.
-    let _ = result_tx.send(QueryResult { server, at, state, slowdown_milli, incarnation });
+    let _ = result_tx.send(QueryResult { server, at, answer });
+}
+
+fn queried_rank(state: EngineState, group: &str) -> Result<QueriedRank, QueryError> {
+    if state.group.as_deref() != Some(group) {
+        return Err(QueryError::OtherGroup);
+    }
+    let EngineState { rank, slowdown_milli, incarnation, .. } = state;
+    Ok(QueriedRank { state: rank.ok_or(QueryError::NoRank)?, slowdown_milli, incarnation })
 }
--- a/tests/testsuite/fuzz_map_change.rs
+++ b/tests/testsuite/fuzz_map_change.rs
@@ -1,24 +1,17 @@
 //! Fuzz test of map changes by fenced orders: whatever orders are lost, late or repeated and
-//! whatever coordinators, ranks and groups fail or restart, all ranks must use one map in each
-//! pass. At the end a new coordinator without failures must get the group running.
+//! whatever coordinators, delegates, ranks and groups fail, freeze or restart, all ranks must use
+//! one map in each pass. At the end a new coordinator without failures must get the group running.
 
-use mastweir_core::switch::map_change::{
-    Action, GroupSnapshot, Order, RankState, TargetMap, decide, version,
-};
-use mastweir_test_support::ordered::OrderedRank;
+use crate::map_change_world::{RANKS, TokenChecks, World};
 use proptest::{
     prelude::*,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
-use std::sync::Arc;
 
-const RANKS: usize = 3;
 const CASES: u32 = 3_000;
 /// Enough cases to reach rare interleavings.
 const MANY_CASES: u32 = 40_000;
 const STEPS: usize = 160;
-/// Decisions within which a single coordinator has to resume a paused group.
-const DECISIONS_MAX: usize = 40;
 
 /// Indices are taken modulo the number of items.
 #[derive(Clone, Copy, Debug)]
@@ -42,8 +35,16 @@
     /// Another coordinator takes over; the previous one continues unaware, or is suspended
     /// together with its rank.
     Succeed(usize, bool),
-    /// Suspended coordinators resume.
+    /// Suspended coordinators and frozen instances resume.
     Wake,
+    /// The instance of a rank freezes, with what runs there as coordinator or delegate.
+    Freeze(usize),
+    /// A call to a delegate arrives.
+    ArriveCall(usize),
+    /// A call to a delegate arrives, and arrives again later.
+    RepeatCall(usize),
+    /// The sender of an order stops waiting for its answer; the order is still in flight.
+    TimeOut(usize),
     /// A rank finishes loading.
     FinishLoad(usize),
     /// The group begins its next pass if it is not paused.
@@ -69,6 +70,10 @@
         4 => any.clone().prop_map(Step::ChooseTarget),
         2 => (any.clone(), proptest::bool::ANY).prop_map(|(r, s)| Step::Succeed(r, s)),
         2 => Just(Step::Wake),
+        2 => any.clone().prop_map(Step::Freeze),
+        12 => any.clone().prop_map(Step::ArriveCall),
+        2 => any.clone().prop_map(Step::RepeatCall),
+        4 => any.clone().prop_map(Step::TimeOut),
         1 => any.clone().prop_map(Step::Restart),
         14 => any.prop_map(Step::FinishLoad),
         10 => Just(Step::Pass),
@@ -76,182 +81,7 @@
     ]
 }
 
-/// How servers treat the fencing tokens of orders.
-#[derive(Clone, Copy, Debug)]
-enum TokenChecks {
-    /// Orders with a lower token than one seen before are refused.
-    Checked,
-    Ignored,
-}
-
-#[derive(Clone, Debug)]
-struct CoordinatorState {
-    token: u64,
-    own: usize,
-    predecessor: Option<usize>,
-    states: Vec<Option<RankState>>,
-    target: Option<TargetMap>,
-    versions: u64,
-    suspended: bool,
-}
-
-impl CoordinatorState {
-    fn choose_target(&mut self) {
-        self.versions += 1;
-        let version = version(self.token, self.versions);
-        // Each version has different content.
-        let map = vec![vec![vec![u16::try_from(version % 60_000).unwrap_or(0)]; RANKS]];
-        self.target = Some(TargetMap { version, map: Arc::new(map) });
-    }
-}
-
-#[derive(Clone, Debug)]
-struct InFlight {
-    coordinator: usize,
-    rank: usize,
-    order: Order,
-}
-
-#[derive(Debug)]
-struct World {
-    ranks: Vec<OrderedRank>,
-    coordinators: Vec<CoordinatorState>,
-    in_flight: Vec<InFlight>,
-    pass: u64,
-    /// Orders and passes carried out, shown on failure.
-    log: Vec<String>,
-}
-
 impl World {
-    fn new(checks: TokenChecks) -> Self {
-        let size = u32::try_from(RANKS).unwrap_or(0);
-        let ranks = (0..size).map(|number| OrderedRank::new(number, size));
-        let ranks = match checks {
-            TokenChecks::Checked => ranks.collect(),
-            TokenChecks::Ignored => ranks.map(OrderedRank::unfenced).collect(),
-        };
-        let mut world = Self {
-            ranks,
-            coordinators: Vec::new(),
-            in_flight: Vec::new(),
-            pass: 0,
-            log: Vec::new(),
-        };
-        world.succeed(0, false);
-        world
-    }
-
-    fn succeed(&mut self, own: usize, suspended: bool) {
-        let predecessor = self.coordinators.last().map(|coordinator| coordinator.own);
-        let own = own % RANKS;
-        let own = if predecessor == Some(own) { (own + 1) % RANKS } else { own };
-        if let Some(last) = self.coordinators.last_mut() {
-            last.suspended = suspended;
-        }
-        self.coordinators.push(CoordinatorState {
-            token: self.coordinators.len() as u64 + 1,
-            own,
-            predecessor,
-            states: vec![None; RANKS],
-            target: None,
-            versions: 0,
-            suspended: false,
-        });
-    }
-
-    fn is_suspended(&self, rank: usize) -> bool {
-        self.coordinators.iter().any(|coordinator| coordinator.suspended && coordinator.own == rank)
-    }
-
-    fn read(&mut self, coordinator: usize, rank: usize) {
-        let state = (!self.is_suspended(rank)).then(|| self.ranks[rank].state.clone());
-        self.coordinators[coordinator].states[rank] = state;
-    }
-
-    fn decide(&mut self, number: usize) {
-        let coordinator = &mut self.coordinators[number];
-        if coordinator.suspended {
-            return;
-        }
-        let predecessor =
-            coordinator.predecessor.filter(|rank| coordinator.states[*rank].is_none());
-        let (own, token) = (coordinator.own, coordinator.token);
-        let group =
-            GroupSnapshot { ranks: &coordinator.states, own, token, predecessor, lookahead: 2 };
-        match decide(group, coordinator.target.as_ref()) {
-            Action::Wait => {
-                let version = coordinator.target.as_ref().map(|target| target.version);
-                let done =
-                    coordinator.states.iter().flatten().all(|state| Some(state.map) == version);
-                if done {
-                    coordinator.target = None;
-                }
-            }
-            Action::NeedTarget => coordinator.choose_target(),
-            Action::Orders(orders) => {
-                for (rank, kind) in orders {
-                    let Some(state) = &coordinator.states[rank] else { continue };
-                    let order = Order {
-                        token: coordinator.token,
-                        order_seq: state.order_seq,
-                        epoch: state.epoch,
-                        kind,
-                    };
-                    self.in_flight.push(InFlight { coordinator: number, rank, order });
-                }
-            }
-        }
-    }
-
-    /// Carries out an order; the coordinator reads the new state if `answered`.
-    fn deliver(&mut self, at: usize, answered: bool, again: bool) {
-        if self.in_flight.is_empty() {
-            return;
-        }
-        let at = at % self.in_flight.len();
-        let flight = self.in_flight[at].clone();
-        if !again {
-            self.in_flight.remove(at);
-        }
-        let outcome = self.ranks[flight.rank].take(&flight.order);
-        let (token, rank, kind) = (flight.order.token, flight.rank, &flight.order.kind);
-        self.log.push(format!("token {token}, rank {rank}: {kind:?} {outcome:?}"));
-        let reached =
-            !self.is_suspended(flight.rank) && !self.coordinators[flight.coordinator].suspended;
-        if answered && reached {
-            self.read(flight.coordinator, flight.rank);
-        }
-    }
-
-    fn wake(&mut self) {
-        for coordinator in self.coordinators.iter_mut().filter(|coordinator| coordinator.suspended)
-        {
-            coordinator.suspended = false;
-            // The states read before the suspension are too old.
-            coordinator.states = vec![None; RANKS];
-        }
-    }
-
-    fn begin_pass(&mut self) -> Result<(), TestCaseError> {
-        let next = self.pass + 1;
-        if self.ranks.iter().any(|rank| rank.state.paused == Some(next)) {
-            return Ok(());
-        }
-        self.pass = next;
-        self.log.push(format!("pass {next}"));
-        self.ranks.iter_mut().for_each(|rank| rank.begin(next));
-        let first = &self.ranks[0];
-        for rank in &self.ranks {
-            prop_assert_eq!(rank.state.map, first.state.map, "versions differ, {:#?}", self.log);
-            prop_assert_eq!(&rank.map, &first.map, "contents differ, {:#?}", self.log);
-        }
-        Ok(())
-    }
-
-    fn form_anew(&mut self) {
-        self.ranks.iter_mut().for_each(OrderedRank::form_anew);
-    }
-
     fn apply(&mut self, step: Step) -> Result<(), TestCaseError> {
         let coordinators = self.coordinators.len();
         match step {
@@ -261,9 +91,7 @@
                 self.decide(coordinators - 1);
             }
             Step::AnswerAll => {
-                while !self.in_flight.is_empty() {
-                    self.deliver(0, true, false);
-                }
+                self.settle();
             }
             Step::Decide(coordinator) => self.decide(coordinator % coordinators),
             Step::Answer(at) => self.deliver(at, true, false),
@@ -283,6 +111,10 @@
             Step::Succeed(own, suspended) if coordinators < 4 => self.succeed(own, suspended),
             Step::Succeed(..) => (),
             Step::Wake => self.wake(),
+            Step::Freeze(rank) => self.frozen[rank % RANKS] = true,
+            Step::ArriveCall(at) => self.arrive_call(at, false),
+            Step::RepeatCall(at) => self.arrive_call(at, true),
+            Step::TimeOut(at) => self.time_out(at),
             Step::FinishLoad(rank) => self.ranks[rank % RANKS].finish_load(),
             Step::Pass => self.begin_pass()?,
             Step::FormAnew => self.form_anew(),
@@ -294,26 +126,6 @@
         }
         Ok(())
     }
-
-    /// Checks that a single coordinator without failures gets the group running.
-    fn recover(&mut self) -> Result<(), TestCaseError> {
-        self.wake();
-        self.in_flight.clear();
-        self.succeed(self.coordinators.len(), false);
-        let last = self.coordinators.len() - 1;
-        for _ in 0..DECISIONS_MAX {
-            (0..RANKS).for_each(|rank| self.read(last, rank));
-            self.decide(last);
-            while !self.in_flight.is_empty() {
-                self.deliver(0, true, false);
-            }
-            self.ranks.iter_mut().for_each(OrderedRank::finish_load);
-            self.begin_pass()?;
-        }
-        let paused = self.ranks.iter().any(|rank| rank.state.paused.is_some());
-        prop_assert!(!paused, "still paused, {:#?}", self.log);
-        Ok(())
-    }
 }
 
 fn fuzz(cases: u32, checks: TokenChecks) {
