--- a/crates/mastweir-test-support/src/scripted.rs
+++ b/crates/mastweir-test-support/src/scripted.rs
@@ -75,7 +75,19 @@
     pub async fn start(
         script: impl Fn(&Got) -> Vec<Act> + Send + Sync + 'static,
     ) -> eyre::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), script).await
+    }
+
+    /// The same at an address.
+    ///
+    /// # Errors
+    ///
+    /// The address is taken.
+    pub async fn start_at(
+        addr: SocketAddr,
+        script: impl Fn(&Got) -> Vec<Act> + Send + Sync + 'static,
+    ) -> eyre::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
         let server = Self {
             addr: listener.local_addr()?,
             got: Arc::default(),
