Admit streams by urgency and by the length of passes

All streams of a service compete alike for its slots, so a burst of the least urgent class displaces the most urgent one.

In services with ranked levels, bounds on the mean load now fall with the rank. A quarter of each less urgent level competes as the most urgent, so no class starves. A pass limit lowers the bounds of less urgent levels when passes have been longer than the gap objective for 1.2 s, which a change of the expert map does not reach. Other services are decided as before. The gateway logs when the limit begins and stops to bind.

The simulated world moves to overload_world.rs. Its new cases have three classes, reports delivered at their age, and servers that order their queues by urgency.

--- a/crates/mastweir-core/src/gateway/admission.rs
+++ b/crates/mastweir-core/src/gateway/admission.rs
@@ -11,8 +11,13 @@
 //!
 //! First attempts are preferred to retries: only they can still meet their objective, and
 //! admitting retries first would only make others retry.
+//!
+//! Load: a burst of a less urgent class. Where a service's streams differ in urgency, the bounds
+//! fall with the rank of a level, so less urgent streams are shed first. A part of them competes
+//! as the most urgent, so that no level starves. A pass limit lowers the bounds of all levels
+//! but the most urgent one, whose callers prefer a late answer to none.
 
-use super::urgency::UrgencyLevel;
+use super::{choice::Refusal, pass_limit::PassRoom, urgency::UrgencyLevel};
 use crate::time::Uptime;
 
 /// Mean load, as a fraction of slots, up to which all streams are admitted.
@@ -21,6 +26,13 @@
 const ADMIT_NONE_LOAD: f64 = 1.17;
 /// Added to the mean load for retries, so that first attempts are preferred.
 const RETRY_LOAD: f64 = 0.15;
+/// Bounds of the least urgent level. Reports are up to 0.35 s old; at capacity, arrivals of that
+/// time fill a fifth of the slots, since streams run for some 1.8 s. The upper bound and that
+/// fifth end below [`ADMIT_NONE_LOAD`], so that some of the most urgent are always admitted.
+pub(super) const LEAST_URGENT_BOUNDS: (f64, f64) = (0.7, 0.9);
+/// Part of each less urgent level that competes as the most urgent. A class must be served at
+/// least a quarter as often as all, which are served at most as often as the most urgent.
+const EQUAL_PART: f64 = 0.25;
 
 /// A stream that is subject to admission.
 #[derive(Clone, Copy, Debug)]
@@ -33,24 +45,62 @@
 }
 
 impl StreamRequest {
-    /// Whether the stream is admitted at a mean load, given as a fraction of slots.
-    pub fn is_admitted(&self, load: f64) -> bool {
+    /// Admits or refuses the stream at a mean load and a pass limit, both as fractions of slots.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::LongPasses`] if only the pass limit stands against the stream,
+    /// [`Refusal::LessUrgent`] if a most urgent stream would be admitted in its place, and
+    /// [`Refusal::Full`] otherwise.
+    pub fn admit(&self, load: f64, pass_limit: Option<f64>) -> Result<(), Refusal> {
         let load = if self.is_retry { load + RETRY_LOAD } else { load };
-        self.draw < (ADMIT_NONE_LOAD - load) / (ADMIT_NONE_LOAD - ADMIT_ALL_LOAD)
+        let most_urgent = admitted_part(load, (ADMIT_ALL_LOAD, ADMIT_NONE_LOAD));
+        if self.level.rank == 0 {
+            return if self.draw < most_urgent { Ok(()) } else { Err(Refusal::Full) };
+        }
+        let (all, none) = bounds(self.level);
+        let limit = pass_limit.filter(|limit| !limit.is_nan()).unwrap_or(none).clamp(0.0, none);
+        let excess = none - limit;
+        let limited = admitted_part(load, (all - excess, none - excess));
+        let equal = EQUAL_PART * most_urgent.clamp(0.0, 1.0);
+        if self.draw < limited.max(equal) {
+            Ok(())
+        } else if self.draw < admitted_part(load, (all, none)) {
+            Err(Refusal::LongPasses)
+        } else if self.draw < most_urgent {
+            Err(Refusal::LessUrgent)
+        } else {
+            Err(Refusal::Full)
+        }
     }
 }
 
+/// Returns the mean loads up to which all streams of a level are admitted, and from which none.
+fn bounds(level: UrgencyLevel) -> (f64, f64) {
+    let (all, none) = LEAST_URGENT_BOUNDS;
+    let between = |most: f64, least: f64| most - (most - least) * level.fraction();
+    (between(ADMIT_ALL_LOAD, all), between(ADMIT_NONE_LOAD, none))
+}
+
+/// Returns the part of streams that is admitted at a mean load.
+fn admitted_part(load: f64, (all, none): (f64, f64)) -> f64 {
+    (none - load) / (none - all)
+}
+
 /// Mean load of a service's servers.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ServiceLoad {
     pub(super) at: Uptime,
     /// Mean load as a fraction of slots; `None` if all groups are stalled.
     pub(super) load: Option<f64>,
+    /// Room that the length of passes leaves; `None` if it is unknown.
+    pub(super) room: Option<PassRoom>,
 }
 
 impl ServiceLoad {
-    /// Whether the service admits a stream; `None` if all groups are stalled.
-    pub(super) fn admits(self, stream: StreamRequest) -> Option<bool> {
-        self.load.map(|load| stream.is_admitted(load))
+    /// Admits or refuses a stream with a desired gap between events, in milliseconds.
+    pub(super) fn admit(self, stream: StreamRequest, gap_ms: f64) -> Result<(), Refusal> {
+        let load = self.load.ok_or(Refusal::Stalled)?;
+        stream.admit(load, self.room.and_then(|room| room.limit(gap_ms)))
     }
 }
--- a/crates/mastweir-core/src/gateway/choice.rs
+++ b/crates/mastweir-core/src/gateway/choice.rs
@@ -10,6 +10,7 @@
     directory::Server,
     fleet::Fleet,
     homes::Homes,
+    pass_limit::PassRoom,
     score::Score,
     server_notices::Exclusion,
     status::{LoadReport, REPORT_VALIDITY},
@@ -101,7 +102,7 @@
         if let Some(server) = self.choose_permitted(needs, now) {
             return Ok(server);
         }
-        let refused = needs.stream.and_then(|stream| self.is_refused(service, stream, now));
+        let refused = needs.stream.and_then(|stream| self.is_refused(stream, needs, now));
         if let Some(refusal) = refused {
             return Err(refusal);
         }
@@ -244,9 +245,15 @@
         rng: &mut impl Rng,
     ) -> Result<Candidate, Refusal> {
         let sample = draw(usable, SAMPLE_SIZE, rng);
-        let mean = ServiceLoad { at: now, load: self.service_load(&sample, now) };
+        let load = self.service_load(&sample, now);
+        let is_ranked = stream.level.is_ranked();
+        let room = is_ranked.then(|| self.pass_room(needs.service, &sample, now)).flatten();
+        let mean = ServiceLoad { at: now, load, room };
         self.service_loads.borrow_mut().insert(needs.service.to_owned(), mean);
-        admit(mean, stream)?;
+        if let Some(load) = load.filter(|_| is_ranked) {
+            self.passes.note(needs.service, needs.gap_ms, load, room);
+        }
+        mean.admit(stream, needs.gap_ms)?;
         let best = self.best(&draw(usable, DRAWN_COUNT, rng), needs, now);
         let best = best.filter(|(score, _)| score.has_room(DRAWN_LOAD_MAX));
         let best = best.or_else(|| self.best(&sample, needs, now));
@@ -265,12 +272,28 @@
         (count > 0.0).then(|| sum / count)
     }
 
+    /// Returns the room that the length of passes leaves on these servers.
+    fn pass_room(&self, service: &str, ids: &[&String], now: Uptime) -> Option<PassRoom> {
+        let ranks = ids.iter().filter_map(|id| {
+            let (_, report) = self.statuses.get(*id)?.report.as_ref()?;
+            let slots = self.registry.server(id)?.slots;
+            report.group_open.then_some((report.group.as_deref(), slots))
+        });
+        self.passes.room(service, ranks, now)
+    }
+
     /// Refuses a stream by the cached service load, so that many waiting requests don't each
     /// compute it.
-    fn is_refused(&self, service: &str, stream: StreamRequest, now: Uptime) -> Option<Refusal> {
+    fn is_refused(
+        &self,
+        stream: StreamRequest,
+        needs: Requirements<'_>,
+        now: Uptime,
+    ) -> Option<Refusal> {
         let loads = self.service_loads.borrow();
-        let mean = loads.get(service).filter(|mean| now.since(mean.at) < SERVICE_LOAD_VALIDITY)?;
-        admit(*mean, stream).err()
+        let mean = loads.get(needs.service)?;
+        let is_current = now.since(mean.at) < SERVICE_LOAD_VALIDITY;
+        mean.admit(stream, needs.gap_ms).err().filter(|_| is_current)
     }
 
     /// Returns the servers without recent failures, or all servers if most have failures.
@@ -350,12 +373,3 @@
     let picks = rand::seq::index::sample(rng, ids.len(), count);
     picks.into_iter().map(|at| ids[at]).collect()
 }
-
-/// Admits or refuses a stream by the service load.
-fn admit(mean: ServiceLoad, stream: StreamRequest) -> Result<(), Refusal> {
-    match mean.admits(stream) {
-        None => Err(Refusal::Stalled),
-        Some(false) => Err(Refusal::Full),
-        Some(true) => Ok(()),
-    }
-}
--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -10,6 +10,7 @@
     directory::{Directory, DirectoryChange, Server},
     evacuations::Evacuations,
     follower_view::FollowerView,
+    pass_limit::PassLimits,
     permit_pool::PermitPool,
     rate_limits::{LimitChange, LimitReport, RateLimits},
     registry::ServerRegistry,
@@ -58,6 +59,7 @@
     pub(super) regions: HashMap<String, String>,
     /// By group.
     pub(super) forecasts: HashMap<String, PassForecast>,
+    pub(super) passes: PassLimits,
     /// Last computed load of each service.
     pub(super) service_loads: RefCell<HashMap<String, ServiceLoad>>,
     /// Since when sidecars report to this gateway, if they do.
@@ -181,6 +183,7 @@
         if !status.set_incarnation(report.incarnation) {
             return ReportChanges::default();
         }
+        self.passes.record(&server.service, &report, age, now);
         // Sidecars that never report limits can't report that one has ended.
         status.reports_limit |= report.limit.is_some();
         let limit_report = LimitReport::from_sidecar(report.limit, now - age);
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -15,8 +15,9 @@
 };
 use mastweir_core::{
     gateway::{
-        Candidate, Config, Directory, EvacuationList, Fleet, PeerInfo, Peers, PoisonRequests,
-        Refusal, Requirements, RetryDetector, RetryWindow, Route, RouteIndex, UrgencyLevels,
+        Candidate, Config, Directory, EvacuationList, Fleet, PassLimitChange, PeerInfo, Peers,
+        PoisonRequests, Refusal, Requirements, RetryDetector, RetryWindow, Route, RouteIndex,
+        UrgencyLevels,
     },
     time::Uptime,
 };
@@ -206,6 +207,14 @@
         let rates = config.services.iter().filter(|(_, service)| service.warmup_per_s > 0.0);
         let rates = rates.map(|(name, service)| (name.clone(), service.warmup_per_s));
         self.fleet.borrow_mut().set_warmup_rates(rates.collect());
+        let models = config.services.iter().filter_map(|(name, service)| {
+            service.model.as_ref().map(|model| (name.clone(), model.pass))
+        });
+        let unusable = self.fleet.borrow_mut().set_pass_costs(models.collect());
+        if !unusable.is_empty() {
+            warn!(self.log, "no pass limit; give step and request times above zero"; "version" => config.version,
+                "services" => unusable.join(","));
+        }
         if !config.invalid_priorities.is_empty() {
             warn!(self.log, "invalid priorities; give whole numbers from 0 to 9"; "version" => config.version,
                 "routes_and_customers" => config.invalid_priorities.join(","));
@@ -278,7 +287,15 @@
     /// [`Refusal`] says why there is no such server.
     pub fn choose(&self, requirements: Requirements<'_>) -> Result<Candidate, Refusal> {
         let mut rng = self.rng.borrow_mut();
-        self.fleet.borrow().choose(requirements, self.clock.now(), &mut *rng)
+        let fleet = self.fleet.borrow();
+        let choice = fleet.choose(requirements, self.clock.now(), &mut *rng);
+        for change in fleet.take_limit_changes() {
+            let PassLimitChange { service, gap_ms, binds, limit, load, factor } = change;
+            let event = if binds { "pass limit binds" } else { "pass limit ended" };
+            info!(self.log, "{}", event; "service" => service, "gap_ms" => gap_ms, "limit" => limit,
+                "load" => load, "pass_factor" => factor, "config" => self.version());
+        }
+        choice
     }
 
     /// Counts a request of a service towards its retry budget.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of mastweir, a file a feature.
 
+mod admission;
 mod aggregation;
 mod busy_server;
 mod callers;
@@ -35,6 +36,7 @@
 mod odd_answers;
 mod others;
 mod overload;
+mod overload_world;
 mod peers;
 mod permits;
 mod plans;
