--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -15,9 +15,9 @@
 };
 use mastweir_core::{
     gateway::{
-        Candidate, Config, Directory, EvacuationList, Fleet, OutageTracker, PeerInfo, Peers,
-        PoisonRequests, Refusal, Requirements, RetryDetector, RetryWindow, Route, RouteIndex,
-        UrgencyLevels,
+        Candidate, Config, Directory, EvacuationList, Fleet, OutageTracker, PassLimitChange,
+        PeerInfo, Peers, PoisonRequests, Refusal, Requirements, RetryDetector, RetryWindow, Route,
+        RouteIndex, UrgencyLevels,
     },
     time::Uptime,
 };
@@ -213,6 +213,14 @@
         let rates = config.services.iter().filter(|(_, service)| service.warmup_per_s > 0.0);
         let rates = rates.map(|(name, service)| (name.clone(), service.warmup_per_s));
         self.fleet.borrow_mut().set_warmup_rates(rates.collect());
+        let models = config.services.iter().filter_map(|(name, service)| {
+            service.model.as_ref().map(|model| (name.clone(), model.pass))
+        });
+        let unusable = self.fleet.borrow_mut().set_pass_costs(models.collect());
+        if !unusable.is_empty() {
+            warn!(self.log, "no pass limit; give step and request times above zero"; "version" => config.version,
+                "services" => unusable.join(","));
+        }
         if !config.invalid_priorities.is_empty() {
             warn!(self.log, "invalid priorities; give whole numbers from 0 to 9"; "version" => config.version,
                 "routes_and_customers" => config.invalid_priorities.join(","));
@@ -287,9 +295,19 @@
         let now = self.clock.now();
         let chosen = self.fleet.borrow().choose(requirements, now, &mut *self.rng.borrow_mut());
         service_outages::record(self, requirements.service, chosen.as_ref().err().copied(), now);
+        self.log_limit_changes();
         chosen
     }
 
+    fn log_limit_changes(&self) {
+        for change in self.fleet.borrow().take_limit_changes() {
+            let PassLimitChange { service, gap_ms, binds, limit, load, factor } = change;
+            let event = if binds { "pass limit binds" } else { "pass limit ended" };
+            info!(self.log, "{}", event; "service" => service, "gap_ms" => gap_ms, "limit" => limit,
+                "load" => load, "pass_factor" => factor, "config" => self.version());
+        }
+    }
+
     /// Counts a request of a service towards its retry budget.
     pub fn count_request(&self, service: &str) {
         let now = self.clock.now();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of mastweir, a file a feature.
 
+mod admission;
 mod aggregation;
 mod busy_server;
 mod callers;
@@ -41,6 +42,7 @@
 mod outage_replay;
 mod outages;
 mod overload;
+mod overload_world;
 mod peers;
 mod permits;
 mod plans;
