Shed streams by their place among the requests that come

Cause: a deployment with priorities of customers and routes has nine levels, of which three carried nearly all requests: drafts of usual customers were refused to keep slots free for hardly any others. Retries of less urgent streams were put behind twice, and refused at loads at which all were admitted before; their callers don't return again. Levels of customers without a priority were counted although all customers had one.

Change: `UrgencyShares` weighs a level's rank by the share of recent requests that are more urgent. A retry is behind by the larger of both reasons. Customers without a priority make levels on public routes only.

--- a/crates/mastweir-core/src/gateway/admission.rs
+++ b/crates/mastweir-core/src/gateway/admission.rs
@@ -12,24 +12,28 @@
 //! First attempts are preferred to retries: only they can still meet their objective, and
 //! admitting retries first would only make others retry.
 //!
-//! Load: a burst of a less urgent class. Where a service's streams differ in urgency, the bounds
-//! fall with the rank of a level, so less urgent streams are shed first. A part of them competes
-//! as the most urgent, so that no level starves. A pass limit lowers the bounds of all levels
-//! but the most urgent one, whose callers prefer a late answer to none.
+//! Load: a burst of a less urgent class. Where a service's streams differ in urgency, a stream is
+//! admitted at a lower load the less urgent it is, so less urgent streams are shed first. A part of them competes as the most urgent, so that no level
+//! starves. A pass limit lowers the bounds of less urgent streams further; callers of the most
+//! urgent ones prefer a late answer to none.
 
-use super::{choice::Refusal, pass_limit::PassRoom, urgency::UrgencyLevel};
+use super::{choice::Refusal, pass_limit::PassRoom};
 use crate::time::Uptime;
 
 /// Mean load, as a fraction of slots, up to which all streams are admitted.
-const ADMIT_ALL_LOAD: f64 = 0.97;
+pub(super) const ADMIT_ALL_LOAD: f64 = 0.97;
 /// Mean load from which no stream is admitted.
 const ADMIT_NONE_LOAD: f64 = 1.17;
 /// Added to the mean load for retries, so that first attempts are preferred.
 const RETRY_LOAD: f64 = 0.15;
-/// Bounds of the least urgent level. Reports are up to 0.35 s old; at capacity, arrivals of that
-/// time fill a fifth of the slots, since streams run for some 1.8 s. The upper bound and that
-/// fifth end below [`ADMIT_NONE_LOAD`], so that some of the most urgent are always admitted.
-pub(super) const LEAST_URGENT_BOUNDS: (f64, f64) = (0.7, 0.9);
+/// Added to the mean load for the least urgent streams. The slots that this keeps free must hold the
+/// arrivals of more urgent streams that reports, up to 0.35 s old, do not show yet. With 0.2, bursts
+/// of the least urgent class take 1.2 to 4 in 100 of the most urgent streams in time, where 1 is
+/// allowed.
+const LEAST_URGENT_LOAD: f64 = 0.27;
+/// Position from which the pass limit applies. Below it, nearly all requests are as urgent, and too
+/// few callers would gain.
+const LIMITED_POSITION: f64 = 0.25;
 /// Part of each less urgent level that competes as the most urgent. A class must be served at
 /// least a quarter as often as all, which are served at most as often as the most urgent.
 const EQUAL_PART: f64 = 0.25;
@@ -41,7 +45,8 @@
     pub draw: f64,
     /// Whether an earlier attempt of the caller was refused.
     pub is_retry: bool,
-    pub level: UrgencyLevel,
+    /// Position in the order in which streams are shed: 0 for the most urgent to 1 for the least.
+    pub position: f64,
 }
 
 impl StreamRequest {
@@ -53,19 +58,22 @@
     /// [`Refusal::LessUrgent`] if a most urgent stream would be admitted in its place, and
     /// [`Refusal::Full`] otherwise.
     pub fn admit(&self, load: f64, pass_limit: Option<f64>) -> Result<(), Refusal> {
-        let load = if self.is_retry { load + RETRY_LOAD } else { load };
-        let most_urgent = admitted_part(load, (ADMIT_ALL_LOAD, ADMIT_NONE_LOAD));
-        if self.level.rank == 0 {
+        let position = self.position.clamp(0.0, 1.0);
+        let retry_load = if self.is_retry { RETRY_LOAD } else { 0.0 };
+        let most_urgent = admitted_part(load + retry_load);
+        if position == 0.0 {
             return if self.draw < most_urgent { Ok(()) } else { Err(Refusal::Full) };
         }
-        let (all, none) = bounds(self.level);
-        let limit = pass_limit.filter(|limit| !limit.is_nan()).unwrap_or(none).clamp(0.0, none);
-        let excess = none - limit;
-        let limited = admitted_part(load, (all - excess, none - excess));
+        // A retry of a less urgent stream is behind for one reason only: it does not return again.
+        let urgent_load = (position * LEAST_URGENT_LOAD).max(retry_load);
+        let limit = pass_limit.filter(|limit| !limit.is_nan() && position >= LIMITED_POSITION);
+        let excess = limit.map_or(0.0, |limit| {
+            (ADMIT_NONE_LOAD - urgent_load - limit).clamp(0.0, ADMIT_NONE_LOAD)
+        });
         let equal = EQUAL_PART * most_urgent.clamp(0.0, 1.0);
-        if self.draw < limited.max(equal) {
+        if self.draw < admitted_part(load + urgent_load + excess).max(equal) {
             Ok(())
-        } else if self.draw < admitted_part(load, (all, none)) {
+        } else if self.draw < admitted_part(load + urgent_load) {
             Err(Refusal::LongPasses)
         } else if self.draw < most_urgent {
             Err(Refusal::LessUrgent)
@@ -75,16 +83,9 @@
     }
 }
 
-/// Returns the mean loads up to which all streams of a level are admitted, and from which none.
-fn bounds(level: UrgencyLevel) -> (f64, f64) {
-    let (all, none) = LEAST_URGENT_BOUNDS;
-    let between = |most: f64, least: f64| most - (most - least) * level.fraction();
-    (between(ADMIT_ALL_LOAD, all), between(ADMIT_NONE_LOAD, none))
-}
-
 /// Returns the part of streams that is admitted at a mean load.
-fn admitted_part(load: f64, (all, none): (f64, f64)) -> f64 {
-    (none - load) / (none - all)
+fn admitted_part(load: f64) -> f64 {
+    (ADMIT_NONE_LOAD - load) / (ADMIT_NONE_LOAD - ADMIT_ALL_LOAD)
 }
 
 /// Mean load of a service's servers.
--- a/crates/mastweir-core/src/gateway/choice.rs
+++ b/crates/mastweir-core/src/gateway/choice.rs
@@ -246,7 +246,7 @@
     ) -> Result<Candidate, Refusal> {
         let sample = draw(usable, SAMPLE_SIZE, rng);
         let load = self.service_load(&sample, now);
-        let is_ranked = stream.level.is_ranked();
+        let is_ranked = stream.position > 0.0;
         let room = is_ranked.then(|| self.pass_room(needs.service, &sample, now)).flatten();
         let mean = ServiceLoad { at: now, load, room };
         self.service_loads.borrow_mut().insert(needs.service.to_owned(), mean);
--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -82,7 +82,9 @@
 pub use server_notices::Exclusion;
 pub use status::LoadReport;
 pub use stream_timing::StreamTiming;
-pub use urgency::{PRIORITY_DEFAULT, PRIORITY_MAX, Urgency, UrgencyLevel, UrgencyLevels};
+pub use urgency::{
+    PRIORITY_DEFAULT, PRIORITY_MAX, Urgency, UrgencyLevel, UrgencyLevels, UrgencyShares,
+};
 pub use views::{ViewKey, ViewSize};
 pub use wait_queue::{
     Enqueued, WaitBounds, WaitQueue, WaitQueueFull, WaitTicket, WaitingRequest, is_shared_refusal,
--- a/crates/mastweir-core/src/gateway/pass_limit.rs
+++ b/crates/mastweir-core/src/gateway/pass_limit.rs
@@ -9,7 +9,7 @@
 //! same load reports, so the lag of reports affects both. The limit follows the lowest factor of
 //! [`WINDOW`]; a rise that ends within this time has no effect.
 
-use super::{admission::LEAST_URGENT_BOUNDS, config::PassCost, fleet::Fleet, status::LoadReport};
+use super::{admission::ADMIT_ALL_LOAD, config::PassCost, fleet::Fleet, status::LoadReport};
 use crate::time::Uptime;
 use std::{
     cell::RefCell,
@@ -117,7 +117,7 @@
 pub struct PassLimitChange {
     pub service: String,
     pub gap_ms: f64,
-    /// Whether the limit is below the bound of the least urgent level.
+    /// Whether the limit is below the load up to which the most urgent streams are admitted.
     pub binds: bool,
     /// Limit as a fraction of slots; `None` if data are missing or old.
     pub limit: Option<f64>,
@@ -182,11 +182,10 @@
     /// Notes whether the limit binds at a gap, for the log.
     pub(super) fn note(&self, service: &str, gap_ms: f64, load: f64, room: Option<PassRoom>) {
         let limit = room.and_then(|room| room.limit(gap_ms));
-        let (_, bound) = LEAST_URGENT_BOUNDS;
         let mut binding = self.binding.borrow_mut();
         let gaps = binding.get(service);
         let was_binding = gaps.is_some_and(|gaps| gaps.contains(&gap_ms));
-        let bound = if was_binding { bound + BINDING_MARGIN } else { bound };
+        let bound = ADMIT_ALL_LOAD + if was_binding { BINDING_MARGIN } else { 0.0 };
         let binds = limit.is_some_and(|limit| limit < bound);
         if binds == was_binding {
             return;
--- a/crates/mastweir-core/src/gateway/urgency.rs
+++ b/crates/mastweir-core/src/gateway/urgency.rs
@@ -56,6 +56,48 @@
     }
 }
 
+/// Weight of the newest request in the shares of levels, which follow the last few hundred requests.
+const SHARE_WEIGHT: f64 = 1.0 / 256.0;
+/// Share of more urgent requests up to which a level counts as the most urgent, and from which its
+/// rank counts in full. Fewer requests than that need no room kept free for them.
+const RARE_SHARE: f64 = 0.05;
+const COMMON_SHARE: f64 = 0.15;
+
+/// Shares of the levels in the recent requests of each service.
+///
+/// Most combinations of the priorities of customers and routes may be rare, so the rank of a level
+/// does not tell whether there are more urgent requests at all.
+#[derive(Clone, Debug, Default)]
+pub struct UrgencyShares {
+    /// By service, and by rank.
+    services: HashMap<String, Vec<f64>>,
+}
+
+impl UrgencyShares {
+    /// Records a request, and returns its position in the order in which requests are shed: 0 for the
+    /// most urgent requests, which are shed last, to 1 for the least urgent.
+    pub fn record(&mut self, service: &str, level: UrgencyLevel) -> f64 {
+        if level.rank >= level.count || !level.is_ranked() {
+            return 0.0;
+        }
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), Vec::new());
+        }
+        let Some(shares) = self.services.get_mut(service) else { return 0.0 };
+        // Another number of levels comes with a new configuration.
+        if shares.len() != usize::from(level.count) {
+            *shares = vec![0.0; usize::from(level.count)];
+        }
+        let rank = usize::from(level.rank);
+        shares.iter_mut().for_each(|share| *share *= 1.0 - SHARE_WEIGHT);
+        shares[rank] += SHARE_WEIGHT;
+        let total: f64 = shares.iter().sum();
+        let above = shares[..rank].iter().sum::<f64>() / total;
+        let weight = (above - RARE_SHARE) / (COMMON_SHARE - RARE_SHARE);
+        level.fraction() * weight.clamp(0.0, 1.0)
+    }
+}
+
 /// The urgencies that a configuration allows in each service.
 #[derive(Clone, Debug, Default)]
 pub struct UrgencyLevels {
@@ -68,16 +110,16 @@
     pub fn new(config: &Config) -> Self {
         let customers = config.customers.iter().flat_map(HashMap::values);
         let priorities = customers.map(|name| config.customer_priorities.get(name).copied());
-        // Requests of public routes need no customer.
-        let mut priorities: BTreeSet<Option<u8>> = priorities.collect();
-        if priorities.is_empty() || config.routes.iter().any(|route| route.public) {
-            priorities.insert(None);
-        }
+        let priorities: BTreeSet<Option<u8>> = priorities.collect();
         let mut services: HashMap<String, BTreeSet<Urgency>> = HashMap::new();
         for route in &config.routes {
             for target in &route.targets {
                 let urgencies = services.entry(target.service.clone()).or_default();
                 urgencies.extend(priorities.iter().map(|own| Urgency::new(*own, route.priority)));
+                if route.public || config.customers.is_none() {
+                    // Such requests may come without a customer.
+                    urgencies.insert(Urgency::new(None, route.priority));
+                }
             }
         }
         let sorted = |(name, urgencies): (String, BTreeSet<Urgency>)| {
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -39,6 +39,8 @@
     pub clock: Clock,
     /// Random number from 0 to 1 that decides about admission while servers are overloaded.
     pub draw: f64,
+    /// Position in the order in which requests are shed: 0 for the most urgent to 1.
+    pub position: f64,
     /// Whether the request looks like a retry after a refusal.
     pub is_retry: bool,
     /// Computed on first use.
@@ -117,7 +119,7 @@
         max_load: f64,
     ) -> Requirements<'a> {
         let stream =
-            StreamRequest { draw: self.draw, is_retry: self.is_retry, level: self.level() };
+            StreamRequest { draw: self.draw, is_retry: self.is_retry, position: self.position };
         Requirements {
             stream: Some(stream).filter(|_| self.is_model()),
             ..self.requirements(tried, max_load)
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -98,7 +98,7 @@
         Ok(Err(_)) => return Err(refuse(gateway, &head.id, StatusCode::BAD_REQUEST, "bad_body")),
         Err(_) => return Err(refuse(gateway, &head.id, StatusCode::REQUEST_TIMEOUT, "late_body")),
     };
-    Ok(Call {
+    let mut call = Call {
         head,
         headers: parts.headers,
         method: parts.method,
@@ -113,8 +113,12 @@
         active,
         draw: gateway.rng.borrow_mut().random(),
         is_retry,
+        position: 0.0,
         fingerprint: OnceCell::new(),
-    })
+    };
+    let level = call.level();
+    call.position = gateway.urgency_shares.borrow_mut().record(&call.service, level);
+    Ok(call)
 }
 
 /// Chooses a service at random by the weights of a route's targets.
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -17,7 +17,7 @@
     gateway::{
         Candidate, Config, Directory, EvacuationList, Fleet, OutageTracker, PassLimitChange,
         PeerInfo, Peers, PoisonRequests, Refusal, Requirements, RetryDetector, RetryWindow, Route,
-        RouteIndex, UrgencyLevels,
+        RouteIndex, UrgencyLevels, UrgencyShares,
     },
     time::Uptime,
 };
@@ -89,6 +89,8 @@
     pub fleet: RefCell<Fleet>,
     /// Outages of services.
     pub service_outages: RefCell<OutageTracker>,
+    /// Shares of urgency levels in recent requests.
+    pub urgency_shares: RefCell<UrgencyShares>,
     /// Source of random choices.
     pub rng: RefCell<SmallRng>,
     /// The other gateways.
@@ -148,6 +150,7 @@
                     .with_regions(settings.regions.clone()),
             ),
             service_outages: RefCell::default(),
+            urgency_shares: RefCell::default(),
             rng: RefCell::new(rng),
             gateways: RefCell::new(Peers::new(PeerInfo {
                 ip: settings.ip,
