Bound the bytes that a gateway holds for slow readers

Cause: a plain answer of up to 8 MB was kept whole for each caller, as was a request body of up to `max_body_bytes`, and no sum was bounded. Callers that stop reading and servers that read uploads slowly could spend the instance's memory, and work went on at servers for callers that read nothing.

Change: all bodies of a request and its answer form a transfer that draws on one byte budget per process (`--buffer-mb`, by default a quarter of `limits.memory_mb`, checked at start). When it is spent, the transfers whose peers have taken or sent no byte for the longest time are ended: 503 while the request is read, 502 while a server has it, and a reset connection once the answer has begun. Requests leave a quarter of the budget to answers. Genuine successes over 256 KB are streamed with one piece of 32 KB for the caller and one in the HTTP client. A caller that takes no byte for 2 s while bytes wait for an unfinished answer is cut. Progress is read from the system's send buffer, whose unsent part is bounded to 32 KB; this needs one unsafe call, as no library in use offers it safely. Heads of servers' answers are bounded to 32 KB (408 KB before), and event streams are covered as well.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -10,7 +10,8 @@
 //! is within the budget ([`RetryWindow`]). Requests that crash servers are quarantined
 //! ([`PoisonRequests`]). A server that states a rate limit, or that is cold, gets only requests with a permit
 //! ([`PermitIssuer`]); the servers of an evacuated hall get none ([`EvacuationList`]). Event streams are split into complete events ([`EventSplitter`]), so
-//! that another server can resume them. Data of the platform's store is used only while the
+//! that another server can resume them. The bodies of requests and answers draw on a byte budget
+//! ([`MemoryBudget`]). Data of the platform's store is used only while the
 //! store is known to answer ([`Liveness`]).
 
 mod admission;
@@ -28,6 +29,7 @@
 mod lag;
 mod listeners;
 mod liveness;
+mod memory_budget;
 mod passes;
 mod peers;
 mod permit_issuer;
@@ -60,6 +62,7 @@
 pub use lag::{Lag, Versions};
 pub use listeners::Listeners;
 pub use liveness::{Liveness, PROBE_TIMEOUT, ProbeResult, WatchFailure};
+pub use memory_budget::{BodyKind, EndedTransfer, Growth, MemoryBudget, TransferId};
 pub use passes::PassTimer;
 pub use peers::{PeerInfo, PeerState, Peers};
 pub use permit_issuer::{HANDOVER_DELAY, PERMIT_LIFETIME, PermitGrant, PermitIssuer, issuer_of};
--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -38,6 +38,8 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// A customer's key in the usual configuration.
 pub const KEY: &str = "key-of-north";
+/// Byte budget of a gateway by default.
+const BUFFER_BYTES: u64 = 28 << 20;
 /// A host in it.
 pub const HOST: &str = "site.example";
 
@@ -48,6 +50,8 @@
     pub callers: SocketAddr,
     /// Where its readiness is asked for.
     pub ready: SocketAddr,
+    /// Where its metrics are read.
+    pub metrics: SocketAddr,
     /// Its clock.
     pub clock: Clock,
     stop: Option<oneshot::Sender<()>>,
@@ -91,6 +95,19 @@
         asked.await.is_ok_and(|answer| answer.status == 200)
     }
 
+    /// Reads the sum of a metric's values, 0 if it has none. `metric` is the beginning of its lines.
+    ///
+    /// # Errors
+    ///
+    /// It does not answer.
+    pub async fn metric(&self, metric: &str) -> eyre::Result<u64> {
+        let asked = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let text = exchange(self.metrics, asked).await?.body;
+        let lines = text.lines().filter(|line| line.starts_with(metric));
+        let values = lines.filter_map(|line| line.rsplit_once(' ')?.1.parse::<u64>().ok());
+        Ok(values.sum())
+    }
+
     /// Waits until it calls itself ready.
     ///
     /// # Errors
@@ -111,6 +128,8 @@
     pub platform: Arc<Platform>,
     /// Whether gateways follow evacuations.
     pub has_evacuations: bool,
+    /// Byte budget of each gateway that is started.
+    pub buffer_bytes: u64,
     ips: Vec<IpAddr>,
     ports: Ports,
 }
@@ -121,6 +140,7 @@
     internal: u16,
     callers: u16,
     ready: u16,
+    metrics: u16,
 }
 
 static NEXT: AtomicU8 = AtomicU8::new(1);
@@ -136,9 +156,17 @@
         let own = u8::try_from(std::process::id() % 200)? + 1;
         let ip = |number| IpAddr::V4(Ipv4Addr::new(127, own, block, number));
         let ips: Vec<IpAddr> = (1..=gateways).map(ip).collect();
-        let ports = free_ports(&ips, 3)?;
-        let ports = Ports { internal: ports[0], callers: ports[1], ready: ports[2] };
-        Ok(Self { platform: Platform::new(), has_evacuations: false, ips, ports })
+        let ports = free_ports(&ips, 4)?;
+        let [internal, callers, ready, metrics] = ports[..] else {
+            eyre::bail!("drew {} ports instead of 4", ports.len());
+        };
+        Ok(Self {
+            platform: Platform::new(),
+            has_evacuations: false,
+            buffer_bytes: BUFFER_BYTES,
+            ips,
+            ports: Ports { internal, callers, ready, metrics },
+        })
     }
 
     /// Writes a configuration into the store.
@@ -215,6 +243,7 @@
             engine_addr: None,
             store_addr: store,
             power: 250,
+            memory_mb: None,
             bounds: Bounds {
                 drain: Duration::from_secs(2),
                 heartbeat: Duration::from_millis(1_200),
@@ -232,7 +261,8 @@
             settings: receiver,
             caller_addr: callers,
             ready_addr: ready,
-            metrics_port: None,
+            metrics_port: Some(self.ports.metrics),
+            buffer_bytes: self.buffer_bytes,
             seed: Some(7),
             clock: clock.clone(),
             log: Logger::root(slog::Discard, o!()),
@@ -267,6 +297,7 @@
         Ok(Running {
             callers,
             ready,
+            metrics: at(self.ports.metrics),
             clock,
             stop: Some(stop),
             kill: Some(kill),
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -115,7 +115,8 @@
         last_event,
         priority: priority(call, last_event),
     };
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request =
+        Request::new(Full::new(call.transfer.sending(&call.body, connection.meter())));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = headers::for_server(&call.headers, added);
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -1,10 +1,13 @@
 //! A request that was read whole, and the progress of its attempts.
 
-use super::state::{ActiveConfig, Gateway};
+use super::{
+    memory::Transfer,
+    state::{ActiveConfig, Gateway},
+};
 use crate::{platform::headers::RequestHead, util::clock::Clock};
 use bytes::Bytes;
 use hyper::{
-    HeaderMap, Method, Uri,
+    HeaderMap, Method, Uri, Version,
     header::{HOST, HeaderValue},
 };
 use mastweir_core::{
@@ -25,7 +28,11 @@
     pub method: Method,
     /// Path and query.
     pub uri: Uri,
+    /// Version of HTTP that the caller speaks.
+    pub version: Version,
     pub body: Bytes,
+    /// Accounts for the bodies of the request and its answer.
+    pub transfer: Transfer,
     /// The configuration under which the request was admitted.
     pub active: Rc<ActiveConfig>,
     /// Index of the route in the configuration.
--- a/src/mastweir/gateway/final_answer.rs
+++ b/src/mastweir/gateway/final_answer.rs
@@ -57,7 +57,7 @@
 }
 
 /// Returns how a request ends that is not sent to another server.
-const fn end_action(progress: &Progress) -> NextAction {
+pub const fn end_action(progress: &Progress) -> NextAction {
     if progress.possible_runs > 0 { NextAction::EndUnknown } else { NextAction::EndNotRun }
 }
 
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -2,42 +2,41 @@
 //!
 //! `admit` finds the route and the customer and reads the body; `dispatch` chooses a server, makes
 //! an attempt there, and repeats that with other servers for as long as the route, the retry budget
-//! and the deadline allow. Streams are handed to `stream` once their head is read; other answers
-//! are read completely first, so that a broken one can still be replaced by a retry.
+//! and the deadline allow. Event streams are handed to `stream` once their head is read, other
+//! answers to `plain_answer`.
 
 use super::{
     attempt::{ServerAnswer, attempt, may_retry},
+    bodies::{ReadError, read_request},
     call::{Call, Progress},
-    crash_probe::suspect_crash,
-    final_answer::{end, log_outcome, no_server, quarantined, refuse},
+    caller::Caller,
+    final_answer::{end, end_action, log_outcome, no_server, quarantined, refuse},
     in_flight::InFlight,
-    permits,
+    permits, plain_answer,
     return_times::{RETRY_AFTER_FULL, wait_limit},
     state::Gateway,
     stream::{self, Reply},
 };
 use crate::platform::headers;
-use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::{
-    Request, Response, StatusCode,
+    Request, StatusCode,
     body::Incoming,
     header::{CONNECTION, HOST, HeaderValue},
 };
 use mastweir_core::gateway::{
-    AttemptResult, AttemptState, Candidate, Kind, NextAction, Refusal, Route, final_action,
-    max_deferral, next_action,
+    AttemptState, Candidate, Kind, NextAction, Refusal, Route, final_action, max_deferral,
+    next_action,
 };
 use rand::Rng;
 use slog::info;
 use std::{
     cell::{Cell, OnceCell},
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 use tokio::time;
 
-/// Largest answer that is buffered.
-const ANSWER_BYTES_MAX: usize = 8 << 20;
 /// Load, as a fraction of its slots, up to which a model's server counts as having capacity.
 /// Admission of a stream depends on the mean load of the service as well.
 const MODEL_MAX_LOAD: f64 = 1.06;
@@ -57,9 +56,10 @@
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
     connection_requests: Rc<Cell<usize>>,
+    caller: Arc<Caller>,
 ) -> Reply {
     let in_flight = InFlight::new(&gateway, &connection_requests);
-    let mut reply = match admit(&gateway, request).await {
+    let mut reply = match admit(&gateway, request, &caller).await {
         Ok(call) => dispatch(&gateway, call, in_flight).await,
         Err(reply) => reply,
     };
@@ -70,7 +70,11 @@
 }
 
 /// Finds the route and the customer of a request and reads its body, or refuses it.
-async fn admit(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Result<Call, Reply> {
+async fn admit(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    caller: &Arc<Caller>,
+) -> Result<Call, Reply> {
     let arrived = gateway.clock.now();
     let (parts, body) = request.into_parts();
     let head = headers::read_request(&parts.headers);
@@ -100,21 +104,33 @@
         .timeout
         .is_some_and(|timeout| gateway.retry_detector.borrow_mut().is_retry(&route.name, timeout));
     let limit = active.config.limits.body_bytes;
-    let body = gateway.clock.timeout_at(deadline, Limited::new(body, limit).collect()).await;
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+    let transfer = gateway.buffers.open(caller, &head.id);
+    let reading = read_request(gateway, &transfer, body, limit);
+    let reading = gateway.clock.timeout_at(deadline, reading);
+    let body = match transfer.unless_ended(reading).await {
+        Some(Ok(Ok(Some(body)))) => body,
+        Some(Ok(Ok(None))) => {
             return Err(refuse(gateway, &head.id, StatusCode::PAYLOAD_TOO_LARGE, "large_body"));
         }
-        Ok(Err(_)) => return Err(refuse(gateway, &head.id, StatusCode::BAD_REQUEST, "bad_body")),
-        Err(_) => return Err(refuse(gateway, &head.id, StatusCode::REQUEST_TIMEOUT, "late_body")),
+        None | Some(Ok(Err(ReadError::Ended(_)))) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(refuse(gateway, &head.id, status, "buffer_budget"));
+        }
+        Some(Ok(Err(ReadError::Broken(_)))) => {
+            return Err(refuse(gateway, &head.id, StatusCode::BAD_REQUEST, "bad_body"));
+        }
+        Some(Err(_)) => {
+            return Err(refuse(gateway, &head.id, StatusCode::REQUEST_TIMEOUT, "late_body"));
+        }
     };
     Ok(Call {
         head,
         headers: parts.headers,
         method: parts.method,
         uri: parts.uri,
+        version: parts.version,
         body,
+        transfer,
         route_index,
         service,
         customer,
@@ -147,9 +163,13 @@
 /// Sends a request to servers until there is a final answer.
 async fn dispatch(gateway: &Rc<Gateway>, call: Call, in_flight: InFlight) -> Reply {
     gateway.count_request(&call.service);
-    let call = Rc::new(call);
+    let mut call = Rc::new(call);
+    let in_flight = Rc::new(in_flight);
     let mut progress = Progress::default();
     loop {
+        if call.transfer.is_ended() {
+            return end(gateway, &call, &progress, end_action(&progress), RETRY_AFTER_FULL);
+        }
         // Checked before and after the wait, as servers may crash under a copy of the request.
         let chosen = match call.quarantine(gateway) {
             None => wait_for_server(gateway, &call, &progress).await,
@@ -162,17 +182,24 @@
             Ok(server) => server,
             Err(refusal) => return no_server(gateway, &call, &progress, refusal),
         };
-        let attempted = attempt(gateway, &call, server, None, &mut progress).await;
+        let attempted = attempt(gateway, &call, server, None, &mut progress);
+        let Some(attempted) = call.transfer.unless_ended(attempted).await else {
+            // The server has got a part of the request.
+            return end(gateway, &call, &progress, NextAction::EndUnknown, RETRY_AFTER_FULL);
+        };
         let result = match attempted {
             Err(result) => result,
             Ok(answer) if is_stream(&call, &answer) => {
                 log_outcome(gateway, &call, &progress, "streaming", answer.parts.status);
                 return stream::reply(gateway.clone(), call, answer, progress, in_flight);
             }
-            Ok(answer) => match read_answer(gateway, &call, answer, &progress).await {
-                Ok(reply) => return reply,
-                Err(result) => result,
-            },
+            Ok(answer) => {
+                let reply = plain_answer::reply(gateway, &mut call, answer, &progress, &in_flight);
+                match reply.await {
+                    Ok(reply) => return reply,
+                    Err(result) => result,
+                }
+            }
         };
         let state = attempt_state(&call, &progress);
         if next_action(state, result) == NextAction::Retry
@@ -192,7 +219,8 @@
     call.route().kind == Kind::Stream && answer.parts.status == StatusCode::OK && is_genuine
 }
 
-fn attempt_state(call: &Call, progress: &Progress) -> AttemptState {
+/// Returns what decides about another attempt.
+pub fn attempt_state(call: &Call, progress: &Progress) -> AttemptState {
     let route = call.route();
     AttemptState {
         repeatable: route.is_repeatable(),
@@ -246,70 +274,3 @@
     let deferral = max_deferral(server.pass_ms, route.gap_ms as f64, objective);
     progress.send_delay.is_some() || call.age() + CHOICE_INTERVAL_MIN > deferral
 }
-
-/// Reads an answer completely and returns it for the caller.
-///
-/// # Errors
-///
-/// [`AttemptResult::Broken`] if the answer is incomplete, does not come from the server, or has a
-/// status that must not reach the caller; [`AttemptResult::Failed`] if the server failed and the
-/// request may be retried.
-async fn read_answer(
-    gateway: &Rc<Gateway>,
-    call: &Call,
-    answer: ServerAnswer,
-    progress: &Progress,
-) -> Result<Reply, AttemptResult> {
-    let ServerAnswer { parts, head, body, connection, slot } = answer;
-    let read = Limited::new(body, ANSWER_BYTES_MAX).collect();
-    let read = gateway.clock.timeout_at(call.deadline, read).await;
-    let is_broken = matches!(read, Ok(Err(_)));
-    let Ok(Ok(body)) = read else {
-        slot.mark_failed();
-        gateway.metrics.count("attempts_failed_total", "cut");
-        if is_broken {
-            suspect_crash(gateway, call, &slot.server).await;
-        }
-        return Err(AttemptResult::Broken);
-    };
-    gateway.server_pool.release(connection, head.keep_alive);
-    let status = parts.status;
-    let is_failure = status.is_server_error();
-    if is_failure {
-        slot.mark_failed();
-    }
-    let is_success = status.is_success();
-    // The server's own successes are signed and carry the request's id.
-    if is_success && (!head.signed || head.id != call.head.id) {
-        slot.mark_failed();
-        return Err(AttemptResult::Broken);
-    }
-    if is_success {
-        // A failure does not clear the request: the next server may still crash under it.
-        call.record_completed(gateway);
-    }
-    let can_retry =
-        next_action(attempt_state(call, progress), AttemptResult::Failed) == NextAction::Retry;
-    if is_failure && can_retry && may_retry(gateway, call, progress, AttemptResult::Failed) {
-        return Err(AttemptResult::Failed);
-    }
-    // The request may have run, so statuses by which callers conclude the opposite are withheld.
-    if implies_not_run(status) {
-        return Err(AttemptResult::Broken);
-    }
-    let mut reply = Response::new(Either::Left(Full::new(body.to_bytes())));
-    *reply.status_mut() = status;
-    *reply.headers_mut() = headers::for_caller(&parts.headers);
-    log_outcome(gateway, call, progress, "answered", status);
-    Ok(reply)
-}
-
-fn implies_not_run(status: StatusCode) -> bool {
-    let statuses = [
-        StatusCode::REQUEST_TIMEOUT,
-        StatusCode::MISDIRECTED_REQUEST,
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-    ];
-    statuses.contains(&status)
-}
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -6,11 +6,12 @@
 //! the open ones to end.
 
 use super::{
+    caller::Caller,
     fetch, forward, generations, peers,
     state::{Gateway, GatewayOptions},
     watch,
 };
-use crate::net::internal;
+use crate::net::{internal, metered::MeteredStream};
 use bytes::Bytes;
 use eyre::WrapErr;
 use http_body_util::Full;
@@ -74,6 +75,7 @@
     }
     task::spawn_local(peers::run(gateway.clone(), socket));
     task::spawn_local(sweep(gateway.clone()));
+    task::spawn_local(gateway.buffers.clone().watch());
     task::spawn_local(serve_ready(gateway.clone(), ready_listener));
     if let Some(port) = options.metrics_port {
         let listener = bind(SocketAddr::new(ip, port)).await?;
@@ -154,13 +156,22 @@
         warn!(gateway.log, "setting TCP_NODELAY failed; closing connection"; "error" => %error);
         return;
     }
+    let stream = match MeteredStream::new(stream, &gateway.clock) {
+        Ok(stream) => stream,
+        Err(error) => {
+            warn!(gateway.log, "setting TCP_NOTSENT_LOWAT failed; closing connection"; "error" => %error);
+            return;
+        }
+    };
+    let caller = Caller::new(stream.meter());
     let limits = gateway.active().map(|active| active.config.limits).unwrap_or_default();
     let serving = gateway.clone();
     let in_flight = Rc::new(Cell::new(0));
-    let counted = in_flight.clone();
+    let (counted, calling) = (in_flight.clone(), caller.clone());
     let service = service_fn(move |request| {
         let (gateway, in_flight) = (serving.clone(), counted.clone());
-        async move { Ok::<_, Infallible>(forward::serve(gateway, request, in_flight).await) }
+        let caller = calling.clone();
+        async move { Ok::<_, Infallible>(forward::serve(gateway, request, in_flight, caller).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -170,12 +181,16 @@
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
+    let mut cut = pin!(caller.wait_until_cut(&gateway));
     let result = tokio::select! {
         result = &mut connection => result,
+        // Dropping the connection cancels what runs for it.
+        () = &mut cut => return,
         _ = closed.wait_for(|closed| *closed) => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
                 result = &mut connection => result,
+                () = &mut cut => return,
                 () = wait_until_idle(&in_flight) => Ok(()),
             }
         }
@@ -205,7 +220,11 @@
 }
 
 async fn serve_metrics(gateway: Rc<Gateway>, listener: TcpListener) {
-    serve_text(listener, move || (StatusCode::OK, gateway.metrics.render())).await;
+    serve_text(listener, move || {
+        gateway.metrics.set("buffered_bytes", gateway.buffers.held());
+        (StatusCode::OK, gateway.metrics.render())
+    })
+    .await;
 }
 
 /// Answers each request on any path with the result of `answer`.
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! Each instance runs one gateway process with one thread. `listen` accepts connections; `forward`
 //! finds the route, customer and server of a request (`call`) and makes one or more attempts
-//! (`attempt`) until there is a final answer (`final_answer`); `stream` forwards streams of events
-//! and resumes them at another server if they break. `crash_probe` finds out whether a server
+//! (`attempt`) until there is a final answer (`plain_answer`, `final_answer`); `stream` forwards
+//! streams of events and resumes them at another server if they break. `bodies` and `memory` bound
+//! the memory of all bodies, and `caller` cuts callers that do not read. `crash_probe` finds out whether a server
 //! crashed under a request.
 //!
 //! The gateway's view of the fleet comes from three sources: the platform's store (`watch`,
@@ -13,7 +14,9 @@
 //! gateways. Decisions are made in [`mastweir_core::gateway`]; the modules here carry them out.
 
 mod attempt;
+mod bodies;
 mod call;
+mod caller;
 mod crash_probe;
 mod datagrams;
 mod fetch;
@@ -25,11 +28,13 @@
 mod limit_gossip;
 mod listen;
 mod log_once;
+mod memory;
 pub mod message;
 mod peers;
 mod pending_probes;
 mod permit_state;
 mod permits;
+mod plain_answer;
 mod quarantine;
 mod relay;
 mod return_times;
--- a/src/mastweir/gateway/settings.rs
+++ b/src/mastweir/gateway/settings.rs
@@ -32,6 +32,8 @@
     pub store_addr: SocketAddr,
     /// CPU share of the instance, in thousandths of a core.
     pub power: u32,
+    /// Memory of the instance, in MB; `None` if unknown.
+    pub memory_mb: Option<u64>,
     pub bounds: Bounds,
     /// Region of each hall.
     pub regions: HashMap<String, String>,
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -5,7 +5,7 @@
 //! a server, and the retry budget.
 
 use super::{
-    log_once::LoggedOnce, message::CoordinatorSeen, pending_probes::PendingProbes,
+    log_once::LoggedOnce, memory::Buffers, message::CoordinatorSeen, pending_probes::PendingProbes,
     permit_state::PermitState, settings::Settings,
 };
 use crate::{
@@ -46,6 +46,8 @@
     pub ready_addr: SocketAddr,
     /// Port for metrics, on the instance's address; `None` serves no metrics.
     pub metrics_port: Option<u16>,
+    /// Byte budget for the bodies of requests and answers.
+    pub buffer_bytes: u64,
     /// Seed of random choices; `None` takes it from the operating system.
     pub seed: Option<u64>,
     pub clock: Clock,
@@ -112,6 +114,8 @@
     /// Permits for rate-limited servers.
     pub permits: PermitState,
     pub retry_detector: RefCell<RetryDetector>,
+    /// Bodies of requests and answers.
+    pub buffers: Buffers,
     /// Number of requests in flight.
     pub in_flight: Cell<usize>,
     /// Number of connections of callers.
@@ -159,6 +163,7 @@
             invalid_limits: LoggedOnce::default(),
             permits: PermitState::new(settings.ip, first_number),
             retry_detector: RefCell::default(),
+            buffers: Buffers::new(options.buffer_bytes, options.clock.clone()),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             stopping: Cell::new(false),
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -21,7 +21,7 @@
     Response, StatusCode,
     body::{Frame, Incoming},
 };
-use mastweir_core::gateway::{AttemptResult, EventSplitter, LoadReport, StreamTiming};
+use mastweir_core::gateway::{AttemptResult, BodyKind, EventSplitter, LoadReport, StreamTiming};
 use slog::info;
 use std::{pin::Pin, rc::Rc, time::Duration};
 
@@ -66,7 +66,7 @@
     /// Latest load report of the server when the longest gap ended.
     slowest_report: Option<LoadReport>,
     /// Held until the last event has been sent.
-    _in_flight: InFlight,
+    _in_flight: Rc<InFlight>,
 }
 
 enum Chunk {
@@ -81,7 +81,7 @@
     call: Rc<Call>,
     answer: ServerAnswer,
     progress: Progress,
-    in_flight: InFlight,
+    in_flight: Rc<InFlight>,
 ) -> Reply {
     let head = headers::for_caller(&answer.parts.headers);
     let events = EventSplitter::after(call.head.last_event.clone());
@@ -98,10 +98,14 @@
         slowest_report: None,
         _in_flight: in_flight,
     };
+    forwarder.call.transfer.begin_reply();
     let chunks = stream::unfold(Some(forwarder), async |forwarder| {
         let mut forwarder = forwarder?;
         match forwarder.next().await {
-            Chunk::Events(bytes) => Some((Ok(Frame::data(bytes)), Some(forwarder))),
+            Chunk::Events(bytes) => match forwarder.hold(bytes).await {
+                Ok(bytes) => Some((Ok(Frame::data(bytes)), Some(forwarder))),
+                Err(incomplete) => Some((Err(incomplete), None)),
+            },
             Chunk::End => None,
             Chunk::Incomplete => Some((Err(StreamIncomplete), None)),
         }
@@ -159,6 +163,18 @@
         }
     }
 
+    /// Takes events from the byte budget until the caller has taken them.
+    async fn hold(&mut self, events: Bytes) -> Result<Bytes, StreamIncomplete> {
+        let transfer = &self.call.transfer;
+        match transfer.charge(&self.gateway, BodyKind::Answer, events.len()).await {
+            Ok(charge) => Ok(transfer.deliver(events, charge)),
+            Err(_) => {
+                self.abort("budget");
+                Err(StreamIncomplete)
+            }
+        }
+    }
+
     fn record_event(&mut self) {
         if !self.timing.record_event(self.gateway.clock.now()) {
             return;
--- a/src/mastweir/net/http.rs
+++ b/src/mastweir/net/http.rs
@@ -5,6 +5,7 @@
 //! of its own, which returns to the [`Pool`] only after a complete answer. A pool and its
 //! connections are used by one thread.
 
+use super::metered::{Meter, MeteredStream};
 use crate::util::clock::{Clock, DeadlinePassed};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -17,7 +18,7 @@
 use hyper_util::rt::TokioIo;
 use mastweir_core::time::Uptime;
 use socket2::SockRef;
-use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::TcpStream, task, time};
 
 /// Maximum number of idle connections per address.
@@ -32,6 +33,10 @@
 /// peer's machine has crashed. The system's default is many minutes.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Most bytes that the HTTP library reads ahead on a connection, which bounds the pieces of a body
+/// and the head. A streamed answer holds one piece here and one for its caller.
+const READ_BYTES_MAX: usize = 32 << 10;
+
 /// Returns the `Retry-After` time of an answer with status 503 or 429. The header's date form is
 /// not supported.
 pub fn retry_after(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
@@ -98,6 +103,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     addr: SocketAddr,
+    meter: Arc<Meter>,
 }
 
 impl Connection {
@@ -105,6 +111,11 @@
         self.sender.is_closed()
     }
 
+    /// Returns how far the server has taken what was sent.
+    pub fn meter(&self) -> Arc<Meter> {
+        self.meter.clone()
+    }
+
     /// Sends a request and waits for the answer's head. Dropping the future closes the connection.
     ///
     /// # Errors
@@ -164,18 +175,20 @@
             let stream = TcpStream::connect(addr).await?;
             stream.set_nodelay(true)?;
             SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
-            Ok(stream)
+            MeteredStream::new(stream, &self.clock)
         };
         let timed_out = || io::Error::from(io::ErrorKind::TimedOut);
         let stream = time::timeout(wait, connect).await.unwrap_or_else(|_| Err(timed_out()));
         let stream = stream.map_err(|source| CallError::Connect { addr, source })?;
+        let meter = stream.meter();
         let (sender, connection) = http1::Builder::new()
             .preserve_header_case(true)
+            .max_buf_size(READ_BYTES_MAX)
             .handshake(TokioIo::new(stream))
             .await?;
         // `Connection::send` and the answer's body report errors of the connection.
         task::spawn_local(async move { drop(connection.await) });
-        Ok(Connection { sender, addr })
+        Ok(Connection { sender, addr, meter })
     }
 
     /// Returns a connection to the pool after a complete answer. `keep_alive` is the time for
--- a/src/mastweir/net/mod.rs
+++ b/src/mastweir/net/mod.rs
@@ -11,12 +11,13 @@
 //! before they allocate memory for it.
 //!
 //! Gateways and sidecars use HTTP/1.1: [`http`] for requests to servers and to the platform,
-//! [`internal`] for calls to each other.
+//! [`internal`] for calls to each other. [`metered`] tells how far their peers have read.
 
 mod channel;
 mod channel_pool;
 pub mod http;
 pub mod internal;
+pub mod metered;
 mod socket;
 
 pub use channel::{Channel, ChannelError, Receiver, Sender};
--- a/src/mastweir/ops/gateway.rs
+++ b/src/mastweir/ops/gateway.rs
@@ -33,6 +33,8 @@
 pub struct RunGatewayOptions<'a> {
     /// Port for metrics; `None` serves none.
     pub metrics_port: Option<u16>,
+    /// Budget for bodies in MB; `None` takes a quarter of the instance's memory.
+    pub buffer_mb: Option<u64>,
     /// Seed of random choices; `None` draws one.
     pub seed: Option<u64>,
     /// Lowest level that is logged.
@@ -56,12 +58,14 @@
     let path = file::path()?;
     let settings = file::read(&path)?;
     let (callers, ready) = file::listeners(&settings)?;
+    let buffer_bytes = file::buffer_bytes(&settings, options.buffer_mb)?;
     let (sender, reloaded) = watch::channel(settings);
     let options = GatewayOptions {
         settings: reloaded,
         caller_addr: callers,
         ready_addr: ready,
         metrics_port: options.metrics_port,
+        buffer_bytes,
         seed: options.seed,
         clock: Clock::start(),
         log: log.clone(),
--- a/src/mastweir/platform/settings.rs
+++ b/src/mastweir/platform/settings.rs
@@ -3,7 +3,10 @@
 //! Unknown fields are ignored, as the platform may add some. Values out of range are rejected
 //! with an error that names the remedy.
 
-use crate::gateway::settings::{Bounds, Settings, SettingsFileError};
+use crate::{
+    gateway::settings::{Bounds, Settings, SettingsFileError},
+    util::settings::SettingsError,
+};
 use serde::Deserialize;
 use std::{
     collections::HashMap,
@@ -16,6 +19,12 @@
 /// Environment variable that holds the file's path.
 pub const PATH_VARIABLE: &str = "MASTWEIR_SETTINGS";
 
+/// Memory of the smallest instance that runs a gateway, assumed if the file states none.
+const MEMORY_MB_MIN: u64 = 112;
+/// Part of the memory for bodies by default: one in so many. The rest is for connections, which
+/// need some 20 KB each besides their bodies, and for the state of the fleet.
+const BUFFER_PART: u64 = 4;
+
 #[derive(Debug, Deserialize)]
 struct SettingsFile {
     node: String,
@@ -44,6 +53,9 @@
     /// Number of CPU cores that the process may use; 0 if unknown.
     #[serde(default)]
     cpu_share: f64,
+    /// Memory of the instance; 0 if unknown.
+    #[serde(default)]
+    memory_mb: f64,
 }
 
 /// The platform's documented default.
@@ -131,6 +143,7 @@
         engine_addr: file.app,
         store_addr: file.platform.address,
         power: (file.limits.cpu_share.clamp(0.0, 1_000.0) * 1_000.0) as u32,
+        memory_mb: Some(file.limits.memory_mb as u64).filter(|mb| *mb > 0),
         bounds: Bounds {
             drain: Duration::from_millis(file.bounds.drain_ms),
             heartbeat: Duration::from_millis(file.heartbeat_ms),
@@ -156,6 +169,23 @@
     Ok((callers, ready))
 }
 
+/// Returns the byte budget of a gateway for bodies. `flag_mb` is what `--buffer-mb` says.
+///
+/// # Errors
+///
+/// The flag's value is not between 1 MB and half of the instance's memory.
+pub fn buffer_bytes(settings: &Settings, flag_mb: Option<u64>) -> Result<u64, SettingsError> {
+    let memory_mb = settings.memory_mb.unwrap_or(MEMORY_MB_MIN);
+    let Some(mb) = flag_mb else { return Ok((memory_mb / BUFFER_PART).max(1) << 20) };
+    // The smallest instance has room for the least budget, so 1 MB is always accepted.
+    if (1..=(memory_mb / 2).max(1)).contains(&mb) {
+        return Ok(mb << 20);
+    }
+    let remedy =
+        "give 1 MB to half of limits.memory_mb in the settings file (112 MB if it has none)";
+    Err(SettingsError::new("buffer-mb", &mb.to_string(), "does not fit the instance", remedy))
+}
+
 /// Returns the address of the model server next to a sidecar.
 ///
 /// # Errors
--- a/src/mastweir/util/prometheus.rs
+++ b/src/mastweir/util/prometheus.rs
@@ -1,4 +1,4 @@
-//! Counters and latency histograms of gateways in the text format of Prometheus.
+//! Counters, gauges and latency histograms of gateways in the text format of Prometheus.
 
 use std::{cell::RefCell, collections::BTreeMap, fmt::Write, time::Duration};
 
@@ -13,10 +13,11 @@
     sum_s: f64,
 }
 
-/// Named counters and histograms, used by one thread.
+/// Named counters, gauges and histograms, used by one thread.
 #[derive(Debug, Default)]
 pub struct MetricsRegistry {
     counters: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
+    gauges: RefCell<BTreeMap<&'static str, u64>>,
     histograms: RefCell<BTreeMap<&'static str, Histogram>>,
 }
 
@@ -26,6 +27,11 @@
         *self.counters.borrow_mut().entry((name, label)).or_default() += 1;
     }
 
+    /// Sets a gauge.
+    pub fn set(&self, name: &'static str, value: u64) {
+        self.gauges.borrow_mut().insert(name, value);
+    }
+
     /// Adds a duration to a histogram.
     pub fn observe(&self, name: &'static str, took: Duration) {
         let mut histograms = self.histograms.borrow_mut();
@@ -48,6 +54,10 @@
             last = name;
             line(&mut text, format_args!("mastweir_{name}{{kind=\"{label}\"}} {value}"));
         }
+        for (name, value) in self.gauges.borrow().iter() {
+            line(&mut text, format_args!("# TYPE mastweir_{name} gauge"));
+            line(&mut text, format_args!("mastweir_{name} {value}"));
+        }
         for (name, histogram) in self.histograms.borrow().iter() {
             line(&mut text, format_args!("# TYPE mastweir_{name} histogram"));
             let mut sum = 0;
