--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -5,13 +5,15 @@
 //! the servers ([`ViewSize`]).
 //!
 //! A gateway finds the route of a request ([`Config`]), decides whether the service admits a
-//! stream ([`StreamRequest`]), and chooses a server ([`Fleet`]). After an attempt it decides
+//! stream ([`StreamRequest`]), and chooses a server ([`Fleet`]); requests for which there is none
+//! wait in a queue ([`WaitQueue`]). After an attempt it decides
 //! what the outcome proves and what to do next ([`Proof`], [`next_action`]), and whether a retry
 //! is within the budget ([`RetryWindow`]). Requests that crash servers are quarantined
 //! ([`PoisonRequests`]). A server that states a rate limit, or that is cold, gets only requests with a permit
 //! ([`PermitIssuer`]); the servers of an evacuated hall get none ([`EvacuationList`]). Event streams are split into complete events ([`EventSplitter`]), so
 //! that another server can resume them. The bodies of requests and answers draw on a byte budget
-//! ([`MemoryBudget`]). Data of the platform's store is used only while the
+//! ([`MemoryBudget`]). Callers that an outage refuses are told when to return, or wait for its end
+//! ([`OutageTracker`]). Data of the platform's store is used only while the
 //! store is known to answer ([`Liveness`]).
 
 mod admission;
@@ -30,6 +32,9 @@
 mod listeners;
 mod liveness;
 mod memory_budget;
+mod outage_waits;
+mod outages;
+mod pass_limit;
 mod passes;
 mod peers;
 mod permit_issuer;
@@ -38,6 +43,7 @@
 mod poison_requests;
 mod rate_limits;
 mod registry;
+mod reporting;
 mod retry_detector;
 mod retry_policy;
 mod retry_window;
@@ -47,6 +53,7 @@
 mod stream_timing;
 mod urgency;
 mod views;
+mod wait_queue;
 mod warmups;
 
 pub use admission::StreamRequest;
@@ -63,6 +70,9 @@
 pub use listeners::Listeners;
 pub use liveness::{Liveness, PROBE_TIMEOUT, ProbeResult, WatchFailure};
 pub use memory_budget::{BodyKind, EndedTransfer, Growth, MemoryBudget, TransferId};
+pub use outage_waits::{FORM_TIME, OUTAGE_WAIT_MAX, RefusedCaller, spread_by_level};
+pub use outages::{CONTINUED_WITHIN, EndedOutage, IDLE_END, Outage, OutageTracker};
+pub use pass_limit::PassLimitChange;
 pub use passes::PassTimer;
 pub use peers::{PeerInfo, PeerState, Peers};
 pub use permit_issuer::{HANDOVER_DELAY, PERMIT_LIFETIME, PermitGrant, PermitIssuer, issuer_of};
@@ -77,3 +87,6 @@
 pub use stream_timing::StreamTiming;
 pub use urgency::{PRIORITY_DEFAULT, PRIORITY_MAX, Urgency, UrgencyLevel, UrgencyLevels};
 pub use views::{ViewKey, ViewSize};
+pub use wait_queue::{
+    Enqueued, WaitBounds, WaitQueue, WaitQueueFull, WaitTicket, WaitingRequest, is_shared_refusal,
+};
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -7,9 +7,9 @@
 
 use super::{
     caller::Caller,
-    fetch, forward, generations, peers,
+    fetch, forward, generations, peers, service_outages,
     state::{Gateway, GatewayOptions},
-    watch,
+    waiting, watch,
 };
 use crate::net::{internal, metered::MeteredStream};
 use bytes::Bytes;
@@ -76,6 +76,7 @@
     task::spawn_local(peers::run(gateway.clone(), socket));
     task::spawn_local(sweep(gateway.clone()));
     task::spawn_local(gateway.buffers.clone().watch());
+    task::spawn_local(waiting::run(gateway.clone()));
     task::spawn_local(serve_ready(gateway.clone(), ready_listener));
     if let Some(port) = options.metrics_port {
         let listener = bind(SocketAddr::new(ip, port)).await?;
@@ -115,6 +116,7 @@
         gateway.server_pool.close_expired();
         gateway.internal_pool.close_expired();
         gateway.drop_expired();
+        service_outages::log_ended(&gateway, gateway.clock.now());
         gateway.suspects.borrow_mut().expire(gateway.clock.now());
     }
 }
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -1,10 +1,11 @@
 //! The gateway: a reverse proxy between callers and the servers of the fleet.
 //!
 //! Each instance runs one gateway process with one thread. `listen` accepts connections; `forward`
-//! finds the route, customer and server of a request (`call`) and makes one or more attempts
-//! (`attempt`) until there is a final answer (`plain_answer`, `final_answer`); `stream` forwards
-//! streams of events and resumes them at another server if they break. `bodies` and `memory` bound
-//! the memory of all bodies, and `caller` cuts callers that do not read. `crash_probe` finds out whether a server
+//! finds the route, customer and server of a request (`call`), for which it may have to wait
+//! (`waiting`), and makes one or more attempts (`attempt`) until there is a final answer
+//! (`plain_answer`, `final_answer`); `stream` forwards streams of events and resumes them at another
+//! server if they break. `bodies` and `memory` bound the memory of all bodies, and `caller` cuts
+//! callers that do not read. `crash_probe` finds out whether a server
 //! crashed under a request.
 //!
 //! The gateway's view of the fleet comes from three sources: the platform's store (`watch`,
@@ -39,11 +40,13 @@
 mod relay;
 mod return_times;
 mod server_notices;
+mod service_outages;
 pub mod settings;
 mod state;
 mod stream;
 mod suspect_gossip;
 mod unreadable;
+mod waiting;
 mod watch;
 
 pub use listen::run;
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -6,7 +6,7 @@
 
 use super::{
     log_once::LoggedOnce, memory::Buffers, message::CoordinatorSeen, pending_probes::PendingProbes,
-    permit_state::PermitState, settings::Settings,
+    permit_state::PermitState, service_outages, settings::Settings, waiting::WaitState,
 };
 use crate::{
     net::http::Pool,
@@ -15,8 +15,9 @@
 };
 use mastweir_core::{
     gateway::{
-        Candidate, Config, Directory, EvacuationList, Fleet, PeerInfo, Peers, PoisonRequests,
-        Refusal, Requirements, RetryDetector, RetryWindow, Route, RouteIndex, UrgencyLevels,
+        Candidate, Config, Directory, EvacuationList, Fleet, OutageTracker, PassLimitChange,
+        PeerInfo, Peers, PoisonRequests, Refusal, Requirements, RetryDetector, RetryWindow, Route,
+        RouteIndex, UrgencyLevels,
     },
     time::Uptime,
 };
@@ -88,6 +89,8 @@
     /// Connections to other gateways.
     pub internal_pool: Pool,
     pub fleet: RefCell<Fleet>,
+    /// Outages of services.
+    pub service_outages: RefCell<OutageTracker>,
     /// Source of random choices.
     pub rng: RefCell<SmallRng>,
     /// The other gateways.
@@ -113,6 +116,8 @@
     pub invalid_limits: LoggedOnce,
     /// Permits for rate-limited servers.
     pub permits: PermitState,
+    /// Requests that wait for a server.
+    pub waiting: WaitState,
     pub retry_detector: RefCell<RetryDetector>,
     /// Bodies of requests and answers.
     pub buffers: Buffers,
@@ -146,6 +151,7 @@
                     .with_ip(settings.ip)
                     .with_regions(settings.regions.clone()),
             ),
+            service_outages: RefCell::default(),
             rng: RefCell::new(rng),
             gateways: RefCell::new(Peers::new(PeerInfo {
                 ip: settings.ip,
@@ -162,6 +168,7 @@
             pending_probes: PendingProbes::default(),
             invalid_limits: LoggedOnce::default(),
             permits: PermitState::new(settings.ip, first_number),
+            waiting: WaitState::default(),
             retry_detector: RefCell::default(),
             buffers: Buffers::new(options.buffer_bytes, options.clock.clone()),
             in_flight: Cell::new(0),
@@ -211,6 +218,14 @@
         let rates = config.services.iter().filter(|(_, service)| service.warmup_per_s > 0.0);
         let rates = rates.map(|(name, service)| (name.clone(), service.warmup_per_s));
         self.fleet.borrow_mut().set_warmup_rates(rates.collect());
+        let models = config.services.iter().filter_map(|(name, service)| {
+            service.model.as_ref().map(|model| (name.clone(), model.pass))
+        });
+        let unusable = self.fleet.borrow_mut().set_pass_costs(models.collect());
+        if !unusable.is_empty() {
+            warn!(self.log, "no pass limit; give step and request times above zero"; "version" => config.version,
+                "services" => unusable.join(","));
+        }
         if !config.invalid_priorities.is_empty() {
             warn!(self.log, "invalid priorities; give whole numbers from 0 to 9"; "version" => config.version,
                 "routes_and_customers" => config.invalid_priorities.join(","));
@@ -282,8 +297,20 @@
     ///
     /// [`Refusal`] says why there is no such server.
     pub fn choose(&self, requirements: Requirements<'_>) -> Result<Candidate, Refusal> {
-        let mut rng = self.rng.borrow_mut();
-        self.fleet.borrow().choose(requirements, self.clock.now(), &mut *rng)
+        let now = self.clock.now();
+        let chosen = self.fleet.borrow().choose(requirements, now, &mut *self.rng.borrow_mut());
+        service_outages::record(self, requirements.service, chosen.as_ref().err().copied(), now);
+        self.log_limit_changes();
+        chosen
+    }
+
+    fn log_limit_changes(&self) {
+        for change in self.fleet.borrow().take_limit_changes() {
+            let PassLimitChange { service, gap_ms, binds, limit, load, factor } = change;
+            let event = if binds { "pass limit binds" } else { "pass limit ended" };
+            info!(self.log, "{}", event; "service" => service, "gap_ms" => gap_ms, "limit" => limit,
+                "load" => load, "pass_factor" => factor, "config" => self.version());
+        }
     }
 
     /// Counts a request of a service towards its retry budget.
