--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -11,8 +11,9 @@
 //! is within the budget ([`RetryWindow`]). Requests that crash servers are quarantined
 //! ([`PoisonRequests`]). A server that states a rate limit, or that is cold, gets only requests with a permit
 //! ([`PermitIssuer`]); the servers of an evacuated hall get none ([`EvacuationList`]). Event streams are split into complete events ([`EventSplitter`]), so
-//! that another server can resume them. Callers that an outage refuses are told when to return, or
-//! wait for its end ([`OutageTracker`]). Data of the platform's store is used only while the
+//! that another server can resume them. The bodies of requests and answers draw on a byte budget
+//! ([`MemoryBudget`]). Callers that an outage refuses are told when to return, or wait for its end
+//! ([`OutageTracker`]). Data of the platform's store is used only while the
 //! store is known to answer ([`Liveness`]).
 
 mod admission;
@@ -30,6 +31,7 @@
 mod lag;
 mod listeners;
 mod liveness;
+mod memory_budget;
 mod outage_waits;
 mod outages;
 mod pass_limit;
@@ -67,6 +69,7 @@
 pub use lag::{Lag, Versions};
 pub use listeners::Listeners;
 pub use liveness::{Liveness, PROBE_TIMEOUT, ProbeResult, WatchFailure};
+pub use memory_budget::{BodyKind, EndedTransfer, Growth, MemoryBudget, TransferId};
 pub use outage_waits::{FORM_TIME, OUTAGE_WAIT_MAX, RefusedCaller, spread_by_level};
 pub use outages::{CONTINUED_WITHIN, EndedOutage, IDLE_END, Outage, OutageTracker};
 pub use pass_limit::PassLimitChange;
--- a/tests/testsuite/sidecar_group.rs
+++ b/tests/testsuite/sidecar_group.rs
@@ -163,6 +163,7 @@
         },
         regions: HashMap::new(),
         has_evacuations: false,
+        memory_mb: None,
     }
 }
 
