Let an accepted order decide that a delegate resumes the group

Cause: after the accepted order the delegate read the state of the coordinator's server.

Change: an accepted `Schedule` suffices; a state is read only if the order was not accepted. The coordinator records no states of the delegate's reply and reads its own server instead.

--- a/crates/mastweir-core/src/switch/delegation.rs
+++ b/crates/mastweir-core/src/switch/delegation.rs
@@ -63,18 +63,20 @@
         Order { token: self.token, order_seq: self.paused_seq, epoch: self.epoch, kind }
     }
 
-    /// Returns whether the group may be resumed, given the outcome of the `Schedule` order and the
-    /// state of the coordinator's rank that was read after it. Either may be unknown. A state that
-    /// was read decides, since a server may answer before it has carried out an order.
+    /// Returns whether the group may be resumed, given the outcome of the `Schedule` order and, if
+    /// that was not accepted, a state of the coordinator's rank. Either may be unknown.
+    ///
+    /// A state does not contradict an acceptance: a server's report to another instance is up to
+    /// some hundred milliseconds old. It proves that the version was scheduled, which then lasts.
     pub fn may_resume(&self, outcome: Option<OrderOutcome>, state: Option<&RankState>) -> bool {
-        let is_scheduled = state.map(|state| {
+        let is_scheduled = state.is_some_and(|state| {
             let is_same = (state.epoch, state.rank) == (self.epoch, self.own);
             is_same && state.scheduled == Some((self.version, self.pass))
         });
         match outcome {
-            Some(OrderOutcome::Accepted) => is_scheduled.unwrap_or(true),
+            Some(OrderOutcome::Accepted) => true,
             // The coordinator may have given the order itself.
-            Some(OrderOutcome::Conflict) | None => is_scheduled.unwrap_or(false),
+            Some(OrderOutcome::Conflict) | None => is_scheduled,
             // A successor has taken over.
             Some(OrderOutcome::Fenced) => false,
         }
--- a/src/mastweir/sidecar/delegate.rs
+++ b/src/mastweir/sidecar/delegate.rs
@@ -7,7 +7,7 @@
 
 use super::{coordinator::Coordinator, rank_views::RankView};
 use crate::{
-    gateway::message::{FinishReply, FinishRequest, OrderReply},
+    gateway::message::{FinishReply, FinishRequest},
     net::internal,
 };
 use mastweir_core::{
@@ -50,15 +50,15 @@
         let addr = self.sidecar.addr(delegate.ip());
         let pool = &self.sidecar.peer_pool;
         match internal::call(pool, addr, "/finish", &request, FINISH_TIMEOUT).await {
-            Ok(reply) => self.record_finish(&orders, reply, sent_at),
+            Ok(reply) => self.record_finish(&orders, &reply, sent_at),
             Err(error) => {
                 let took = self.sidecar.clock.now().since(sent_at).as_millis() as u64;
                 warn!(self.sidecar.log, "no reply from delegate"; "group" => &self.shared.group,
                     "version" => orders.version, "pass" => orders.pass, "delegate" => %delegate,
                     "took_ms" => took, "error" => %error);
-                self.read_own(&orders).await;
             }
         }
+        self.read_own(&orders).await;
         true
     }
 
@@ -84,26 +84,16 @@
         Some((server, FinishRequest { orders: orders.clone(), own: own.server, paused }))
     }
 
-    /// Records a delegate's reply. The states are dated by the sending of the call.
-    fn record_finish(&mut self, orders: &FinalOrders, reply: FinishReply, sent_at: Uptime) {
+    /// Records a delegate's reply. Its states are not recorded, as servers report older ones to
+    /// other instances.
+    fn record_finish(&mut self, orders: &FinalOrders, reply: &FinishReply, sent_at: Uptime) {
         let FinishReply { schedule, resume } = reply;
         let took = self.sidecar.clock.now().since(sent_at).as_millis() as u64;
+        let resume = resume.as_ref().and_then(|reply| reply.outcome);
         info!(self.sidecar.log, "delegate answered"; "group" => &self.shared.group,
             "version" => orders.version, "pass" => orders.pass, "schedule" => ?schedule.outcome,
-            "resume" => ?resume.as_ref().and_then(|reply| reply.outcome), "took_ms" => took);
-        let replies = [(orders.own, Some(schedule)), (orders.paused, resume)];
-        for (rank, reply) in replies {
-            let Some(OrderReply { outcome, state, .. }) = reply else { continue };
-            self.is_fenced |= outcome == Some(OrderOutcome::Fenced);
-            let mut group = self.shared.state.borrow_mut();
-            let view = group.ranks.get(rank).cloned();
-            if let (Some(view), Some(state)) = (view, state)
-                && (state.epoch, state.pass) >= (view.state.epoch, view.state.pass)
-            {
-                // `read_at` is on the clock of the rank's own sidecar, so it stays.
-                group.ranks.record(RankView { known_at: sent_at, state, ..view });
-            }
-        }
+            "resume" => ?resume, "took_ms" => took);
+        self.is_fenced |= [schedule.outcome, resume].contains(&Some(OrderOutcome::Fenced));
     }
 
     /// Reads the state of the own server, which shows whether the delegate has scheduled the map.
--- a/src/mastweir/sidecar/order_executor.rs
+++ b/src/mastweir/sidecar/order_executor.rs
@@ -15,7 +15,7 @@
 };
 use futures_util::future::join_all;
 use mastweir_core::switch::{
-    map_change::{Order, OrderKind, OrderOutcome},
+    map_change::{Order, OrderKind, OrderOutcome, RankState},
     maps::{MapDelta, round_robin_map},
 };
 use slog::{info, warn};
@@ -96,31 +96,38 @@
     info!(sidecar.log, "finished map change as delegate"; "token" => orders.token,
         "epoch" => orders.epoch, "version" => orders.version, "pass" => orders.pass,
         "server" => %own, "schedule" => ?schedule.outcome,
-        "scheduled" => ?schedule.state.as_ref().and_then(|state| state.scheduled),
         "resume" => ?resume.as_ref().and_then(|reply| reply.outcome));
     FinishReply { schedule, resume }
 }
 
+/// Gives one of the last orders, and reads the state of its rank if it was not accepted.
 async fn execute_final(sidecar: &Sidecar, server: SocketAddr, order: &Order) -> OrderReply {
     let engine = EngineClient::new(server, sidecar.peer_pool.clone());
     let SendResult { outcome, unanswered } = send_order(sidecar, &engine, order).await;
-    let until = sidecar.clock.now() + FINAL_STATE_TIMEOUT;
-    let state = match sidecar.clock.timeout_at(until, engine.state()).await {
-        Ok(Ok(state)) => state.rank,
-        Ok(Err(error)) => {
-            warn!(sidecar.log, "failed to read state after order"; "server" => %server,
-                "error" => %error);
-            None
-        }
-        Err(_) => {
-            warn!(sidecar.log, "failed to read state after order"; "server" => %server,
-                "error" => "no answer in time");
-            None
-        }
+    let state = if outcome == Some(OrderOutcome::Accepted) {
+        None
+    } else {
+        read_final_state(sidecar, server, &engine).await
     };
     OrderReply { outcome, state, read_at: sidecar.clock.now(), needs_map: false, unanswered }
 }
 
+async fn read_final_state(
+    sidecar: &Sidecar,
+    server: SocketAddr,
+    engine: &EngineClient,
+) -> Option<RankState> {
+    let until = sidecar.clock.now() + FINAL_STATE_TIMEOUT;
+    let read = sidecar.clock.timeout_at(until, engine.state()).await;
+    let error = match read {
+        Ok(Ok(state)) => return state.rank,
+        Ok(Err(error)) => error.to_string(),
+        Err(error) => error.to_string(),
+    };
+    warn!(sidecar.log, "failed to read state after order"; "server" => %server, "error" => error);
+    None
+}
+
 async fn forward_order(sidecar: &Sidecar, order: BatchOrder, map: Option<&MapDelta>) -> OrderReply {
     let server = order.server;
     let batch = OrderBatch { map: map.cloned(), orders: vec![order] };
