Restore reasons, numbers and faults behind constants

Cause: when the comments were reworded, some lost why a constant has its value, by how much another one was worse, or which fault a rule answers.

Change: one or two sentences each at 45 constants, with only what the earlier comments held and what still holds. No code changes.

--- a/crates/mastweir-core/src/experts/layer_planner.rs
+++ b/crates/mastweir-core/src/experts/layer_planner.rs
@@ -53,7 +53,8 @@
     pub skew_after: f64,
 }
 
-/// Limits on the experts that a rank has to load, tried in this order.
+/// Limits on the experts that a rank has to load, tried in this order. Experts of large groups are
+/// small: 32 of them, two in each of 16 sets, load in 0.6 s.
 const LOAD_BUDGETS: [usize; 8] = [1, 2, 3, 5, 8, 12, 20, 32];
 /// Steps without a higher net gain after which the next budget is tried: a fixed number, and
 /// some per rank, since many ranks may be equally loaded.
--- a/crates/mastweir-core/src/experts/layer_set.rs
+++ b/crates/mastweir-core/src/experts/layer_set.rs
@@ -7,7 +7,8 @@
 
 /// Number of most loaded ranks kept in order. A step may lower several of them at once.
 const TOP_RANKS: usize = 8;
-/// Number of least loaded ranks considered as targets of a copy.
+/// Number of least loaded ranks considered as targets of a copy. With 12 instead of 6, a plan for
+/// 96 ranks is as good and takes 1.7 times as long.
 const TARGET_RANKS: usize = 6;
 /// Minimum gain of a copy, relative to the mean load; excludes rounding errors.
 const MIN_COPY_GAIN: f64 = 1e-6;
--- a/crates/mastweir-core/src/experts/recent_demand.rs
+++ b/crates/mastweir-core/src/experts/recent_demand.rs
@@ -11,14 +11,16 @@
 use crate::time::Uptime;
 use std::time::Duration;
 
-/// Seconds in which the weight of a count falls to 1/e. The slow sum covers enough
-/// selections to tell experts apart; in the fast one the last report of each rank dominates.
+/// Seconds in which the weight of a count falls to 1/e. The slow sum covers enough selections to
+/// tell experts apart; in the fast one the last report of each rank dominates. With 0.25 s, a shift
+/// is noticed 0.1 s later, and 0.6 in 100 more streams are late.
 const SLOW_DECAY_S: f64 = 1.0;
 const FAST_DECAY_S: f64 = 0.12;
 /// Selections per set needed for a plan.
 const MIN_SELECTIONS: f64 = 300.0;
-/// Time after a shift, as part of a report interval, in which reports still include counts
-/// from before the shift.
+/// Time after a shift, as part of a report interval, in which reports still include counts from
+/// before the shift. A plan from such reports leaves a skew of 2 where one from the next round
+/// leaves 1.5.
 const MIXED_FRACTION: f64 = 0.8;
 /// Distance of the two distributions (0 to 2) that counts as a shift, in addition to the
 /// expected sampling error.
--- a/crates/mastweir-core/src/gateway/admission.rs
+++ b/crates/mastweir-core/src/gateway/admission.rs
@@ -24,7 +24,8 @@
 pub(super) const ADMIT_ALL_LOAD: f64 = 0.97;
 /// Mean load from which no stream is admitted.
 const ADMIT_NONE_LOAD: f64 = 1.17;
-/// Added to the mean load for retries, so that first attempts are preferred.
+/// Added to the mean load for retries, so that first attempts are preferred. In a burst of 2.4
+/// times the usual load, 66.3 in 100 of what is owed is served with it, 60.5 without.
 const RETRY_LOAD: f64 = 0.15;
 /// Added to the mean load for the least urgent streams. The slots that this keeps free must hold the
 /// arrivals of more urgent streams that reports, up to 0.35 s old, do not show yet. With 0.2, bursts
--- a/crates/mastweir-core/src/gateway/choice.rs
+++ b/crates/mastweir-core/src/gateway/choice.rs
@@ -63,9 +63,11 @@
 const SERVICE_LOAD_VALIDITY: Duration = Duration::from_millis(20);
 /// Servers drawn at random for a choice.
 const DRAWN_COUNT: usize = 4;
-/// Servers sampled to estimate the mean load of a service.
+/// Servers sampled to estimate the mean load of a service. The mean of 64 servers is off by about 3
+/// in 100.
 const SAMPLE_SIZE: usize = 64;
-/// Highest load at which a server gets a stream, once the mean load has admitted the stream.
+/// Highest load at which a server gets a stream, once the mean load has admitted the stream. The
+/// least loaded of four drawn servers is seldom fuller.
 const DRAWN_LOAD_MAX: f64 = 1.5;
 /// Penalty in requests for a server in another hall.
 const OTHER_HALL_LOAD: f64 = 0.1;
--- a/crates/mastweir-core/src/gateway/deferral.rs
+++ b/crates/mastweir-core/src/gateway/deferral.rs
@@ -7,10 +7,11 @@
 
 use std::time::Duration;
 
-/// Fraction of the gap objective up to which passes allow new streams without delay.
+/// Fraction of the gap objective up to which passes allow new streams without delay. At 0.65, 0.8
+/// in 100 more streams are late.
 const MAX_PASS_FRACTION: f64 = 0.8;
-/// Passes until the first event: the rest of the current one, the one that reads the prompt,
-/// and a margin.
+/// Passes until the first event: the rest of the current one, the one that reads the prompt, and a
+/// margin. With 2, 0.5 in 100 more streams are late.
 const FIRST_PASSES: f64 = 2.5;
 
 /// Returns the longest time from its arrival for which a stream may be deferred, given the
--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -35,8 +35,9 @@
 const RECEIVING_AFTER: Duration = Duration::from_secs(2);
 /// Sequence numbers of forecasts are kept until no older forecast can still arrive.
 const FORECASTS_KEPT: Duration = Duration::from_secs(30);
-/// Passes without an event after which a stream counts as silent. Covers the lag of reports
-/// and a prompt that is read again after its cache was evicted.
+/// Passes without an event after which a stream counts as silent. Covers the lag of reports and a
+/// prompt that is read again after its cache was evicted. The known number of a server's passes may
+/// be four behind.
 const SILENT_STREAM_PASSES: u64 = 12;
 /// Consecutive failures after which a server is avoided for a while.
 const FAILURES_MAX: u32 = 3;
--- a/crates/mastweir-core/src/gateway/liveness.rs
+++ b/crates/mastweir-core/src/gateway/liveness.rs
@@ -11,8 +11,10 @@
 /// A probe that is not answered within this time has failed. Several times the answer time of
 /// a slow store.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Pause after a failed probe. Together with `PROBE_TIMEOUT`, it bounds how long a watch that
-/// was lost in an outage stays in place after the store's return.
+/// Pause after a failed probe. Together with `PROBE_TIMEOUT`, it bounds how long a watch that was
+/// lost in an outage stays in place after the store's return. With both, a watch is placed again
+/// within 1.2 s of the store's return; by its own end alone it took 9.5 s at a gateway and up to
+/// 310 s at an entry, and changes were in force as much later.
 const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Result of a probe.
--- a/crates/mastweir-core/src/gateway/peers.rs
+++ b/crates/mastweir-core/src/gateway/peers.rs
@@ -25,7 +25,8 @@
     time::Duration,
 };
 
-/// Relays per hall: enough that they are unlikely to be lost together.
+/// Relays per hall: enough that they are unlikely to be lost together. With a sixth of all
+/// instances lost at once, the chance that all three relays of a hall are lost is one in 200.
 const RELAYS: usize = 3;
 /// Relays that watch the store. The others receive changes from these, or from other halls.
 const WATCHERS: usize = 2;
@@ -42,7 +43,8 @@
 const FOLLOWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which a gateway that has just started waits for the relays of its hall before it
 /// becomes a relay itself. Without this delay, gateways that start together would all list the
-/// store.
+/// store. With 1.2 s, 88 requests were refused after a loss of all power, for want of a
+/// configuration.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 /// Gateways per hall that a hello names: the relays and the next ones.
 const KNOWN_PER_HALL: usize = 6;
--- a/crates/mastweir-core/src/gateway/permit_issuer.rs
+++ b/crates/mastweir-core/src/gateway/permit_issuer.rs
@@ -13,7 +13,9 @@
 use std::{collections::HashMap, net::IpAddr, time::Duration};
 
 /// Delay before a new issuer grants permits. Longer than gateways take to notice a network
-/// partition; until then, a previous issuer that is cut off grants more than its share.
+/// partition; until then, a previous issuer that is cut off grants more than its share. A previous
+/// issuer that is cut off counts the other gateways, and is counted by them, for 4 s, of which 0.9
+/// s have passed when a new one takes over.
 pub const HANDOVER_DELAY: Duration = Duration::from_secs(3);
 /// Time for which a permit is valid after it was requested.
 pub const PERMIT_LIFETIME: Duration = Duration::from_millis(500);
--- a/crates/mastweir-core/src/gateway/poison_requests.rs
+++ b/crates/mastweir-core/src/gateway/poison_requests.rs
@@ -23,19 +23,26 @@
     time::Duration,
 };
 
-/// Crashes after which a request is quarantined. Each further crash would stall another group.
+/// Crashes after which a request is quarantined. Each further crash would stall another group. By
+/// chance, one of 9,477 requests had two crashes, in three simulated days with 18 crashes. With
+/// three, a request that crashes each server takes a third group with it: nine servers crashed
+/// under one that was never quarantined, and their groups stalled for 17 s.
 pub const MAX_CRASHES: usize = 2;
 /// The same for a request that was ever completed, since several servers of one hall may crash
 /// together for other reasons.
 pub const MAX_CRASHES_COMPLETED: usize = 8;
-/// Time since the last crash or refusal of a quarantined request after which it may run again.
+/// Time since the last crash or refusal of a quarantined request after which it may run again. What
+/// servers run changes within hours.
 pub const QUARANTINE_DURATION: Duration = Duration::from_secs(3_600);
 /// Time after a change for which the record is sent to other gateways again and again, since
-/// datagrams may be lost.
+/// datagrams may be lost. One datagram in a hundred is lost; gateways send the record eight times
+/// in this time.
 const GOSSIP_DURATION: Duration = Duration::from_millis(1_200);
-/// Bounds the memory for suspect requests.
+/// Bounds the memory for suspect requests. All of them take some 0.5 MB; a crash adds about a
+/// dozen.
 const MAX_SUSPECTS: usize = 4_096;
-/// Bounds the memory for each of the two sets of completed requests.
+/// Bounds the memory for each of the two sets of completed requests. A set covers two minutes of a
+/// gateway that serves 40 requests a second, in 0.1 MB.
 const MAX_COMPLETED: usize = 2_048;
 
 /// The servers that crashed while they ran a request, as gateways exchange them.
--- a/crates/mastweir-core/src/gateway/registry.rs
+++ b/crates/mastweir-core/src/gateway/registry.rs
@@ -22,8 +22,10 @@
 
 /// Time for which a missing server is used as a last resort.
 const MISSING_RETENTION: Duration = Duration::from_millis(1_500);
-/// Grace period of expired servers; running servers write their entries again within two
-/// seconds. Dropping all expired servers at once would overload the first ones that reappear.
+/// Grace period of expired servers; running servers write their entries again within two seconds.
+/// Dropping all expired servers at once would overload the first ones that reappear. When they were
+/// dropped at once, 55 of 160 requests in the two seconds after an outage of 6.2 s were late; with
+/// the grace period, none.
 const EXPIRED_GRACE: Duration = Duration::from_millis(2_200);
 
 /// Time for which the entry of a returned server is ignored. The store drops an entry after
--- a/crates/mastweir-core/src/gateway/retry_detector.rs
+++ b/crates/mastweir-core/src/gateway/retry_detector.rs
@@ -8,7 +8,8 @@
 
 /// Timeouts below this fraction of the longest one belong to retries.
 const FIRST_FRACTION: f64 = 0.95;
-/// Decay of the longest timeout per request, so that it follows shorter timeouts.
+/// Decay of the longest timeout per request, so that it follows shorter timeouts. Where callers
+/// come to have less time, about fifty requests count as retries before that is noticed.
 const DECAY: f64 = 0.999;
 /// Routes that are kept; beyond that, all are cleared and learned again.
 const ROUTES_MAX: usize = 16_384;
--- a/crates/mastweir-core/src/gateway/retry_window.rs
+++ b/crates/mastweir-core/src/gateway/retry_window.rs
@@ -17,7 +17,9 @@
 /// windows that end between two counts.
 const SPEND_RATIO: f64 = 0.8;
 
-/// Retries that a gateway may make in its first window regardless of its requests.
+/// Retries that a gateway may make in its first window regardless of its requests. Over all
+/// gateways these are fewer than what `SPEND_RATIO` leaves of the shared extra retries, which are
+/// six a gateway and more.
 const STARTUP_RETRIES: f64 = 1.0;
 
 /// Retries of one service at one gateway.
--- a/crates/mastweir-core/src/switch/election.rs
+++ b/crates/mastweir-core/src/switch/election.rs
@@ -25,6 +25,7 @@
 const LATER_RANK_DELAY: Duration = Duration::from_millis(20);
 const FIRST_RANKS: u32 = 16;
 /// Time for which a change of coordinator counts. Each one after the first doubles the wait.
+/// Without the longer waits, 178 changes in 20 s were seen in a group of 96 ranks.
 const CHANGES_WINDOW: Duration = Duration::from_secs(10);
 const DOUBLINGS_MAX: u32 = 3;
 
--- a/crates/mastweir-core/src/switch/loss.rs
+++ b/crates/mastweir-core/src/switch/loss.rs
@@ -16,8 +16,8 @@
 const MISSING_MAX: f64 = 0.5;
 const RETRIES_MAX: u32 = 6;
 
-/// Time for orders to all ranks without retries: two round trips through sidecars in other
-/// halls.
+/// Time for orders to all ranks without retries: two round trips through sidecars in other halls. A
+/// group that is stalled for a tenth of a second has made all its streams late.
 const ORDERS_TIME: Duration = Duration::from_millis(40);
 /// Fraction of a pass that orders may take if the group is paused before the next pass. They
 /// mostly fit into the rest of the current pass, and waiting for another long pass would cost more
--- a/crates/mastweir-core/src/switch/mod.rs
+++ b/crates/mastweir-core/src/switch/mod.rs
@@ -35,7 +35,8 @@
 use crate::id::Incarnation;
 use serde::{Deserialize, Serialize};
 
-/// Epochs per generation of the platform's store.
+/// Epochs per generation of the platform's store. A group that changes its coordinator each second
+/// uses them up in 136 years.
 const EPOCHS_PER_GENERATION: u64 = 1 << 32;
 /// Generations with epochs of their own. More would take epochs beyond the 53 bits that every
 /// JSON reader preserves.
--- a/crates/mastweir-core/src/switch/subtrees.rs
+++ b/crates/mastweir-core/src/switch/subtrees.rs
@@ -9,7 +9,8 @@
 use crate::time::Uptime;
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-/// Size of a group up to which the coordinator contacts each rank itself.
+/// Size of a group up to which the coordinator contacts each rank itself. This saves a hop, and
+/// takes no more messages than the subtrees of a group of 256 ranks.
 const DIRECT_RANKS_MAX: usize = 16;
 /// Silence after which a member is chosen as aggregator only if its whole subtree is silent; two
 /// poll periods.
--- a/src/mastweir/entry/fleet.rs
+++ b/src/mastweir/entry/fleet.rs
@@ -17,7 +17,8 @@
 /// Assumed bytes of a load report, including headers and a share of the subscription's datagram.
 const REPORT_LEN: u64 = 140;
 /// Period of the liveness probes during a watch of the instance list. A shorter outage may end the
-/// watch unnoticed; heartbeats then still report which entries are leaving.
+/// watch unnoticed; heartbeats then still report which entries are leaving. 410 entries make 82
+/// probes a second.
 const PROBE_EVERY: Duration = Duration::from_secs(5);
 /// Minimum time between reports of an agent.
 const REPORT_PERIOD_MIN: Duration = Duration::from_millis(500);
--- a/src/mastweir/entry/table.rs
+++ b/src/mastweir/entry/table.rs
@@ -35,7 +35,8 @@
 /// Bounds of the backoff after a failed watch.
 const RETRY_MAX: Duration = Duration::from_secs(2);
 const RETRY_MIN: Duration = Duration::from_millis(100);
-/// Period of the liveness probes during a watch of the rows.
+/// Period of the liveness probes during a watch of the rows. The two watchers in each of 7 halls
+/// make 14 probes a second.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 /// Time for which changes are collected before peers are notified.
 const NOTIFY_DELAY: Duration = Duration::from_millis(10);
--- a/src/mastweir/gateway/crash_probe.rs
+++ b/src/mastweir/gateway/crash_probe.rs
@@ -13,8 +13,10 @@
 use std::{rc::Rc, time::Duration};
 use tokio::{task, time};
 
+/// A connection opens or is refused within a round trip; one that does neither in this time tells
+/// nothing.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Shorter than the restart of any server.
+/// Shorter than the restart of any server. More than one, since packets may be lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 const PROBES_MAX: u32 = 6;
 
--- a/src/mastweir/gateway/follow.rs
+++ b/src/mastweir/gateway/follow.rs
@@ -24,8 +24,9 @@
 
 /// How long a watch waits for a change. The platform bills each call.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// Pause between the start of a watch and its first probe: short enough to detect the outage
-/// that the watch was lost in, long enough to send no probes while changes follow each other.
+/// Pause between the start of a watch and its first probe: short enough to detect the outage that
+/// the watch was lost in, long enough to send no probes while changes follow each other. A probe
+/// costs a tenth of a call to the store.
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(250);
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause between a change and the next watch, so that one call returns many changes when
--- a/src/mastweir/gateway/plain_answer.rs
+++ b/src/mastweir/gateway/plain_answer.rs
@@ -32,7 +32,7 @@
 /// Largest answer that is read whole although it could be streamed, so that a retry can replace it.
 const WHOLE_BYTES_MAX: usize = 256 << 10;
 /// Largest answer that is read whole, which applies to failures and to callers that could not tell
-/// a broken-off stream from a complete one.
+/// a broken-off stream from a complete one. Usual answers have some KB.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
 /// Least time that a server has for the next bytes of a large answer after the deadline: a caller
 /// that reads slowly may be the reason why they are late.
--- a/src/mastweir/gateway/relay.rs
+++ b/src/mastweir/gateway/relay.rs
@@ -31,8 +31,8 @@
 };
 use tokio::{net::UdpSocket, time};
 
-/// Interval between two rounds of forwarding; far shorter than the time after which a server
-/// counts as silent.
+/// Interval between two rounds of forwarding; far shorter than the time after which a server counts
+/// as silent. With the sidecars' own 0.1 s, a forwarded load is 0.4 s old at most.
 const SEND_INTERVAL: Duration = Duration::from_millis(150);
 /// Rounds of forwarding between two announcements to a sidecar. A sidecar stops reporting to a
 /// relay only after it has missed several announcements.
--- a/src/mastweir/gateway/return_times.rs
+++ b/src/mastweir/gateway/return_times.rs
@@ -24,7 +24,8 @@
 /// `Retry-After` if no server is available: a restart takes seconds. The same if all groups are
 /// stalled and levels are not ranked.
 const RETRY_AFTER_DOWN: Duration = Duration::from_millis(2_500);
-/// Random time on top of the servers' backoff or wait for a permit.
+/// Random time on top of the servers' backoff or wait for a permit. Without it, all callers that
+/// were refused meanwhile would return at one moment.
 const RETRY_AFTER_JITTER: Range<Duration> = Duration::ZERO..Duration::from_millis(400);
 /// `Retry-After` if all servers are rate limited and no permit issuer has stated a time.
 const RETRY_AFTER_LIMITED: Duration = Duration::from_millis(1_000);
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -32,8 +32,9 @@
 };
 use tokio::sync::{Notify, watch};
 
-/// Longest time after its start that a gateway is not ready because it has not learnt which requests
-/// are quarantined, or which configuration the other gateways have.
+/// Longest time after its start that a gateway is not ready because it has not learnt which
+/// requests are quarantined, or which configuration the other gateways have. Where it reaches
+/// neither the store nor another gateway, nobody can tell it.
 const STARTUP_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Parameters of a gateway.
--- a/src/mastweir/gateway/suspect_gossip.rs
+++ b/src/mastweir/gateway/suspect_gossip.rs
@@ -13,8 +13,10 @@
 use std::{net::IpAddr, rc::Rc, time::Duration};
 use tokio::{net::UdpSocket, time};
 
+/// Through two relays, all gateways have a report within 0.5 s.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(150);
-/// Rounds between two repetitions of the quarantined requests.
+/// Rounds between two repetitions of the quarantined requests. A gateway that has just started
+/// knows the quarantined requests 1.5 s later.
 const REPEAT_ROUNDS: u32 = 10;
 
 /// Sends reports to the other gateways. Does not return.
--- a/src/mastweir/gateway/waiting.rs
+++ b/src/mastweir/gateway/waiting.rs
@@ -26,7 +26,8 @@
 use tokio::{sync::Notify, task, time};
 
 /// Load, as a fraction of its slots, up to which a model's server counts as having capacity.
-/// Admission of a stream depends on the mean load of the service as well.
+/// Admission of a stream depends on the mean load of the service as well. While this load alone
+/// decided, 0.62, 0.78 and 0.97 were no better, and 1.25 was worse.
 const MODEL_MAX_LOAD: f64 = 1.06;
 /// The same for a server without a model; above 1, requests wait in the server's queue.
 const PLAIN_MAX_LOAD: f64 = 3.0;
--- a/src/mastweir/platform/engine.rs
+++ b/src/mastweir/platform/engine.rs
@@ -21,7 +21,8 @@
 /// Timeout of orders. Short, since an order without an answer is repeated, and the group may be
 /// paused until then.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(40);
-/// Far larger than the counts and maps of large models.
+/// Far larger than the counts and maps of large models. Those of 12 sets of 128 experts take some
+/// 20 KB.
 const ANSWER_BYTES_MAX: usize = 1 << 20;
 
 /// Maximum number of ranks of a group. Memory use grows with the number, so the rank in a report
--- a/src/mastweir/sidecar/group_state.rs
+++ b/src/mastweir/sidecar/group_state.rs
@@ -19,8 +19,8 @@
 /// Time between two polls for counts: about one pass of a busy group.
 pub const POLL_PERIOD: Duration = Duration::from_millis(100);
 /// Counts that one poll requests in a large group, in turn over the sets, to bound the size of
-/// answers. After a shift of demand, which shows in any set, all of them are requested until a
-/// plan can be made.
+/// answers. After a shift of demand, which shows in any set, all of them are requested until a plan
+/// can be made. The sum of ten ranks then takes 2 KB.
 const COUNTS_PER_POLL: usize = 800;
 /// A member that neither answers nor is listed by gateways for this time has left.
 const MEMBER_TIMEOUT: Duration = Duration::from_secs(5);
--- a/src/mastweir/sidecar/order_executor.rs
+++ b/src/mastweir/sidecar/order_executor.rs
@@ -26,8 +26,10 @@
 /// coordinator's wait for the whole batch.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Attempts to send an order to a server before it is reported as unanswered. Repeating it here
-/// is cheaper than another batch, which takes as long as its slowest rank.
+/// Attempts to send an order to a server before it is reported as unanswered. Repeating it here is
+/// cheaper than another batch, which takes as long as its slowest rank. With a tenth of the orders
+/// lost, one round in 160 of 63 ranks lacks an answer; with one attempt, six orders of each round
+/// do.
 const ATTEMPTS_MAX: u32 = 4;
 
 /// Time for a delegate to read the state of a rank after an order. Short, since the group is
--- a/src/mastweir/sidecar/plan.rs
+++ b/src/mastweir/sidecar/plan.rs
@@ -11,7 +11,7 @@
 /// Seconds for which a map is expected to fit demand.
 const HORIZON_S: f64 = 2.5;
 /// Cost of loading one megabyte, in seconds of a pass at its mean load: 0.007 for an expert of
-/// 1,700 MB.
+/// 1,700 MB. Between 0.002 and 0.01 for such an expert, most streams are in time.
 const MB_COST: f64 = 0.007 / 1_700.0;
 /// Fixed cost of a map change, in the same unit: its orders, and the pause of the group that it
 /// may need.
--- a/src/mastweir/sidecar/poll_answer.rs
+++ b/src/mastweir/sidecar/poll_answer.rs
@@ -26,7 +26,8 @@
 use tokio::{task, time};
 
 /// Time after which an aggregator answers without the ranks that are missing. Long enough to
-/// receive the answers of ten ranks, and shorter than the coordinator's poll period.
+/// receive the answers of ten ranks, and shorter than the coordinator's poll period. The reports of
+/// ten ranks on 16 sets of 192 experts take 40 ms of the aggregator's link.
 const AGGREGATION_TIMEOUT: Duration = Duration::from_millis(70);
 
 /// Records a poll and answers it in the background.
--- a/src/mastweir/sidecar/rank_views.rs
+++ b/src/mastweir/sidecar/rank_views.rs
@@ -24,8 +24,10 @@
 /// Time between two queries of servers whose sidecars are silent.
 const QUERY_PERIOD: Duration = Duration::from_millis(150);
 /// Time after the coordinator's start before silent servers are queried. Until the answers to the
-/// first polls arrive all sidecars seem silent, and direct orders with full maps to all ranks
-/// would overload the network link.
+/// first polls arrive all sidecars seem silent, and direct orders with full maps to all ranks would
+/// overload the network link. Without the delay, 95 of 96 ranks got their orders past their
+/// sidecars, 2.4 MB of full maps, and the polls behind them were so late that another coordinator
+/// took over.
 const QUERY_DELAY: Duration = Duration::from_millis(350);
 /// Time for which an accepted load order is not repeated: enough to load about ten experts.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(2_500);
--- a/src/mastweir/sidecar/server_watch.rs
+++ b/src/mastweir/sidecar/server_watch.rs
@@ -18,7 +18,8 @@
 use tokio::time;
 
 /// Time between two reports of the server's state. Short against the time after which gateways
-/// exclude a silent server.
+/// exclude a silent server. A forwarded report is up to 0.35 s older, and a gateway excludes a
+/// server that is silent for 0.7 s.
 const REPORT_PERIOD: Duration = Duration::from_millis(100);
 /// Time without polls after which the coordinator may not know this rank: three polls.
 const UNPOLLED_TIMEOUT: Duration = Duration::from_millis(320);
