Hold large answers no longer than the route allows

Cause: a large answer that was streamed could pass its deadline as long as the server delivered a piece a second; operators bound by `timeout_ms` how long a request is held.

Change: the deadline holds for large answers too.

--- a/src/mastweir/gateway/plain_answer.rs
+++ b/src/mastweir/gateway/plain_answer.rs
@@ -34,10 +34,6 @@
 /// Largest answer that is read whole, which applies to failures and to callers that could not tell
 /// a broken-off stream from a complete one. Usual answers have some KB.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
-/// Least time that a server has for the next bytes of a large answer after the deadline: a caller
-/// that reads slowly may be the reason why they are late.
-const LATE_READ_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Returns an answer for the caller, read whole or as a stream.
 ///
 /// # Errors
@@ -235,9 +231,8 @@
         }
         loop {
             let Some(upstream) = &mut self.upstream else { return Ok(None) };
-            let now = self.gateway.clock.now();
-            let deadline = self.call.deadline.max(now + LATE_READ_TIMEOUT);
-            match self.gateway.clock.timeout_at(deadline, upstream.body.frame()).await {
+            // Operators bound how long a request may be held, also for readers that are slow.
+            match self.gateway.clock.timeout_at(self.call.deadline, upstream.body.frame()).await {
                 Err(_) => return Err(self.abort("late").await),
                 Ok(None) => {
                     self.finish();
