Take back waits and return times by the length of an outage

Cause: retries that waited 1.8 s for the end of an outage were placed all at once when the group reopened, and many callers left before the first event. Refusals turned into failures, and no more callers were served.

Change: waits and `Retry-After` are as before the part on outages; the record of outages stays, with its log lines and metrics.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -12,8 +12,8 @@
 //! ([`PoisonRequests`]). A server that states a rate limit, or that is cold, gets only requests with a permit
 //! ([`PermitIssuer`]); the servers of an evacuated hall get none ([`EvacuationList`]). Event streams are split into complete events ([`EventSplitter`]), so
 //! that another server can resume them. The bodies of requests and answers draw on a byte budget
-//! ([`MemoryBudget`]). Callers that an outage refuses are told when to return, or wait for its end
-//! ([`OutageTracker`]). Data of the platform's store is used only while the
+//! ([`MemoryBudget`]). Outages of services are recorded for
+//! operators ([`OutageTracker`]). Data of the platform's store is used only while the
 //! store is known to answer ([`Liveness`]).
 
 mod admission;
@@ -32,7 +32,6 @@
 mod listeners;
 mod liveness;
 mod memory_budget;
-mod outage_waits;
 mod outages;
 mod pass_limit;
 mod passes;
@@ -70,7 +69,6 @@
 pub use listeners::Listeners;
 pub use liveness::{Liveness, PROBE_TIMEOUT, ProbeResult, WatchFailure};
 pub use memory_budget::{BodyKind, EndedTransfer, Growth, MemoryBudget, TransferId};
-pub use outage_waits::{FORM_TIME, OUTAGE_WAIT_MAX, RefusedCaller, spread_by_level};
 pub use outages::{CONTINUED_WITHIN, EndedOutage, IDLE_END, Outage, OutageTracker};
 pub use pass_limit::PassLimitChange;
 pub use passes::PassTimer;
--- a/crates/mastweir-core/src/gateway/outages.rs
+++ b/crates/mastweir-core/src/gateway/outages.rs
@@ -2,8 +2,8 @@
 //! stalled, and whether the end seems near.
 //!
 //! Load: a hall that is cut off and returns, lost power, all callers back at once. The record only
-//! notes what requests meet, so it needs no messages and costs nothing while all is well. What
-//! follows for refused callers is in [`super::outage_waits`].
+//! notes what requests meet, so it needs no messages and costs nothing while all is well. It tells
+//! operators why requests were refused, and for how long it lasted.
 //!
 //! An outage ends when a server is chosen again or the service is merely full. Nobody may ask for
 //! a service for a while; then its outage ends in the record as well ([`IDLE_END`]).
@@ -138,11 +138,6 @@
         is_present.then(|| Outage { age: now.since(record.began), is_ending })
     }
 
-    /// Returns when the last outage of a service ended, if that is recent.
-    pub fn last_end(&self, service: &str) -> Option<Uptime> {
-        self.records.get(service)?.ended
-    }
-
     /// Forgets outages that no stall can continue any more, and returns them.
     pub fn expire(&mut self, now: Uptime) -> Vec<EndedOutage> {
         let over = self.records.extract_if(|_, record| !record.is_kept(now));
--- a/src/mastweir/gateway/final_answer.rs
+++ b/src/mastweir/gateway/final_answer.rs
@@ -6,7 +6,8 @@
 
 use super::{
     call::{Call, Progress},
-    return_times::{RETRY_AFTER_FULL, present_outage, retry_after},
+    return_times::{RETRY_AFTER_FULL, retry_after},
+    service_outages::present_outage,
     state::Gateway,
     stream::Reply,
 };
@@ -52,7 +53,6 @@
         "returned" => call.is_retry, "left_ms" => call.time_left().as_millis() as u64,
         "waited_ms" => call.age().as_millis() as u64, "level" => call.level().rank,
         "outage_ms" => outage.map(|outage| outage.age.as_millis() as u64),
-        "rest_ms" => outage.map(|outage| outage.expected_rest().as_millis() as u64),
         "retry_after_ms" => retry_after.as_millis() as u64,
         "directory" => %gateway.fleet.borrow().directory().revision);
     end(gateway, call, progress, end_action(progress), retry_after)
--- a/src/mastweir/gateway/return_times.rs
+++ b/src/mastweir/gateway/return_times.rs
@@ -1,15 +1,10 @@
 //! How long requests wait for a server, and when refused callers should return.
 //!
 //! In the gateway's process. `Retry-After` depends on the reason of the refusal and is spread at
-//! random where many callers are refused together. Load: a hall that is cut off and returns, and
-//! all callers back at once; [`mastweir_core::gateway::Outage`] decides what an outage means for
-//! services whose levels are ranked.
+//! random where many callers are refused together.
 
 use super::{call::Call, state::Gateway};
-use mastweir_core::{
-    gateway::{OUTAGE_WAIT_MAX, Outage, Refusal, RefusedCaller, spread_by_level},
-    time::Uptime,
-};
+use mastweir_core::{gateway::Refusal, time::Uptime};
 use rand::Rng;
 use std::{ops::Range, time::Duration};
 
@@ -21,8 +16,7 @@
 /// Range of `Retry-After` if a model's servers are full: their streams take seconds.
 const RETRY_AFTER_OVERLOAD: Range<Duration> =
     Duration::from_millis(600)..Duration::from_millis(2_400);
-/// `Retry-After` if no server is available: a restart takes seconds. The same if all groups are
-/// stalled and levels are not ranked.
+/// `Retry-After` if no server is available or all groups are stalled: a restart takes seconds.
 const RETRY_AFTER_DOWN: Duration = Duration::from_millis(2_500);
 /// Random time on top of the servers' backoff or wait for a permit. Without it, all callers that
 /// were refused meanwhile would return at one moment.
@@ -30,54 +24,23 @@
 /// `Retry-After` if all servers are rate limited and no permit issuer has stated a time.
 const RETRY_AFTER_LIMITED: Duration = Duration::from_millis(1_000);
 
-/// Returns the time until which a request waits for capacity; a time that is past refuses it.
-///
-/// Under overload, a retry waits no longer than a first attempt: it would hold its caller in vain,
-/// and its chance does not improve while it waits. Where levels are ranked, a retry may wait out an
-/// outage, and then waits for capacity from the end of that on.
-pub fn wait_limit(gateway: &Gateway, call: &Call, refusal: Refusal) -> Uptime {
+/// Returns the time until which a request waits for capacity. A retry waits no longer than a first
+/// attempt: under lasting overload it would hold its caller in vain, and its chance does not improve
+/// while it waits. While all groups are stalled, retries that waited for 1.8 or 1.2 s were served no
+/// more often: those that got a server came all at once, and their callers left before the first
+/// event.
+pub fn wait_limit(call: &Call) -> Uptime {
     let objective = Duration::from_millis(call.route().objective_ms);
-    let usual = (call.arrived + objective.mul_f64(WAIT_FRACTION)).min(call.deadline);
-    if !call.level().is_ranked() {
-        return usual;
-    }
-    match refusal {
-        Refusal::Stalled => {
-            let Some(outage) = present_outage(gateway, call) else { return usual };
-            call.arrived + outage.wait_limit(refused_caller(call, 0.0))
-        }
-        Refusal::Full | Refusal::LessUrgent | Refusal::LongPasses if call.is_retry => {
-            let ended = gateway.service_outages.borrow().last_end(&call.service);
-            let since = ended.filter(|ended| *ended > call.arrived).unwrap_or(call.arrived);
-            let limit = since + objective.mul_f64(WAIT_FRACTION);
-            limit
-                .min(call.arrived + objective.mul_f64(WAIT_FRACTION).max(OUTAGE_WAIT_MAX))
-                .min(call.deadline)
-        }
-        _ => usual,
-    }
+    (call.arrived + objective.mul_f64(WAIT_FRACTION)).min(call.deadline)
 }
 
-/// Returns the `Retry-After` of a refusal. Where levels are ranked, more urgent callers return
-/// earlier.
+/// Returns the `Retry-After` of a refusal.
 pub fn retry_after(gateway: &Gateway, call: &Call, refusal: Refusal) -> Duration {
-    let level = call.level();
     match refusal {
-        Refusal::Full | Refusal::LessUrgent | Refusal::LongPasses if !call.is_model() => {
-            RETRY_AFTER_FULL
-        }
-        Refusal::Full | Refusal::LessUrgent | Refusal::LongPasses if level.is_ranked() => {
-            let draw = gateway.rng.borrow_mut().random();
-            spread_by_level(RETRY_AFTER_OVERLOAD, level, draw)
-        }
-        Refusal::Full | Refusal::LessUrgent | Refusal::LongPasses => {
+        Refusal::Full | Refusal::LessUrgent | Refusal::LongPasses if call.is_model() => {
             gateway.rng.borrow_mut().random_range(RETRY_AFTER_OVERLOAD)
         }
-        Refusal::Stalled if level.is_ranked() => {
-            let draw = gateway.rng.borrow_mut().random();
-            present_outage(gateway, call)
-                .map_or(RETRY_AFTER_DOWN, |outage| outage.retry_after(refused_caller(call, draw)))
-        }
+        Refusal::Full | Refusal::LessUrgent | Refusal::LongPasses => RETRY_AFTER_FULL,
         Refusal::Stalled | Refusal::NoServer | Refusal::NoHall => RETRY_AFTER_DOWN,
         Refusal::Limited(left) if left.is_zero() => RETRY_AFTER_LIMITED,
         Refusal::Backoff(left) | Refusal::Limited(left) => {
@@ -85,18 +48,3 @@
         }
     }
 }
-
-/// Returns the present outage of the request's service, if there is one.
-pub fn present_outage(gateway: &Gateway, call: &Call) -> Option<Outage> {
-    gateway.service_outages.borrow().outage(&call.service, gateway.clock.now())
-}
-
-fn refused_caller(call: &Call, draw: f64) -> RefusedCaller {
-    RefusedCaller {
-        level: call.level(),
-        waited: call.age(),
-        time_left: call.time_left(),
-        is_retry: call.is_retry,
-        draw,
-    }
-}
--- a/src/mastweir/gateway/service_outages.rs
+++ b/src/mastweir/gateway/service_outages.rs
@@ -1,11 +1,15 @@
 //! Records the outages of services from the choices of servers, and logs their begin and end.
 //!
-//! In the gateway's process. [`OutageTracker`] holds the record; [`super::return_times`] uses it.
+//! In the gateway's process. [`OutageTracker`] holds the record, which tells operators
+//! why requests were refused.
 //!
 //! [`OutageTracker`]: mastweir_core::gateway::OutageTracker
 
-use super::state::Gateway;
-use mastweir_core::{gateway::Refusal, time::Uptime};
+use super::{call::Call, state::Gateway};
+use mastweir_core::{
+    gateway::{Outage, Refusal},
+    time::Uptime,
+};
 use slog::info;
 
 /// Records the result of a choice: a stall begins or continues an outage, anything else that tells
@@ -48,3 +52,8 @@
             "idle" => outage.is_idle, "all_report" => outage.all_reported);
     }
 }
+
+/// Returns the present outage of the request's service, if there is one.
+pub fn present_outage(gateway: &Gateway, call: &Call) -> Option<Outage> {
+    gateway.service_outages.borrow().outage(&call.service, gateway.clock.now())
+}
--- a/src/mastweir/gateway/waiting.rs
+++ b/src/mastweir/gateway/waiting.rs
@@ -140,7 +140,7 @@
     let is_untried = waiter.status.borrow().tries == 0;
     if is_untried {
         // Also a request whose limit has passed is tried once, by the next passes.
-        let limit = wait_limit(gateway, &waiter.call, Refusal::Full);
+        let limit = wait_limit(&waiter.call);
         waiter.set_end(limit.max(waiter.since + PASS_INTERVAL_MIN * 2));
     }
     let was_empty = state.queue.borrow().is_empty();
@@ -317,7 +317,7 @@
             status.tries += 1;
             status.refusal = Some(refusal);
         }
-        self.set_end(wait_limit(gateway, &self.call, refusal));
+        self.set_end(wait_limit(&self.call));
         if matches!(refusal, Refusal::Limited(_)) && !self.is_over(gateway, refusal) {
             permits::add_demand(gateway, &self.call.service);
         }
