Wrap the heads of the gateway's decisions and of admission

Cause: merges left lines of 150 characters, and the comment on delegation told of states that are no longer recorded. Change: comments only.

--- a/crates/mastweir-core/src/gateway/admission.rs
+++ b/crates/mastweir-core/src/gateway/admission.rs
@@ -13,9 +13,9 @@
 //! admitting retries first would only make others retry.
 //!
 //! Load: a burst of a less urgent class. Where a service's streams differ in urgency, a stream is
-//! admitted at a lower load the less urgent it is, so less urgent streams are shed first. A part of them competes as the most urgent, so that no level
-//! starves. A pass limit lowers the bounds of less urgent streams further; callers of the most
-//! urgent ones prefer a late answer to none.
+//! admitted at a lower load the less urgent it is, so less urgent streams are shed first. A part of
+//! them competes as the most urgent, so that no level starves. A pass limit lowers the bounds of
+//! less urgent streams further; callers of the most urgent ones prefer a late answer to none.
 
 use super::{choice::Refusal, pass_limit::PassRoom};
 use crate::time::Uptime;
--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -4,17 +4,17 @@
 //! relays, which forward the reports to the other gateways ([`Peers`]), to each those of a part of
 //! the servers ([`ViewSize`]).
 //!
-//! A gateway finds the route of a request ([`Config`]), decides whether the service admits a
-//! stream ([`StreamRequest`]), and chooses a server ([`Fleet`]); requests for which there is none
-//! wait in a queue ([`WaitQueue`]). After an attempt it decides
-//! what the outcome proves and what to do next ([`Proof`], [`next_action`]), and whether a retry
-//! is within the budget ([`RetryWindow`]). Requests that crash servers are quarantined
-//! ([`PoisonRequests`]). A server that states a rate limit, or that is cold, gets only requests with a permit
-//! ([`PermitIssuer`]); the servers of an evacuated hall get none ([`EvacuationList`]). Event streams are split into complete events ([`EventSplitter`]), so
-//! that another server can resume them. The bodies of requests and answers draw on a byte budget
-//! ([`MemoryBudget`]). Outages of services are recorded for
-//! operators ([`OutageTracker`]). Data of the platform's store is used only while the
-//! store is known to answer ([`Liveness`]).
+//! A gateway finds the route of a request ([`Config`]), decides whether the service admits a stream
+//! ([`StreamRequest`]), and chooses a server ([`Fleet`]); requests for which there is none wait in
+//! a queue ([`WaitQueue`]). After an attempt it decides what the outcome proves and what to do next
+//! ([`Proof`], [`next_action`]), and whether a retry is within the budget ([`RetryWindow`]).
+//! Requests that crash servers are quarantined ([`PoisonRequests`]). A server that states a rate
+//! limit, or that is cold, gets only requests with a permit ([`PermitIssuer`]); the servers of an
+//! evacuated hall get none ([`EvacuationList`]). Event streams are split into complete events
+//! ([`EventSplitter`]), so that another server can resume them. The bodies of requests and answers
+//! draw on a byte budget ([`MemoryBudget`]). Outages of services are recorded for operators
+//! ([`OutageTracker`]). Data of the platform's store is used only while the store is known to
+//! answer ([`Liveness`]).
 
 mod admission;
 mod choice;
--- a/src/mastweir/sidecar/delegate.rs
+++ b/src/mastweir/sidecar/delegate.rs
@@ -28,8 +28,9 @@
 const OWN_STATE_TIMEOUT: Duration = Duration::from_millis(15);
 
 impl Coordinator<'_> {
-    /// Delegates the last two orders of a map change, and records the states after them. Returns
-    /// whether the next orders must be decided anew; if not, the coordinator gives `orders` itself.
+    /// Delegates the last two orders of a map change, and reads the own server's state after them.
+    /// Returns whether the next orders must be decided anew; if not, the coordinator gives `orders`
+    /// itself.
     pub(super) async fn delegate(
         &mut self,
         group: GroupSnapshot<'_>,
