Compute a request's urgency level once

Cause: a request's level was looked up anew, by customer and service, when it was admitted, queued, logged and sent.

Change: `ActiveConfig::level` computes it when the request is read, and the call keeps it, as it keeps its position. A comment is wrapped.

Result: behaviour is the same; formatter and linter are clean, the tests are unchanged.

--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -81,8 +81,8 @@
     }
 }
 
-/// Sends a request to the server of a slot and reads the head of the answer. `last_event` is the id of the last
-/// event that the caller got, if a stream is resumed.
+/// Sends a request to the server of a slot and reads the head of the answer. `last_event` is the id
+/// of the last event that the caller got, if a stream is resumed.
 ///
 /// # Errors
 ///
@@ -187,7 +187,7 @@
 /// caller waits for the next event. Where requests differ in urgency, it follows from the level.
 /// Elsewhere a retry after a refusal goes last, since it is late already.
 fn priority(call: &Call, last_event: Option<&str>) -> QueuePriority {
-    let level = call.level();
+    let level = call.level;
     match last_event {
         Some(_) => QueuePriority::First,
         None if level.is_ranked() => {
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -12,7 +12,7 @@
 };
 use mastweir_core::{
     gateway::{
-        Fingerprint, Homes, Quarantine, RequestParts, Requirements, Route, StreamRequest, Urgency,
+        Fingerprint, Homes, Quarantine, RequestParts, Requirements, Route, StreamRequest,
         UrgencyLevel,
     },
     time::Uptime,
@@ -46,6 +46,8 @@
     pub clock: Clock,
     /// Random number from 0 to 1 that decides about admission while servers are overloaded.
     pub draw: f64,
+    /// Rank of the request among the urgencies of its service.
+    pub level: UrgencyLevel,
     /// Position in the order in which requests are shed: 0 for the most urgent to 1.
     pub position: f64,
     /// Whether the request looks like a retry after a refusal.
@@ -133,14 +135,6 @@
         }
     }
 
-    /// Returns the rank of the request among the urgencies of its service.
-    pub fn level(&self) -> UrgencyLevel {
-        let customer = self.customer.as_ref();
-        let priorities = &self.active.config.customer_priorities;
-        let own = customer.and_then(|name| priorities.get(name)).copied();
-        self.active.levels.level(&self.service, Urgency::new(own, self.route().priority))
-    }
-
     /// Returns the time until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.since(self.clock.now())
--- a/src/mastweir/gateway/final_answer.rs
+++ b/src/mastweir/gateway/final_answer.rs
@@ -51,7 +51,7 @@
     info!(gateway.log, "no server found"; "id" => &call.head.id, "service" => &call.service,
         "reason" => reason, "tried" => progress.tried.join(","),
         "returned" => call.is_retry, "left_ms" => call.time_left().as_millis() as u64,
-        "waited_ms" => call.age().as_millis() as u64, "level" => call.level().rank,
+        "waited_ms" => call.age().as_millis() as u64, "level" => call.level.rank,
         "outage_ms" => outage.map(|outage| outage.age.as_millis() as u64),
         "retry_after_ms" => retry_after.as_millis() as u64,
         "directory" => %gateway.fleet.borrow().directory().revision);
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -111,7 +111,9 @@
             return Err(refuse(gateway, &head.id, StatusCode::REQUEST_TIMEOUT, "late_body"));
         }
     };
-    let mut call = Call {
+    let level = active.level(&service, customer.as_deref(), route);
+    let position = gateway.urgency_shares.borrow_mut().record(&service, level);
+    Ok(Call {
         head,
         headers: parts.headers,
         method: parts.method,
@@ -128,12 +130,10 @@
         active,
         draw: gateway.rng.borrow_mut().random(),
         is_retry,
-        position: 0.0,
+        level,
+        position,
         fingerprint: OnceCell::new(),
-    };
-    let level = call.level();
-    call.position = gateway.urgency_shares.borrow_mut().record(&call.service, level);
-    Ok(call)
+    })
 }
 
 /// Chooses a service at random by the weights of a route's targets.
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -17,7 +17,7 @@
     gateway::{
         Candidate, Config, Directory, EvacuationList, Fleet, OutageTracker, PassLimitChange,
         PeerInfo, Peers, PoisonRequests, Refusal, Requirements, RetryDetector, RetryWindow, Route,
-        RouteIndex, UrgencyLevels, UrgencyShares,
+        RouteIndex, Urgency, UrgencyLevel, UrgencyLevels, UrgencyShares,
     },
     time::Uptime,
 };
@@ -67,6 +67,13 @@
 }
 
 impl ActiveConfig {
+    /// Returns the rank of a customer's request on a route among the urgencies of its service.
+    pub fn level(&self, service: &str, customer: Option<&str>, route: &Route) -> UrgencyLevel {
+        let priorities = &self.config.customer_priorities;
+        let own = customer.and_then(|name| priorities.get(name)).copied();
+        self.levels.level(service, Urgency::new(own, route.priority))
+    }
+
     /// Returns the route of a request.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.index.find(host, path).map(|route_index| &self.config.routes[route_index])
--- a/src/mastweir/gateway/waiting.rs
+++ b/src/mastweir/gateway/waiting.rs
@@ -111,7 +111,7 @@
 ) -> Result<SlotGuard, Refusal> {
     permits::add_demand(gateway, &call.service);
     let waiter = Rc::new(Waiter::new(gateway, call, progress));
-    let is_behind = gateway.waiting.queue.borrow().has_waiting(&call.service, call.level().rank);
+    let is_behind = gateway.waiting.queue.borrow().has_waiting(&call.service, call.level.rank);
     if !is_behind {
         match waiter.attempt(gateway) {
             Attempted::Placed(slot) => return Ok(slot),
@@ -282,7 +282,7 @@
         WaitingRequest {
             service: call.service.clone(),
             customer: call.customer.clone(),
-            rank: call.level().rank,
+            rank: call.level.rank,
             cost: Cost::default()
                 .units(u64::from(head.prompt_tokens), u64::from(head.answer_tokens)),
             bytes: call.body.len(),
@@ -376,7 +376,7 @@
         let request = self.request();
         info!(gateway.log, "request left the queue"; "id" => &self.call.head.id, "outcome" => outcome,
             "reason" => refusal.or(status.refusal).map(refusal_label), "service" => request.service,
-            "customer" => request.customer, "level" => request.rank, "levels" => self.call.level().count,
+            "customer" => request.customer, "level" => request.rank, "levels" => self.call.level.count,
             "returned" => self.call.is_retry, "cost" => request.cost, "bytes" => request.bytes,
             "queue_ms" => waited.as_millis() as u64, "tries" => status.tries,
             "left_ms" => self.call.time_left().as_millis() as u64,
