Give the tests' world of crashing servers a module of its own

Cause: the world of crashing_request knows one body that crashes servers; another test needs other requests. Change: what the servers do is a parameter.

--- a/tests/testsuite/crashing_request.rs
+++ b/tests/testsuite/crashing_request.rs
@@ -1,21 +1,22 @@
 //! Guards against a request that crashes every server it is sent to, across attempts, gateways
 //! and entries.
 
-use crate::gateway::{answer, chunk, last_chunk, stream_head};
+use crate::{
+    crash_world::{Behavior, CrashWorld},
+    gateway::{answer, chunk, last_chunk, stream_head},
+};
 use eyre::Result;
 use googletest::prelude::*;
 use mastweir_core::gateway::{Fingerprint, RequestParts};
 use mastweir_test_support::{
     fleet::{Fleet, ServerOptions, customer, model, wait_informed},
     scripted::{Act, Got, Scripted},
-    site::{Answer, HOST, Running, Site, exchange, request, route, wait_for},
+    site::{Answer, HOST, exchange, request, wait_for},
 };
 use serde_json::json;
 use std::{pin::pin, time::Duration};
 use tokio::time;
 
-/// Servers at a time.
-const SERVERS: usize = 6;
 /// Crashes that a request may cause, and further sends of it that are allowed.
 const MAX_CRASHES: usize = 3;
 const MORE_SENDS: usize = 3;
@@ -44,82 +45,25 @@
     }
 }
 
-/// An installation whose servers crash under one request, and are replaced.
-struct World {
-    site: Site,
-    kind: &'static str,
-    gateways: Vec<Running>,
-    servers: Vec<(String, Scripted)>,
-    /// Number of servers started.
-    started: usize,
-    /// Number of servers that crashed.
-    crashes: usize,
-    /// Number of times that a server got the request.
-    sends: usize,
+/// Returns an installation whose servers crash under one request.
+async fn start(gateways: u8, kind: &'static str) -> Result<CrashWorld> {
+    start_with_objective(gateways, kind, 400).await
 }
 
-impl World {
-    async fn new(gateways: u8, kind: &'static str) -> Result<Self> {
-        Self::with_objective(gateways, kind, 400).await
-    }
-
-    async fn with_objective(gateways: u8, kind: &'static str, objective_ms: u64) -> Result<Self> {
-        let mut world = Self {
-            site: Site::new(gateways)?,
-            kind,
-            gateways: Vec::new(),
-            servers: Vec::new(),
-            started: 0,
-            crashes: 0,
-            sends: 0,
-        };
-        for _ in 0..SERVERS {
-            world.start_server().await?;
-        }
-        let mut route = route("/draft/", kind);
-        route["target_latency_ms"] = objective_ms.into();
-        world.site.configure(1, &[route]);
-        let (_, served) = world.site.door().await?;
-        for number in 0..usize::from(gateways) {
-            world.gateways.push(world.site.gateway(number, served.addr)?);
-        }
-        for gateway in &world.gateways {
-            gateway.wait_ready().await?;
-        }
-        Ok(world)
-    }
-
-    /// Starts a server under a new id.
-    async fn start_server(&mut self) -> Result<()> {
-        let id = format!("i-{}", self.started);
-        self.started += 1;
-        let kind = self.kind;
-        let server = Scripted::start(move |got| script(got, kind)).await?;
-        self.site.list(&id, &server, "ready");
-        self.servers.push((id, server));
-        Ok(())
-    }
-
-    /// Replaces crashed servers, as the platform does.
-    async fn restart_crashed(&mut self) -> Result<()> {
-        let (crashed, live): (Vec<_>, Vec<_>) =
-            self.servers.drain(..).partition(|(_, server)| server.has_ended());
-        self.servers = live;
-        for (id, server) in crashed {
-            self.sends += server.got().iter().filter(|got| got.body == CRASHES).count();
-            self.crashes += 1;
-            self.site.platform.remove("servers", &id);
-            self.start_server().await?;
-        }
-        Ok(())
-    }
+async fn start_with_objective(
+    gateways: u8,
+    kind: &'static str,
+    objective_ms: u64,
+) -> Result<CrashWorld> {
+    let crashes = |got: &Got| got.body == CRASHES;
+    CrashWorld::start(gateways, Behavior { kind, objective_ms, script, crashes }).await
+}
 
-    async fn call(&self, gateway: usize, id: &str, body: &str) -> Result<Answer> {
-        // The query differs with each attempt.
-        let path = format!("/draft/a?try={id}");
-        let bytes = request("POST", &path, id, "Request-Deadline: 4000\r\n", body);
-        exchange(self.gateways[gateway].callers, &bytes).await
-    }
+/// Sends an attempt through a gateway. The query differs with each attempt.
+async fn call(world: &CrashWorld, gateway: usize, id: &str, body: &str) -> Result<Answer> {
+    let path = format!("/draft/a?try={id}");
+    let bytes = request("POST", &path, id, "Request-Deadline: 4000\r\n", body);
+    exchange(world.gateways[gateway].callers, &bytes).await
 }
 
 /// The caller sends ten attempts through three gateways in turn. Other callers are served
@@ -128,13 +72,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn is_quarantined_by_all_gateways_after_crashes() -> Result<()> {
     for kind in ["safe", "streaming", "unsafe"] {
-        let mut world = World::new(3, kind).await?;
+        let mut world = start(3, kind).await?;
         let mut last = Answer::default();
         for attempt in 0..10 {
-            last = world.call(attempt % 3, &format!("c-{attempt}"), "crashes").await?;
+            last = call(&world, attempt % 3, &format!("c-{attempt}"), "crashes").await?;
             world.restart_crashed().await?;
             time::sleep(RETRY_DELAY).await;
-            let other = world.call(attempt % 3, &format!("o-{attempt}"), "harmless").await?;
+            let other = call(&world, attempt % 3, &format!("o-{attempt}"), "harmless").await?;
             expect_that!((other.status, other.whole), eq((200, true)), "{kind} {attempt}");
         }
         expect_that!(world.crashes, all!(ge(1), le(MAX_CRASHES)), "{kind}");
@@ -150,9 +94,9 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn is_quarantined_by_a_gateway_started_later() -> Result<()> {
-    let mut world = World::new(2, "safe").await?;
+    let mut world = start(2, "safe").await?;
     for attempt in 0..2 {
-        world.call(0, &format!("c-{attempt}"), "crashes").await?;
+        call(&world, 0, &format!("c-{attempt}"), "crashes").await?;
         world.restart_crashed().await?;
         time::sleep(RETRY_DELAY).await;
     }
@@ -162,7 +106,7 @@
     let (_, served) = world.site.door().await?;
     world.gateways[1] = world.site.gateway(1, served.addr)?;
     world.gateways[1].wait_ready().await?;
-    wait_for(async || world.call(1, "c-9", "crashes").await.is_ok_and(|last| last.status == 503))
+    wait_for(async || call(&world, 1, "c-9", "crashes").await.is_ok_and(|last| last.status == 503))
         .await?;
     world.restart_crashed().await?;
     expect_that!(world.crashes, le(MAX_CRASHES));
@@ -218,9 +162,9 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn is_refused_at_once_without_free_servers() -> Result<()> {
-    let mut world = World::with_objective(1, "safe", 60_000).await?;
+    let mut world = start_with_objective(1, "safe", 60_000).await?;
     for attempt in 0..3 {
-        world.call(0, &format!("c-{attempt}"), "crashes").await?;
+        call(&world, 0, &format!("c-{attempt}"), "crashes").await?;
         world.restart_crashed().await?;
         time::sleep(RETRY_DELAY).await;
     }
@@ -229,13 +173,13 @@
     }
     // Servers that left the list are a last resort for a short time.
     time::sleep(RETRY_DELAY * 3).await;
-    let mut waiting = pin!(world.call(0, "o-1", "harmless"));
+    let mut waiting = pin!(call(&world, 0, "o-1", "harmless"));
     let refused = tokio::select! {
         biased;
         waited = &mut waiting => waited,
         refused = async {
             time::sleep(RETRY_DELAY).await;
-            world.call(0, "c-9", "crashes").await
+            call(&world, 0, "c-9", "crashes").await
         } => refused,
     };
     let refused = refused?;
@@ -249,17 +193,17 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn is_stored_when_no_gateway_confirmed_it_alone() -> Result<()> {
-    let world = World::new(2, "unsafe").await?;
+    let world = start(2, "unsafe").await?;
     let name = Fingerprint::of(RequestParts {
         customer: "north",
         host: HOST,
         path: "/draft/a",
         body: CRASHES,
     });
-    expect_that!(world.call(0, "d-0", "crashes").await?.status, eq(502));
+    expect_that!(call(&world, 0, "d-0", "crashes").await?.status, eq(502));
     // The first server's port is closed, and its crash is not confirmed yet.
     time::sleep(Duration::from_millis(60)).await;
-    expect_that!(world.call(1, "d-1", "crashes").await?.status, eq(502));
+    expect_that!(call(&world, 1, "d-1", "crashes").await?.status, eq(502));
     expect_that!(world.servers.iter().filter(|(_, server)| server.has_ended()).count(), eq(2));
     wait_for(async || world.site.platform.has(KIND, &name.to_string())).await?;
     Ok(())
@@ -270,9 +214,9 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn is_not_quarantined_while_servers_live() -> Result<()> {
-    let mut world = World::new(1, "safe").await?;
+    let mut world = start(1, "safe").await?;
     for attempt in 0..6 {
-        let last = world.call(0, &format!("b-{attempt}"), "breaks").await?;
+        let last = call(&world, 0, &format!("b-{attempt}"), "breaks").await?;
         expect_that!(last.status, eq(502), "{attempt}");
         // Two probes find the server alive.
         time::sleep(RETRY_DELAY).await;
@@ -286,11 +230,11 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn is_quarantined_after_all_gateways_restart() -> Result<()> {
-    let mut world = World::new(2, "unsafe").await?;
+    let mut world = start(2, "unsafe").await?;
     let expired = json!({ "spec": { "ends": ["1", "2"], "finished": false, "written_s": 9 } });
     world.site.platform.put(KIND, "00000000000000ff", expired);
     for attempt in 0..3 {
-        world.call(attempt % 2, &format!("c-{attempt}"), "crashes").await?;
+        call(&world, attempt % 2, &format!("c-{attempt}"), "crashes").await?;
         world.restart_crashed().await?;
         time::sleep(RETRY_DELAY).await;
     }
@@ -307,7 +251,7 @@
         gateway.wait_ready().await?;
     }
     for number in 0..2 {
-        expect_that!(world.call(number, "c-9", "crashes").await?.status, eq(503));
+        expect_that!(call(&world, number, "c-9", "crashes").await?.status, eq(503));
     }
     world.restart_crashed().await?;
     expect_that!(world.crashes, all!(eq(crashes), le(MAX_CRASHES)));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod cli;
 mod connections;
+mod crash_world;
 mod crashing_request;
 mod delegated_finish;
 mod elections;
