Log the parts of prompts that break off at servers

Cause: the lines of broken attempts have the fingerprint of the whole request, so they can't show whether requests under which servers crash have a part of their prompts in common, nor whether the server had begun the answer. Change: the shared parts of a prompt are read, and logged with the time since the head of the answer. No decision uses them yet.

--- a/crates/mastweir-core/src/gateway/fingerprint.rs
+++ b/crates/mastweir-core/src/gateway/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Fingerprints that identify repeated attempts of the same request.
+//! Fingerprints that identify repeated attempts of the same request, servers, and parts of prompts.
 //!
 //! Gateways and entries compute them. Each attempt has another id, so a repeated request is
 //! recognized by a hash of its customer, host, path and body. The query is left out, since
@@ -41,6 +41,11 @@
         Self::truncate(&hasher.finalize())
     }
 
+    /// Returns the fingerprint of a part of a prompt, by the part's id.
+    pub fn of_prompt_part(id: &str) -> Self {
+        Self::truncate(&blake3::hash(id.as_bytes()))
+    }
+
     /// Returns the fingerprint of an incarnation of a server, by the incarnation's id.
     pub fn of_incarnation(id: &str) -> Self {
         Self::truncate(&blake3::hash(id.as_bytes()))
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -264,7 +264,7 @@
     slot.mark_failed();
     gateway.metrics.count("attempts_failed_total", "broken");
     info!(gateway.log, "attempt broken"; "id" => &call.head.id, "server" => &slot.server.id,
-        "fingerprint" => %call.fingerprint(), "error" => %error);
+        "fingerprint" => %call.fingerprint(), "parts" => call.prompt_parts(), "error" => %error);
 }
 
 fn on_refused(gateway: &Gateway, call: &Call, slot: &SlotGuard, proof: Proof, head: &AnswerHead) {
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -74,6 +74,12 @@
         })
     }
 
+    /// Returns the parts of the prompt that other prompts may share, for the log.
+    pub fn prompt_parts(&self) -> String {
+        let parts = self.head.prompt.shared.iter();
+        parts.map(Fingerprint::to_string).collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the quarantine of the request, if there is one. Retries by the caller may carry
     /// other ids, so requests are identified by fingerprint.
     pub fn quarantine(&self, gateway: &Gateway) -> Option<Quarantine> {
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -21,7 +21,10 @@
     Response, StatusCode,
     body::{Frame, Incoming},
 };
-use mastweir_core::gateway::{AttemptResult, BodyKind, EventSplitter, LoadReport, StreamTiming};
+use mastweir_core::{
+    gateway::{AttemptResult, BodyKind, EventSplitter, LoadReport, StreamTiming},
+    time::Uptime,
+};
 use slog::info;
 use std::{pin::Pin, rc::Rc, time::Duration};
 
@@ -53,6 +56,8 @@
     connection: Connection,
     slot: SlotGuard,
     keep_alive: Option<Duration>,
+    /// When the head of the answer was read.
+    begun: Uptime,
 }
 
 struct StreamForwarder {
@@ -85,7 +90,7 @@
 ) -> Reply {
     let head = headers::for_caller(&answer.parts.headers);
     let events = EventSplitter::after(call.head.last_event.clone());
-    let upstream = Some(to_upstream(answer));
+    let upstream = Some(to_upstream(answer, gateway.clock.now()));
     let timing = StreamTiming::new(gateway.clock.now(), call.age());
     let forwarder = StreamForwarder {
         gateway,
@@ -117,8 +122,9 @@
     reply
 }
 
-fn to_upstream(answer: ServerAnswer) -> Upstream {
+fn to_upstream(answer: ServerAnswer, begun: Uptime) -> Upstream {
     Upstream {
+        begun,
         body: answer.body,
         connection: answer.connection,
         slot: answer.slot,
@@ -243,7 +249,8 @@
             upstream.slot.mark_failed();
             info!(self.gateway.log, "stream interrupted"; "id" => &self.call.head.id,
                 "server" => &upstream.slot.server.id, "reason" => reason,
-                "fingerprint" => %self.call.fingerprint(),
+                "fingerprint" => %self.call.fingerprint(), "parts" => self.call.prompt_parts(),
+                "head_ms" => self.gateway.clock.now().since(upstream.begun).as_millis() as u64,
                 "last_event" => self.events.last_id());
             if reason == BROKEN {
                 suspect_crash(&self.gateway, &self.call, &upstream.slot.server).await;
@@ -277,7 +284,7 @@
                     info!(self.gateway.log, "stream resumed"; "id" => &self.call.head.id,
                         "last_event" => last, "server" => &answer.slot.server.id);
                     self.resumed += 1;
-                    self.upstream = Some(to_upstream(answer));
+                    self.upstream = Some(to_upstream(answer, self.gateway.clock.now()));
                     return true;
                 }
                 Ok(_) => result = AttemptResult::Failed,
--- a/src/mastweir/platform/headers.rs
+++ b/src/mastweir/platform/headers.rs
@@ -8,7 +8,7 @@
     StatusCode,
     header::{self, HeaderMap, HeaderName, HeaderValue},
 };
-use mastweir_core::gateway::Rate;
+use mastweir_core::gateway::{Fingerprint, Rate};
 use std::time::Duration;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
@@ -32,6 +32,13 @@
 /// Prompt tokens and the limit of answer tokens, separated by a comma.
 const TOKENS: HeaderName = HeaderName::from_static("token-usage");
 
+/// The parts of the prompt in order, as `ID:TOKENS` separated by commas. The last one belongs to the
+/// request alone.
+const PROMPT: HeaderName = HeaderName::from_static("prompt-prefix");
+
+/// Bounds the work for a request; prompts have a handful of parts. Further ones are ignored.
+const PROMPT_PARTS_MAX: usize = 64;
+
 const KEY_SCHEME: &str = "Bearer ";
 
 /// Request headers that concern one connection, or that the gateway consumes or sets itself.
@@ -80,6 +87,16 @@
     pub prompt_tokens: u32,
     /// Limit of the answer's tokens; 0 if unknown.
     pub answer_tokens: u32,
+    pub prompt: PromptParts,
+}
+
+/// The parts of a prompt.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptParts {
+    /// Those that other prompts may share, without repetitions.
+    pub shared: Vec<Fingerprint>,
+    /// Whether some parts have no id or no number of tokens, or are too many.
+    pub is_malformed: bool,
 }
 
 /// Reads the headers of a caller's request. Ignores malformed values.
@@ -96,7 +113,31 @@
         last_event: text(&LAST_EVENT).map(str::to_owned),
         prompt_tokens: tokens.map_or(0, |(prompt, _)| number(prompt)),
         answer_tokens: tokens.map_or(0, |(_, answer)| number(answer)),
+        prompt: read_prompt(headers),
+    }
+}
+
+/// Reads the parts of a prompt. Ids need not be hexadecimal.
+fn read_prompt(headers: &HeaderMap) -> PromptParts {
+    let mut prompt = PromptParts::default();
+    let values = headers.get_all(PROMPT).iter().filter_map(|value| value.to_str().ok());
+    let mut parts = values.flat_map(|value| value.split(',')).peekable();
+    let mut count = 0;
+    while let Some(part) = parts.next() {
+        count += 1;
+        if count > PROMPT_PARTS_MAX {
+            prompt.is_malformed = true;
+            break;
+        }
+        let (id, tokens) = part.split_once(':').unwrap_or((part, ""));
+        prompt.is_malformed |= id.trim().is_empty() || tokens.trim().parse::<u32>().is_err();
+        let is_last = parts.peek().is_none();
+        let part = Fingerprint::of_prompt_part(id.trim());
+        if !is_last && !id.trim().is_empty() && !prompt.shared.contains(&part) {
+            prompt.shared.push(part);
+        }
     }
+    prompt
 }
 
 /// Values that a gateway adds to the headers of a forwarded request.
