Reproduce prompt parts that crash one server after the other

A test with three real gateways and six servers: requests that share one part of their prompts and nothing else crash each server that begins an answer on them.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod cli;
 mod connections;
 mod crash_world;
+mod crashing_prompt;
 mod crashing_request;
 mod delegated_finish;
 mod elections;
