Refuse new connections while a gateway lags

What callers would see: a load balancer that sends most new connections to one gateway fills its queue of connections; what it accepts is read late, its readiness answers late, and all wait.

Cause: a gateway accepted up to 2,500 connections however late it read them. Class: a bound by number where the scarce thing is time.

Change: a timer's lateness tells whether the gateway keeps up, whatever holds its processor. While it is 0.1 s late a growing part of the new connections is reset unread, so that their callers open another elsewhere; the part falls slowly once the lag is gone.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -14,9 +14,10 @@
 //! evacuated hall get none ([`EvacuationList`]). Event streams are split into complete events
 //! ([`EventSplitter`]), so that another server can resume them. The bodies of requests and answers
 //! draw on a byte budget ([`MemoryBudget`]). Outages of services are recorded for operators
-//! ([`OutageTracker`]). Data of the platform's store is used only while the store is known to
+//! ([`OutageTracker`]). New connections are refused while the gateway lags ([`AcceptLimit`]). Data of the platform's store is used only while the store is known to
 //! answer ([`Liveness`]).
 
+mod accept_limit;
 mod admission;
 mod choice;
 mod config;
@@ -58,6 +59,7 @@
 mod wait_queue;
 mod warmups;
 
+pub use accept_limit::{AcceptLimit, LAG_INTERVAL};
 pub use admission::StreamRequest;
 pub use choice::{Candidate, Refusal, Requirements};
 pub use config::{Config, Kind, Limits, Model, PassCost, Route, RouteIndex, Service, Target};
--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -17,7 +17,7 @@
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicU64, Ordering},
     },
     thread::{self, JoinHandle},
     time::Duration,
@@ -36,6 +36,8 @@
 const PORTS_TRIED: usize = 50;
 /// Pause between two looks at it.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// Pause between two times that a gateway's thread is held.
+const HELD_EVERY: Duration = Duration::from_millis(20);
 /// A customer's key in the usual configuration.
 pub const KEY: &str = "key-of-north";
 /// Byte budget of a gateway by default.
@@ -54,12 +56,20 @@
     pub metrics: SocketAddr,
     /// Its clock.
     pub clock: Clock,
+    /// Milliseconds for which its thread is held again and again.
+    held_ms: Arc<AtomicU64>,
     stop: Option<oneshot::Sender<()>>,
     kill: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<eyre::Result<()>>>,
 }
 
 impl Running {
+    /// Holds its thread for so long between short pauses, as other work on its core would.
+    pub fn occupy(&self, held: Duration) {
+        let ms = u64::try_from(held.as_millis()).unwrap_or(u64::MAX);
+        self.held_ms.store(ms, Ordering::Relaxed);
+    }
+
     /// Asks it to stop.
     pub fn ask_to_stop(&mut self) {
         // One that has ended needs no asking.
@@ -269,6 +279,8 @@
         };
         let (stop, stopped) = oneshot::channel::<()>();
         let (kill, killed) = oneshot::channel::<()>();
+        let held_ms = Arc::new(AtomicU64::new(0));
+        let holding = held_ms.clone();
         let thread = thread::spawn(move || {
             let _sender = sender;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -284,6 +296,7 @@
                     }
                 };
                 tokio::select! {
+                    () = hold(&holding) => Ok(()),
                     ended = gateway::run(&options, stop) => ended,
                     () = killed => Ok(()),
                 }
@@ -299,6 +312,7 @@
             ready,
             metrics: at(self.ports.metrics),
             clock,
+            held_ms,
             stop: Some(stop),
             kill: Some(kill),
             thread: Some(thread),
@@ -306,6 +320,17 @@
     }
 }
 
+/// Holds the thread that it runs on. Does not return.
+async fn hold(held_ms: &AtomicU64) {
+    loop {
+        time::sleep(HELD_EVERY).await;
+        let held_ms = held_ms.load(Ordering::Relaxed);
+        if held_ms > 0 {
+            thread::sleep(Duration::from_millis(held_ms));
+        }
+    }
+}
+
 /// Different ports that are free on all addresses, over TCP and UDP: a socket that some
 /// other test has bound to every address takes its port from all of them. All are held
 /// until the last is drawn, so that none is drawn twice.
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -19,6 +19,8 @@
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use mastweir_core::gateway::{AcceptLimit, LAG_INTERVAL};
+use rand::Rng;
 use slog::{info, warn};
 use std::{cell::Cell, convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 use tokio::{
@@ -75,6 +77,7 @@
     }
     task::spawn_local(peers::run(gateway.clone(), socket));
     task::spawn_local(sweep(gateway.clone()));
+    task::spawn_local(watch_lag(gateway.clone()));
     task::spawn_local(gateway.buffers.clone().watch());
     task::spawn_local(waiting::run(gateway.clone()));
     task::spawn_local(serve_ready(gateway.clone(), ready_listener));
@@ -131,10 +134,16 @@
             _ = closing.wait_for(|closed| *closed) => return,
         };
         match accepted {
-            Ok((stream, _)) if gateway.connections.get() < CONNECTIONS_MAX => {
-                task::spawn_local(connection(gateway.clone(), stream, closed.clone()));
+            Ok((stream, _)) => {
+                let draw = gateway.rng.borrow_mut().random();
+                if gateway.connections.get() >= CONNECTIONS_MAX {
+                    refuse(&gateway, stream, "full");
+                } else if gateway.accept_limit.get().refuses(draw) {
+                    refuse(&gateway, stream, "lag");
+                } else {
+                    task::spawn_local(connection(gateway.clone(), stream, closed.clone()));
+                }
             }
-            Ok(_) => gateway.metrics.count("connections_refused_total", "full"),
             Err(error) => {
                 warn!(gateway.log, "accepting a connection failed"; "error" => %error);
                 time::sleep(ACCEPT_PAUSE).await;
@@ -143,6 +152,29 @@
     }
 }
 
+/// Closes a connection unread, so that its caller uses another gateway at once.
+fn refuse(gateway: &Gateway, stream: TcpStream, reason: &'static str) {
+    gateway.metrics.count("connections_refused_total", reason);
+    // Without a reset the caller might wait for an answer. One that has left needs none.
+    let _ = stream.set_zero_linger();
+}
+
+/// Records how late a timer fires, which decides whether new connections are refused.
+async fn watch_lag(gateway: Rc<Gateway>) {
+    let mut limit = AcceptLimit::default();
+    loop {
+        let due = gateway.clock.now() + LAG_INTERVAL;
+        time::sleep(LAG_INTERVAL).await;
+        let lag = gateway.clock.now().since(due);
+        if let Some(refused) = limit.record_lag(lag) {
+            info!(gateway.log, "refusal of connections changed"; "refuses" => refused > 0.0,
+                "lag_ms" => lag.as_millis() as u64, "connections" => gateway.connections.get(),
+                "in_flight" => gateway.in_flight.get());
+        }
+        gateway.accept_limit.set(limit);
+    }
+}
+
 /// Guard that counts a caller's connection.
 struct ConnectionGuard(Rc<Gateway>);
 
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -15,10 +15,10 @@
 };
 use mastweir_core::{
     gateway::{
-        Candidate, Config, Directory, EvacuationList, Fingerprint, Fleet, OutageTracker,
-        PassLimitChange, PeerInfo, Peers, PoisonPrompts, PoisonRequests, RecentRuns, Refusal,
-        Requirements, RetryDetector, RetryWindow, Route, RouteIndex, Urgency, UrgencyLevel,
-        UrgencyLevels, UrgencyShares,
+        AcceptLimit, Candidate, Config, Directory, EvacuationList, Fingerprint, Fleet,
+        OutageTracker, PassLimitChange, PeerInfo, Peers, PoisonPrompts, PoisonRequests, RecentRuns,
+        Refusal, Requirements, RetryDetector, RetryWindow, Route, RouteIndex, Urgency,
+        UrgencyLevel, UrgencyLevels, UrgencyShares,
     },
     time::Uptime,
 };
@@ -142,6 +142,8 @@
     pub buffers: Buffers,
     /// Number of requests in flight.
     pub in_flight: Cell<usize>,
+    /// Part of new connections that is refused.
+    pub accept_limit: Cell<AcceptLimit>,
     /// Number of connections of callers.
     pub connections: Cell<usize>,
     /// Whether a planned stop has begun.
@@ -196,6 +198,7 @@
             retry_detector: RefCell::default(),
             buffers: Buffers::new(options.buffer_bytes, options.clock.clone()),
             in_flight: Cell::new(0),
+            accept_limit: Cell::default(),
             connections: Cell::new(0),
             stopping: Cell::new(false),
             active: RefCell::default(),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod busy_server;
 mod callers;
 mod cli;
+mod concentrated_connections;
 mod connections;
 mod crash_world;
 mod crashing_prompt;
