Resume streams that end with their connection before the first event

What callers saw: a stream without length and chunks whose server closed the connection before the first event was passed on as complete and empty.

Cause: the end of a connection between two events counts as the end of the stream, and before the first event nothing is unfinished. Class: absence of evidence of a failure taken as success.

Evidence: stream_may_end_with_its_connection and stream_that_ends_inside_an_event_is_not_whole failed on the code before for exactly this case; resets and ends inside an event were told apart already.

Change: without framing, an end counts as one only after an event. Others are resumed, or the caller's connection is cut. Measured: both tests pass.

--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -20,6 +20,7 @@
 use hyper::{
     Response, StatusCode,
     body::{Frame, Incoming},
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use mastweir_core::{
     gateway::{AttemptResult, BodyKind, EventSplitter, LoadReport, StreamTiming},
@@ -56,6 +57,8 @@
     connection: Connection,
     slot: SlotGuard,
     keep_alive: Option<Duration>,
+    /// Whether the end of the body can be told from the end of the connection.
+    is_framed: bool,
     /// When the head of the answer was read.
     begun: Uptime,
 }
@@ -123,7 +126,10 @@
 }
 
 fn to_upstream(answer: ServerAnswer, begun: Uptime) -> Upstream {
+    let headers = &answer.parts.headers;
+    let is_framed = headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
     Upstream {
+        is_framed,
         begun,
         body: answer.body,
         connection: answer.connection,
@@ -136,6 +142,8 @@
     /// Returns the next whole events or the end of the stream, after failovers where needed.
     async fn next(&mut self) -> Chunk {
         loop {
+            // A server that crashes may close its connection before the first event.
+            let has_begun = self.events.last_id().is_some();
             let Some(upstream) = &mut self.upstream else { return Chunk::Incomplete };
             let frame = tokio::select! {
                 frame = self.call.clock.timeout_at(self.call.deadline, upstream.body.frame()) => frame,
@@ -160,7 +168,9 @@
                         return self.abort("oversized event");
                     }
                 }
-                Ok(None) if self.events.is_at_boundary() => return self.finish(),
+                Ok(None) if self.events.is_at_boundary() && (upstream.is_framed || has_begun) => {
+                    return self.finish();
+                }
                 Ok(None) | Ok(Some(Err(_))) => {
                     if !self.fail_over(BROKEN).await {
                         return self.abort("not resumed");
--- a/tests/testsuite/odd_answers.rs
+++ b/tests/testsuite/odd_answers.rs
@@ -14,7 +14,10 @@
 };
 use std::{
     rc::Rc,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 use tokio::task::LocalSet;
 
@@ -156,3 +159,69 @@
         })
         .await
 }
+
+/// The head of a stream that ends with its connection.
+fn unframed_head(got: &Got) -> Act {
+    let id = got.header("request-id").unwrap_or_default();
+    let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\n");
+    Act::Send(format!("{head}Content-Type: text/event-stream\r\n\r\n").into_bytes())
+}
+
+/// A server that ends its first stream as given, and continues it to the second event elsewhere.
+async fn unframed_stream(first: &'static str, end: Act) -> Result<(Answer, usize)> {
+    let streams = Arc::new(AtomicUsize::new(0));
+    let counted = streams.clone();
+    let script = move |got: &Got| match counted.fetch_add(1, Ordering::SeqCst) {
+        0 => vec![unframed_head(got), Act::Send(first.into()), end.clone()],
+        _ if got.header("last-event-id") == Some("1") => {
+            vec![unframed_head(got), Act::Send("id: 2\ndata: b\n\n".into()), Act::Close]
+        }
+        _ => vec![
+            unframed_head(got),
+            Act::Send("id: 1\ndata: a\n\nid: 2\ndata: b\n\n".into()),
+            Act::Close,
+        ],
+    };
+    let scripts: Vec<Script> = vec![Box::new(script.clone()), Box::new(script)];
+    let fixture = start_fixture(scripts).await?;
+    let bytes = request("POST", "/stream/a", "r-1", "", "body");
+    let reply = exchange(fixture.gateway.callers, &bytes).await?;
+    expect_that!(reply.status, eq(200));
+    Ok((reply, streams.load(Ordering::SeqCst)))
+}
+
+/// Neither a length nor chunks: a stream is whole if its connection ends between two events.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_may_end_with_its_connection() -> Result<()> {
+    let whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let (reply, streams) = unframed_stream(whole, Act::Close).await?;
+    expect_that!((reply.whole, reply.body.as_str(), streams), eq((true, whole, 1)));
+    // A reset is no end, nor is an end inside an event or before the first one.
+    let first = "id: 1\ndata: a\n\n";
+    for (sent, end) in [
+        (first, Act::Reset),
+        ("id: 1\ndata: a\n\nid: 2\nda", Act::Close),
+        ("id: 1\ndata: a\n", Act::Close),
+        ("", Act::Close),
+    ] {
+        let (reply, streams) = unframed_stream(sent, end).await?;
+        expect_that!((reply.whole, reply.body.as_str(), streams), eq((true, whole, 2)), "{sent:?}");
+    }
+    Ok(())
+}
+
+/// A stream that can't be resumed is not passed on as whole.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_ends_inside_an_event_is_not_whole() -> Result<()> {
+    for sent in ["id: 1\ndata: a\n\nid: 2\nda", "id: 1", ""] {
+        let script: Script =
+            Box::new(move |got| vec![unframed_head(got), Act::Send(sent.into()), Act::Close]);
+        let fixture = start_fixture(vec![script]).await?;
+        let bytes = request("POST", "/stream/a", "r-1", "", "body");
+        let reply = exchange(fixture.gateway.callers, &bytes).await?;
+        expect_that!(reply.whole, eq(false), "{sent:?}");
+    }
+    Ok(())
+}
