Pass resets on through the tests' proxy

Cause: the proxy closed both sides as usual when a server reset its connection, or ended, though its documentation says that they are reset; with lengths and chunks no test could tell the two apart. Change: what did not end as usual is reset on both sides. No check is changed.

--- a/crates/mastweir-test-support/src/proxy.rs
+++ b/crates/mastweir-test-support/src/proxy.rs
@@ -15,7 +15,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
         TcpListener, TcpStream, UdpSocket,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        tcp::{ReadHalf, WriteHalf},
     },
     time,
 };
@@ -147,25 +147,32 @@
     }
 }
 
-async fn pass(client: TcpStream, server: TcpStream, faults: Arc<Faults>) {
+async fn pass(mut client: TcpStream, mut server: TcpStream, faults: Arc<Faults>) {
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
-    tokio::select! {
-        () = copy(client_read, server_write, &faults, false) => (),
-        () = copy(server_read, client_write, &faults, true) => (),
-        () = until(&faults.refuse) => (),
-        () = until(&faults.ended) => (),
+    let ended = {
+        let (client_read, client_write) = client.split();
+        let (server_read, server_write) = server.split();
+        tokio::select! {
+            ended = copy(client_read, server_write, &faults, false) => ended,
+            ended = copy(server_read, client_write, &faults, true) => ended,
+            () = until(&faults.refuse) => false,
+            () = until(&faults.ended) => false,
+        }
+    };
+    if !ended {
+        reset(&client);
+        reset(&server);
     }
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, faults: &Faults, back: bool) {
+/// Passes bytes on until one side closes or resets. Whether it was closed as usual.
+async fn copy(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, faults: &Faults, back: bool) -> bool {
     let mut buffer = [0; BUFFER];
     let mut passed = 0;
     while let Ok(len) = from.read(&mut buffer).await {
         if len == 0 {
-            return;
+            return true;
         }
         let delay = faults.delay_ms.load(Ordering::Relaxed);
         if delay > 0 {
@@ -178,10 +185,11 @@
         let room = if back && limit > 0 { limit.saturating_sub(passed) } else { u64::MAX };
         let part = len.min(usize::try_from(room).unwrap_or(usize::MAX));
         if to.write_all(&buffer[..part]).await.is_err() || part < len {
-            return;
+            return false;
         }
         passed += len as u64;
     }
+    false
 }
 
 /// Closes a connection so that its peer sees a reset.
