Play harmful prompts, unframed answers and concentrated connections in the soak

Change: in half of the runs about one stream a second has a part in its prompt under which each server ends that begins an answer; in a third of them most new connections go to one gateway for a while; one answer in three has neither a length nor chunks. The ledger checks that at most three such prompts reach servers later than three seconds after the fifth end, through gateways that nothing disturbed. The draws of the other faults are unchanged.

--- a/crates/mastweir-soak/src/callers.rs
+++ b/crates/mastweir-soak/src/callers.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     ledger::{Kind, Ledger, Outcome, Sent},
-    servers::ENDS_SERVERS,
+    servers::{ENDS_SERVERS, HARMFUL_PART},
 };
 use mastweir_test_support::site::{self, HOST, KEY};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -30,6 +30,12 @@
 const CONNECT_LASTS: Duration = Duration::from_secs(1);
 /// One request in so many is the one that ends servers: it comes again each second or so.
 const ENDS: u64 = 50;
+/// One request in so many has a harmful prompt, while there are any: about one a second.
+const HARMFUL: u64 = 50;
+/// Part of the connections that go to one gateway, where most do.
+const CONCENTRATED: f64 = 0.8;
+/// Part that all prompts have, and one of sound ones only.
+const PROMPT_PARTS: [&str; 2] = ["5c1e07a2:40", "91bd3f06:410"];
 /// One caller in so many leaves early.
 const LEAVES: u32 = 12;
 /// The balancer asks this often, and takes a gateway out after two misses.
@@ -40,13 +46,17 @@
 pub struct Balancer {
     gateways: Vec<(SocketAddr, SocketAddr)>,
     misses: Mutex<Vec<u32>>,
+    /// The gateway that most new connections go to.
+    concentrated: Mutex<Option<usize>>,
+    /// Whether harmful prompts come.
+    pub harmful: AtomicBool,
 }
 
 impl Balancer {
     /// A balancer before gateways, by the addresses for callers and for readiness.
     pub fn new(gateways: Vec<(SocketAddr, SocketAddr)>) -> Self {
         let misses = Mutex::new(vec![2; gateways.len()]);
-        Self { gateways, misses }
+        Self { gateways, misses, concentrated: Mutex::default(), harmful: AtomicBool::new(false) }
     }
 
     /// Asks for readiness, for ever.
@@ -61,6 +71,11 @@
         }
     }
 
+    /// Sends most new connections to one gateway from now on, or no more.
+    pub fn concentrate(&self, gateway: Option<usize>) {
+        *self.concentrated.lock().unwrap_or_else(PoisonError::into_inner) = gateway;
+    }
+
     fn choose(&self, rng: &mut SmallRng) -> SocketAddr {
         let misses = self.misses.lock().unwrap_or_else(PoisonError::into_inner);
         let all = 0..self.gateways.len();
@@ -68,6 +83,12 @@
         if ready.len() * 2 < self.gateways.len() {
             ready = all.collect();
         }
+        let concentrated = *self.concentrated.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(number) = concentrated.filter(|number| ready.contains(number))
+            && rng.random_bool(CONCENTRATED)
+        {
+            return self.gateways[number].0;
+        }
         self.gateways[ready[rng.random_range(0..ready.len())]].0
     }
 }
@@ -92,8 +113,14 @@
         let leaves = (rng.random_range(0..LEAVES) == 0).then(|| rng.random_range(5..400));
         let gateway = balancer.choose(&mut rng);
         let ledger = ledger.clone();
-        let ends = number.load(Ordering::Relaxed).is_multiple_of(ENDS);
+        let sent = number.load(Ordering::Relaxed);
+        let ends = sent.is_multiple_of(ENDS);
+        let harmful = sent % HARMFUL == HARMFUL / 2 && balancer.harmful.load(Ordering::SeqCst);
         running.spawn(async move {
+            if harmful {
+                ask(gateway, Kind::Harmful, &id, None, &ledger).await;
+                return;
+            }
             if ends {
                 ask_at(gateway, Kind::Safe, ENDS_SERVERS, &id, None, &ledger).await;
                 return;
@@ -116,7 +143,7 @@
     let path = match kind {
         Kind::Safe | Kind::Probe => "/safe/a",
         Kind::Once => "/once/a?b=c",
-        Kind::Stream => "/stream/a",
+        Kind::Stream | Kind::Harmful => "/stream/a",
     };
     ask_at(gateway, kind, path, id, leaves, ledger).await
 }
@@ -143,7 +170,12 @@
         leaves: leaves.is_some(),
     };
     ledger.sent(id, sent);
-    let accept = if kind == Kind::Stream { "Accept: text/event-stream\r\n" } else { "" };
+    let accept = match kind {
+        Kind::Stream | Kind::Harmful => {
+            format!("Accept: text/event-stream\r\n{}\r\n", prompt(kind, id))
+        }
+        _ => String::new(),
+    };
     let bytes = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nTenant: other\r\n\
          Authorization: Bearer {KEY}\r\nConnection: close\r\nRequest-Deadline: {wait_ms}\r\n\
@@ -162,6 +194,13 @@
     }
 }
 
+/// The header on the prompt of a stream, whose last part is its own.
+fn prompt(kind: Kind, id: &str) -> String {
+    let [first, sound] = PROMPT_PARTS;
+    let second = if kind == Kind::Harmful { HARMFUL_PART } else { sound };
+    format!("Prompt-Prefix: {first},{second},{id}:300")
+}
+
 async fn exchange(addr: SocketAddr, bytes: &[u8]) -> Option<Vec<u8>> {
     let connected = time::timeout(CONNECT_LASTS, TcpStream::connect(addr)).await;
     let mut stream = connected.ok()?.ok()?;
--- a/crates/mastweir-soak/src/faults.rs
+++ b/crates/mastweir-soak/src/faults.rs
@@ -229,6 +229,19 @@
 
 /// Faults that are switched on and off.
 fn lasting(world: &mut World, fault: Fault, on: bool) {
+    let is_of_store = matches!(
+        fault,
+        Fault::StoreDown
+            | Fault::StoreReturns
+            | Fault::StoreSlow
+            | Fault::StoreSilent
+            | Fault::StoreLoses
+    );
+    for number in 0..world.gateways.len() {
+        if is_of_store || fault == Fault::CutFromStore(number) {
+            world.disturb(number);
+        }
+    }
     let store = &world.platform.faults;
     if let Fault::CutServer(number) | Fault::MuteServer(number) | Fault::ResetServer(number) = fault
     {
@@ -255,6 +268,8 @@
             let part = if on { LATE_PCT } else { 0 };
             world.groups[number].late_pct.store(part, Ordering::Relaxed);
         }
+        Fault::HarmfulPrompts => set(&world.balancer.harmful, on),
+        Fault::Concentrate(number) => world.balancer.concentrate(on.then_some(number)),
         Fault::StoreDown | Fault::StoreReturns => world.platform.set_down(on),
         Fault::StoreSlow => {
             store.slow_ms.store(if on { STORE_SLOW_MS } else { 0 }, Ordering::Relaxed);
--- a/crates/mastweir-soak/src/ledger.rs
+++ b/crates/mastweir-soak/src/ledger.rs
@@ -20,6 +20,8 @@
     Once,
     /// A stream that another server may take up.
     Stream,
+    /// A stream whose prompt has a part under which each server ends.
+    Harmful,
     /// Shows which configuration is in force; its route may not be there yet.
     Probe,
 }
@@ -92,8 +94,19 @@
     broken: Vec<String>,
     /// Servers that ended under the one request that ends them.
     ends: u32,
+    /// When servers ended under a harmful prompt.
+    prompt_ends: Vec<Instant>,
+    /// When harmful prompts reached servers, and the gateway.
+    prompts: Vec<(Instant, SocketAddr)>,
+    /// When each gateway was last disturbed.
+    disturbed: HashMap<SocketAddr, Vec<Instant>>,
 }
 
+/// Servers that end under a harmful prompt before gateways have to know it, the time until they
+/// do, and requests that may still be sent then. A disturbed gateway is out of touch for as long.
+const PROMPT_ENDS: usize = 5;
+const CONTACT: Duration = Duration::from_secs(3);
+const PROMPTS_MAX: usize = 3;
 /// Servers that may end under one request: three, and three sends more.
 const ENDS_MAX: u32 = 6;
 
@@ -131,6 +144,48 @@
         self.with(|inner| inner.ends)
     }
 
+    /// A server ended under a harmful prompt.
+    pub fn ended_under_prompt(&self) {
+        self.with(|inner| inner.prompt_ends.push(Instant::now()));
+    }
+
+    /// How many did.
+    pub fn ends_under_prompts(&self) -> usize {
+        self.with(|inner| inner.prompt_ends.len())
+    }
+
+    /// A harmful prompt reaches a server.
+    pub fn harmful_arrived(&self, id: &str) {
+        self.with(|inner| {
+            if let Some(request) = inner.requests.get(id) {
+                inner.prompts.push((Instant::now(), request.sent.through));
+            }
+        });
+    }
+
+    /// A gateway is or was out of touch.
+    pub fn disturbed(&self, gateway: SocketAddr) {
+        self.with(|inner| inner.disturbed.entry(gateway).or_default().push(Instant::now()));
+    }
+
+    /// Harmful prompts have to be kept from servers by gateways that are in touch.
+    pub fn check_prompts(&self) {
+        let late = self.with(|inner| {
+            let Some(fifth) = inner.prompt_ends.get(PROMPT_ENDS - 1) else { return 0 };
+            let is_late = |(at, gateway): &&(Instant, SocketAddr)| {
+                let times = inner.disturbed.get(gateway).into_iter().flatten();
+                let calm = times
+                    .into_iter()
+                    .all(|time| *time > *at || at.saturating_duration_since(*time) > CONTACT);
+                calm && at.saturating_duration_since(*fifth) > CONTACT
+            };
+            inner.prompts.iter().filter(is_late).count()
+        });
+        if late > PROMPTS_MAX {
+            self.broken(format!("{late} harmful prompts sent late, allowed {PROMPTS_MAX}"));
+        }
+    }
+
     /// That request has to be kept from servers at last.
     pub fn check_ends(&self) {
         let ends = self.servers_ended();
@@ -298,7 +353,7 @@
     if answer.header("request-id") != Some(id) {
         return Err("a success of another request".to_owned());
     }
-    if request.sent.kind != Kind::Stream {
+    if !matches!(request.sent.kind, Kind::Stream | Kind::Harmful) {
         let right = answer.body == body_of(id, signature);
         return match (answer.whole, right) {
             (false, _) => Ok(Outcome::Cut),
--- a/crates/mastweir-soak/src/lib.rs
+++ b/crates/mastweir-soak/src/lib.rs
@@ -69,6 +69,8 @@
     pub changes: u64,
     /// Servers that ended under the one request that ends them.
     pub ends: u32,
+    /// Servers that ended under harmful prompts.
+    pub prompt_ends: usize,
     /// What the processes wrote.
     pub logs: PathBuf,
 }
@@ -81,6 +83,7 @@
             write!(f, "{kind:?} {outcome:?} {count}, ")?;
         }
         write!(f, "{} changes of maps, {} servers ended", self.changes, self.ends)?;
+        write!(f, ", {} under prompts", self.prompt_ends)?;
         if self.broken.is_empty() {
             return Ok(());
         }
@@ -115,6 +118,7 @@
     asking.abort();
     ledger.check_all();
     ledger.check_ends();
+    ledger.check_prompts();
     tokens::check(&logs, &ledger)?;
     ledger.check_retries(Duration::from_secs(RETRY_WINDOW_S), RETRY_RATIO, RETRY_EXTRA);
     let two_maps: u64 = world.groups.iter().map(|group| group.two_maps()).sum();
@@ -123,8 +127,8 @@
     }
     let changes = world.groups.iter().map(|group| group.changes()).sum();
     let (broken, counts) = (ledger.all_broken(), ledger.counts());
-    let ends = ledger.servers_ended();
-    Ok(Report { seed: options.seed, plan, broken, counts, changes, ends, logs })
+    let (ends, prompt_ends) = (ledger.servers_ended(), ledger.ends_under_prompts());
+    Ok(Report { seed: options.seed, plan, broken, counts, changes, ends, prompt_ends, logs })
 }
 
 async fn all_of<F: Future<Output = bool>>(
--- a/crates/mastweir-soak/src/plan.rs
+++ b/crates/mastweir-soak/src/plan.rs
@@ -19,6 +19,9 @@
 const COPY_SEED: u64 = 0x0e7a;
 const COPY_AGE_MS: [u64; 2] = [500, 8_000];
 const COPY_AWAY_MS: [u64; 2] = [200, 3_000];
+/// The same for harmful prompts, and for connections that go to one gateway.
+const PROMPTS_SEED: u64 = 0x9a47;
+const CONCENTRATED_SEED: u64 = 0xc0cc;
 
 /// Sizes of the world that a plan is for.
 #[derive(Clone, Copy, Debug)]
@@ -101,6 +104,10 @@
     StoreCopied,
     /// The store is away, and comes back from the last copy: what was written since is gone.
     StoreReturns,
+    /// Some streams have a prompt with a part under which each server ends.
+    HarmfulPrompts,
+    /// Most new connections go to one gateway.
+    Concentrate(usize),
     /// Routes come and go.
     Configure,
     /// All processes are killed at once, and start again.
@@ -141,6 +148,8 @@
     plan.extend(back_off(seed, whole, sizes));
     plan.extend(returns(seed, whole));
     plan.extend(limits(seed, whole, sizes));
+    plan.extend(harmful_prompts(seed, whole));
+    plan.extend(concentrated(seed, whole, sizes));
     plan.sort_by_key(|entry| entry.at);
     plan
 }
@@ -214,6 +223,30 @@
     servers.into_iter().map(entry).collect()
 }
 
+/// In half of the runs harmful prompts come until the end. Drawn apart from the other faults.
+fn harmful_prompts(seed: u64, whole: u64) -> Option<Entry> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ PROMPTS_SEED);
+    let at = rng.random_range(0..(whole / 2).max(1));
+    let entry = Entry {
+        at: Duration::from_millis(at),
+        lasts: Duration::from_millis(whole - at),
+        fault: Fault::HarmfulPrompts,
+    };
+    rng.random_bool(0.5).then_some(entry)
+}
+
+/// In a third of the runs most new connections go to one gateway for a while. Drawn apart from
+/// the other faults.
+fn concentrated(seed: u64, whole: u64, sizes: Sizes) -> Option<Entry> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ CONCENTRATED_SEED);
+    let entry = Entry {
+        at: Duration::from_millis(rng.random_range(0..whole.max(1))),
+        lasts: Duration::from_millis(rng.random_range(LIMIT_LASTS_MS[0]..LIMIT_LASTS_MS[1])),
+        fault: Fault::Concentrate(rng.random_range(0..sizes.gateways)),
+    };
+    rng.random_bool(1.0 / 3.0).then_some(entry)
+}
+
 fn fault(rng: &mut SmallRng, sizes: Sizes) -> Fault {
     let gateway = rng.random_range(0..sizes.gateways);
     let model = rng.random_range(0..sizes.models);
--- a/crates/mastweir-soak/src/servers.rs
+++ b/crates/mastweir-soak/src/servers.rs
@@ -18,15 +18,20 @@
     },
     time::{Duration, Instant},
 };
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time};
 
 /// Requests that a server runs at once, and as many wait.
 pub const SLOTS: u32 = 8;
 /// Between two events of a stream: the longest last a second, so that what comes late
 /// meets them.
 const EVENT_EVERY: Duration = Duration::from_millis(80);
+/// One answer in so many has neither a length nor chunks, and ends with its connection.
+const UNFRAMED: usize = 3;
 /// A plain answer takes this long.
 const PLAIN_LASTS: Duration = Duration::from_millis(30);
+/// Part of a prompt under which each server ends that begins an answer, and how soon it does.
+pub const HARMFUL_PART: &str = "e4402b7d:250";
+const ENDS_AFTER: Duration = Duration::from_millis(80);
 /// Path of a request under which each server ends that runs it.
 pub const ENDS_SERVERS: &str = "/safe/ends-servers";
 /// Time without requests that a busy server asks for, in seconds.
@@ -166,7 +171,7 @@
     }
 
     /// A server that leaves, or has a limit, says so in all its answers.
-    fn answer(&self, got: &Got) -> Vec<Act> {
+    fn answer(self: &Arc<Self>, got: &Got) -> Vec<Act> {
         let acts = self.respond(got);
         let (leaving, limit) = {
             let life = self.life();
@@ -183,7 +188,7 @@
         acts.into_iter().map(|act| says(act, &more)).collect()
     }
 
-    fn respond(&self, got: &Got) -> Vec<Act> {
+    fn respond(self: &Arc<Self>, got: &Got) -> Vec<Act> {
         let running = {
             let mut life = self.life();
             let now = Instant::now();
@@ -206,6 +211,10 @@
         let turned_away = running >= 2 * SLOTS || closed || busy || grey == Some(Grey::Shed);
         let (right, runs) = (expected == own, expected == own && !turned_away);
         self.arrived(got, &id, runs);
+        let is_harmful = text(got, "prompt-prefix").contains(HARMFUL_PART);
+        if is_harmful {
+            self.ledger.harmful_arrived(&id);
+        }
         if let Some(since) = leaving.filter(|_| right) {
             self.check_leaving(&id, since);
         }
@@ -225,9 +234,24 @@
             self.ends.notify_one();
             return vec![Act::Hang];
         }
+        if is_harmful {
+            return self.end_soon(&id, &own);
+        }
         self.run(got, &id, &own, grey)
     }
 
+    /// Begins an answer and ends.
+    fn end_soon(self: &Arc<Self>, id: &str, own: &str) -> Vec<Act> {
+        let server = self.clone();
+        tokio::spawn(async move {
+            time::sleep(PLAIN_LASTS + ENDS_AFTER).await;
+            server.ledger.ended_under_prompt();
+            server.ends.notify_one();
+        });
+        let signed = signed(own);
+        vec![Act::Wait(PLAIN_LASTS), stream_head(&signed, id, false), Act::Hang]
+    }
+
     /// Checks that the request may come, and keeps what its answer will say. Answers that
     /// break off, or whose callers leave, may not be read.
     fn note_asked(&self, id: &str, busy: bool, grey: Option<Grey>) {
@@ -277,7 +301,8 @@
         self.life().running.push(Instant::now() + lasts);
         let signature = format!("sig-{own}");
         let mut acts = vec![Act::Wait(PLAIN_LASTS)];
-        let signed = format!("Response-Signature: {signature}\r\nServer-Load: 1,0,{SLOTS}\r\n");
+        let signed = signed(own);
+        let is_framed = grey == Some(Grey::Extra) || !ends_with_connection(id);
         match grey {
             Some(Grey::Mute) => return vec![Act::Hang],
             Some(Grey::Errors) => {
@@ -291,12 +316,16 @@
             _ => (),
         }
         if is_stream {
-            acts.extend(stream(&events, &signed, id, grey == Some(Grey::Cut)));
+            acts.extend(stream(&events, &signed, id, grey == Some(Grey::Cut), is_framed));
         } else if grey == Some(Grey::Cut) {
             acts.push(Act::Send(cut(short("200 OK", &signed, id, &body_of(id, &signature)))));
             acts.push(Act::Reset);
-        } else {
+        } else if is_framed {
             acts.push(short("200 OK", &signed, id, &body_of(id, &signature)));
+        } else {
+            let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n{signed}\r\n");
+            acts.push(Act::Send((head + &body_of(id, &signature)).into_bytes()));
+            acts.push(Act::Close);
         }
         if grey == Some(Grey::Extra) {
             acts.push(short("200 OK", &signed, "another", &body_of("another", &signature)));
@@ -337,16 +366,37 @@
     bytes
 }
 
-fn stream(events: &[String], signed: &str, id: &str, cut: bool) -> Vec<Act> {
+/// Whether the answer to a request has neither a length nor chunks.
+fn ends_with_connection(id: &str) -> bool {
+    id.bytes().map(usize::from).sum::<usize>().is_multiple_of(UNFRAMED)
+}
+
+fn signed(own: &str) -> String {
+    format!("Response-Signature: sig-{own}\r\nServer-Load: 1,0,{SLOTS}\r\n")
+}
+
+fn stream_head(signed: &str, id: &str, is_framed: bool) -> Act {
+    let chunked = if is_framed { "Transfer-Encoding: chunked\r\n" } else { "" };
     let head = format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n{signed}Content-Type: text/event-stream\r\n\
-         Transfer-Encoding: chunked\r\n\r\n"
+         {chunked}\r\n"
     );
-    let mut acts = vec![Act::Send(head.into_bytes())];
+    Act::Send(head.into_bytes())
+}
+
+fn stream(events: &[String], signed: &str, id: &str, cut: bool, is_framed: bool) -> Vec<Act> {
+    let mut acts = vec![stream_head(signed, id, is_framed)];
     for event in events.iter().take(if cut { events.len() / 2 } else { events.len() }) {
-        acts.push(Act::Send(format!("{:x}\r\n{event}\r\n", event.len()).into_bytes()));
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        acts.push(Act::Send(if is_framed { chunk } else { event.clone() }.into_bytes()));
         acts.push(Act::Wait(EVENT_EVERY));
     }
+    if !is_framed {
+        // In the middle of an event, if it breaks off.
+        acts.extend(cut.then(|| Act::Send(b"id: ".to_vec())));
+        acts.push(Act::Close);
+        return acts;
+    }
     if cut {
         // In the middle of an event.
         acts.push(Act::Send(b"4\r\nid: \r\n".to_vec()));
--- a/crates/mastweir-soak/src/world.rs
+++ b/crates/mastweir-soak/src/world.rs
@@ -93,6 +93,7 @@
     pub doors: Vec<(SocketAddr, SocketAddr)>,
     /// The store's last copy.
     pub copied: Copy,
+    ledger: Arc<Ledger>,
     version: u64,
     /// The configuration that was written last.
     configured: Arc<Mutex<Value>>,
@@ -130,6 +131,7 @@
             groups: groups.collect(),
             balancer: Arc::new(Balancer::new(doors.clone())),
             doors,
+            ledger: ledger.clone(),
             version: 0,
             program: program.to_owned(),
             folder: folder.to_owned(),
@@ -216,6 +218,14 @@
     pub fn excuse(&self, number: usize) {
         let Some((gateway, _)) = self.doors.get(number) else { return };
         self.places.iter().for_each(|place| place.server.excuse(*gateway));
+        self.disturb(number);
+    }
+
+    /// A gateway may not be in touch with the others for a while.
+    pub fn disturb(&self, number: usize) {
+        if let Some((gateway, _)) = self.doors.get(number) {
+            self.ledger.disturbed(*gateway);
+        }
     }
 
     /// The gateway or, behind them, the sidecar of a number.
@@ -337,6 +347,13 @@
     platform.put("servers", &server.id(), json!({ "spec": spec }));
 }
 
+/// The group of a server that ends or begins stands still, and forms anew.
+fn break_up(server: &Server) {
+    if let Some((group, _)) = &server.seat {
+        group.break_up();
+    }
+}
+
 /// Each time that a server ends, closes its port, and begins its next life a little later.
 async fn restart(
     server: Arc<Server>,
@@ -347,9 +364,11 @@
     loop {
         server.ends.notified().await;
         faults.ended.store(true, Ordering::SeqCst);
+        break_up(&server);
         time::sleep(RESTARTS_IN).await;
         platform.remove("servers", &server.id());
         server.begin_anew();
+        break_up(&server);
         faults.ended.store(false, Ordering::SeqCst);
         list(&platform, &server, address, "ready");
     }
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -163,6 +163,49 @@
     Ok(())
 }
 
+/// Some streams share a part of their prompts under which each server ends. One gateway is killed
+/// meanwhile, and one can't reach the store.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_do_not_end_one_after_the_other_under_harmful_prompts() -> Result<()> {
+    let prompts = Entry {
+        at: Duration::from_millis(2_500),
+        lasts: Duration::from_secs(18),
+        fault: Fault::HarmfulPrompts,
+    };
+    let plan = [prompts, at(9_000, Fault::KillGateway(1)), at(12_000, Fault::CutFromStore(2))];
+    let report = soak(109, Some(&plan)).await?;
+    expect_that!(report.broken, is_empty());
+    expect_that!(report.prompt_ends, all!(ge(1), le(5)));
+    // Sound streams with the same first part are served, but for those that servers broke off.
+    let of = |outcome| count(&report, Kind::Stream, outcome);
+    let all: usize = [Outcome::Served, Outcome::Refused, Outcome::Failed, Outcome::Cut]
+        .into_iter()
+        .map(of)
+        .sum();
+    expect_that!(of(Outcome::Served) * 2, ge(all));
+    Ok(())
+}
+
+/// A gateway that gets most new connections serves what it reads.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_with_most_new_connections_serves_them() -> Result<()> {
+    let plan = [Entry {
+        at: Duration::from_millis(1_000),
+        lasts: Duration::from_secs(8),
+        fault: Fault::Concentrate(1),
+    }];
+    let report = soak(110, Some(&plan)).await?;
+    expect_that!(report.broken, is_empty());
+    for kind in [Kind::Stream, Kind::Once, Kind::Safe] {
+        let of = |outcome| count(&report, kind, outcome);
+        let read = [Outcome::Served, Outcome::Refused, Outcome::Failed, Outcome::Cut].map(of);
+        expect_that!(of(Outcome::Served) * 4, ge(read.iter().sum::<usize>() * 3), "{kind:?}");
+    }
+    Ok(())
+}
+
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drawn_plan_breaks_no_promise() -> Result<()> {
