List quarantines, and lift those of prompt parts

Cause: a part that is quarantined by mistake could only be freed by deleting its object and starting all gateways at once. Measured: quarantined_prompt_part_outlives_restarts lists and lifts.

--- a/src/bin/mastweir/commands/mod.rs
+++ b/src/bin/mastweir/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod drain;
 pub mod explain;
 pub mod key;
+pub mod quarantine;
 pub mod report;
 pub mod status;
 pub mod table;
@@ -28,6 +29,7 @@
     }
     match args.first().map(String::as_str) {
         Some("status" | "explain") => ENTRY_FLAGS.to_vec(),
+        Some("quarantine") => vec!["store"],
         Some("drain" | "undrain") => TABLE_FLAGS.to_vec(),
         Some("table") if args.iter().any(|arg| arg == "wait") => ENTRY_FLAGS.to_vec(),
         Some("table") => TABLE_FLAGS.to_vec(),
--- a/src/bin/mastweir/main.rs
+++ b/src/bin/mastweir/main.rs
@@ -4,7 +4,7 @@
 mod commands;
 
 use argh::FromArgs;
-use commands::{check, drain, explain, key, report, status, table};
+use commands::{check, drain, explain, key, quarantine, report, status, table};
 use mastweir::util::settings;
 use std::process;
 
@@ -24,6 +24,7 @@
     Drain(drain::DrainArgs),
     Explain(explain::Args),
     Key(key::Args),
+    Quarantine(quarantine::Args),
     Report(report::Args),
     Status(status::Args),
     Table(table::Args),
@@ -38,6 +39,7 @@
         Command::Drain(args) => drain::exec(&args).await,
         Command::Explain(args) => explain::exec(&args).await,
         Command::Key(args) => key::exec(&args),
+        Command::Quarantine(args) => quarantine::exec(&args).await,
         Command::Report(args) => report::exec(&args),
         Command::Status(args) => status::exec(&args).await,
         Command::Table(args) => table::exec(&args).await,
--- a/src/mastweir/ops/mod.rs
+++ b/src/mastweir/ops/mod.rs
@@ -6,6 +6,7 @@
 pub mod explain;
 pub mod gateway;
 pub mod logs;
+pub mod quarantine;
 pub mod status;
 pub mod table;
 
--- a/src/mastweir/platform/quarantine.rs
+++ b/src/mastweir/platform/quarantine.rs
@@ -90,6 +90,21 @@
     }
 }
 
+/// Encodes the `spec` of an object whose quarantine an operator lifts now.
+///
+/// # Errors
+///
+/// The report can't be encoded as JSON.
+pub fn lifted(report: &QuarantineReport) -> serde_json::Result<Value> {
+    match report {
+        QuarantineReport::Part(report) => {
+            let lifted = PartReport { passed_ms: Some(0), ..report.clone() };
+            body(&QuarantineReport::Part(lifted))
+        }
+        QuarantineReport::Request(_) => body(report),
+    }
+}
+
 /// Encodes the `spec` of an object.
 ///
 /// # Errors
--- a/src/mastweir/platform/store.rs
+++ b/src/mastweir/platform/store.rs
@@ -196,6 +196,23 @@
         self.call(Method::POST, &path, Some(&body), CALL_TIMEOUT).await.map(drop)
     }
 
+    /// Marks the quarantine of a prompt part as lifted if its revision is unchanged.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Conflict`] if the object was written since it was read.
+    pub async fn lift_quarantine(&self, stored: &StoredQuarantine) -> Result<(), StoreError> {
+        let StoredQuarantine { report, revision } = stored;
+        if revision.generation != self.generation() {
+            return Err(StoreError::GenerationChanged);
+        }
+        let name = quarantine::name(report.subject());
+        let metadata = json!({ "name": name, "revision": revision.number });
+        let body = json!({ "metadata": metadata, "spec": quarantine::lifted(report)? });
+        let path = format!("/objects/{}/{name}", quarantine::KIND);
+        self.call(Method::PUT, &path, Some(&body), CALL_TIMEOUT).await.map(drop)
+    }
+
     /// Deletes the object of a quarantine if its revision is unchanged.
     ///
     /// # Errors
--- a/tests/testsuite/crashing_prompt.rs
+++ b/tests/testsuite/crashing_prompt.rs
@@ -7,13 +7,16 @@
 };
 use eyre::Result;
 use googletest::prelude::*;
+use mastweir::{
+    ops::quarantine::{QuarantineOptions, lift, list},
+    platform::quarantine::Subject,
+};
 use mastweir_core::gateway::Fingerprint;
 use mastweir_test_support::{
     scripted::{Act, Got},
     site::{Answer, exchange, request, wait_for},
 };
-use serde_json::json;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::time;
 
 /// Crashes after which gateways have to know the part, and further sends that are allowed.
@@ -35,10 +38,8 @@
 const SHARED: &str = "91bd3f06:410";
 const HARMFUL: &str = "e4402b7d:250";
 
-/// Returns the name of the harmful part's object in the store.
-fn object_name() -> String {
-    let id = HARMFUL.split(':').next().unwrap_or_default();
-    format!("part-{}", Fingerprint::of_prompt_part(id))
+fn part() -> Fingerprint {
+    Fingerprint::of_prompt_part(HARMFUL.split(':').next().unwrap_or_default())
 }
 
 fn is_harmful(got: &Got) -> bool {
@@ -155,7 +156,7 @@
     let mut world = start(2).await?;
     expect_that!(call_sound(&world, 0, 0xff).await?, eq(2));
     time::sleep(SETTLE_DELAY).await;
-    let is_stored = |world: &CrashWorld| world.site.platform.has(KIND, &object_name());
+    let is_stored = |world: &CrashWorld| world.site.platform.has(KIND, &format!("part-{}", part()));
     for attempt in 0..30 {
         call_harmful(&world, attempt % 2, attempt).await?;
         world.restart_crashed().await?;
@@ -174,10 +175,23 @@
     world.restart_crashed().await?;
     expect_that!(world.crashes, eq(crashes));
 
-    let now_s = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs();
-    let lifted = json!({ "spec": { "ends": ["1", "2"], "written_s": now_s - 9,
-        "crashed_s": now_s - 9, "lifted_s": now_s } });
-    world.site.platform.put(KIND, &object_name(), lifted);
+    let (_, served) = world.site.door().await?;
+    let options = QuarantineOptions { store: served.addr };
+    let listed = list(&options).await?;
+    expect_that!(
+        listed.iter().map(|quarantined| quarantined.subject).collect::<Vec<_>>(),
+        contains(eq(&Subject::Part(part())))
+    );
+    expect_that!(
+        lift(&options, "17").await.map_err(|error| error.to_string()),
+        err(contains_substring("no prompt part"))
+    );
+    expect_that!(lift(&options, "x").await.is_err(), eq(true));
+    lift(&options, &part().to_string()).await?;
+    expect_that!(
+        list(&options).await?.iter().any(|known| known.subject == Subject::Part(part())),
+        eq(false)
+    );
     restart_gateways(&mut world).await?;
     wait_for(async || !is_stored(&world)).await?;
     call_harmful(&world, 0, 300).await?;
