--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -137,9 +137,9 @@
             Ok((stream, _)) => {
                 let draw = gateway.rng.borrow_mut().random();
                 if gateway.connections.get() >= CONNECTIONS_MAX {
-                    refuse(&gateway, stream, "full");
+                    refuse(&gateway, &stream, "full");
                 } else if gateway.accept_limit.get().refuses(draw) {
-                    refuse(&gateway, stream, "lag");
+                    refuse(&gateway, &stream, "lag");
                 } else {
                     task::spawn_local(connection(gateway.clone(), stream, closed.clone()));
                 }
@@ -152,8 +152,9 @@
     }
 }
 
-/// Closes a connection unread, so that its caller uses another gateway at once.
-fn refuse(gateway: &Gateway, stream: TcpStream, reason: &'static str) {
+/// Makes a connection that is dropped unread reset, so that its caller uses another gateway at
+/// once.
+fn refuse(gateway: &Gateway, stream: &TcpStream, reason: &'static str) {
     gateway.metrics.count("connections_refused_total", reason);
     // Without a reset the caller might wait for an answer. One that has left needs none.
     let _ = stream.set_zero_linger();
