Keep the last crashes of a prompt part, not the first

Cause (from reading): the record of a part took no further crash once it had eight, so the crash of a trial an hour later was not kept, and the next trial followed 2.5 s after it. Change: the oldest goes. Measured: trials_of_a_harmful_part_are_an_hour_apart, with 12 crashes before.

--- a/crates/mastweir-core/src/gateway/poison_prompts.rs
+++ b/crates/mastweir-core/src/gateway/poison_prompts.rs
@@ -75,7 +75,7 @@
 const GOSSIP_DURATION: Duration = Duration::from_millis(1_200);
 /// Time for which a cleared part is kept, for reports that are under way.
 const CLEARED_DURATION: Duration = Duration::from_secs(10);
-/// Crashes that are kept of a part.
+/// Crashes that are kept of a part, the last ones, which decide on the next trial.
 const CRASHES_MAX: usize = 8;
 /// Added to the times of this process, so that times before its start can be represented.
 const PAST: Duration = Duration::from_secs(4 * 3_600);
@@ -147,7 +147,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct SuspectPart {
-    /// By time; at most [`CRASHES_MAX`].
+    /// By time; the last [`CRASHES_MAX`].
     crashes: Vec<Crash>,
     passed: Option<Uptime>,
     is_quarantined: bool,
@@ -207,8 +207,14 @@
                 known.at = known.at.min(crash.at);
                 is_new
             }
-            None if self.crashes.len() >= CRASHES_MAX => false,
             None => {
+                let is_full = self.crashes.len() >= CRASHES_MAX;
+                if is_full && self.crashes.first().is_some_and(|first| crash.at <= first.at) {
+                    return false;
+                }
+                if is_full {
+                    self.crashes.remove(0);
+                }
                 self.crashes.push(crash);
                 true
             }
--- a/tests/testsuite/poison_prompts.rs
+++ b/tests/testsuite/poison_prompts.rs
@@ -160,6 +160,27 @@
     expect_that!(is_held(&mut tried, HARMFUL, trial + 3_000), eq(false));
 }
 
+/// Trials crash one server an hour, however many crashed before.
+#[googletest::test]
+fn trials_of_a_harmful_part_are_an_hour_apart() {
+    let mut prompts = gateway(0);
+    let mut last = 0;
+    for server in 0..12 {
+        last = 5_000 + server * 1_000;
+        crash(&mut prompts, &[HARMFUL], server, last);
+    }
+    expect_that!(prompts.quarantine_proven(at(last + 1_000)), len(eq(1)));
+    let hour = u64::try_from(QUARANTINE_DURATION.as_millis()).unwrap_or_default();
+    for server in 20..24 {
+        let held = (last..).step_by(60_000).take_while(|now| is_held(&mut prompts, HARMFUL, *now));
+        let trial = held.last().unwrap_or_default() + 60_000;
+        expect_that!(trial - last, ge(hour), "{server}");
+        expect_that!(prompts.begin(&[HARMFUL], at(trial)), none());
+        last = trial + 100;
+        crash(&mut prompts, &[HARMFUL], server, last);
+    }
+}
+
 /// A gateway that starts anew represents times before its start.
 #[googletest::test]
 fn gateway_that_starts_learns_quarantines_with_their_age() {
