Refuse connections only after two high lags

Cause: a process that was suspended for a moment, and then keeps up, lags once and refused 15 in 100 of the next connections. Change: the first high lag refuses none.

--- a/crates/mastweir-core/src/gateway/accept_limit.rs
+++ b/crates/mastweir-core/src/gateway/accept_limit.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AcceptLimit {
     refused: f64,
+    /// Whether the lag before was high.
+    was_high: bool,
 }
 
 impl AcceptLimit {
@@ -36,11 +38,14 @@
     /// ceased to be.
     pub fn record_lag(&mut self, lag: Duration) -> Option<f64> {
         let before = self.refused;
-        if lag >= LAG_HIGH {
+        let is_high = lag >= LAG_HIGH;
+        // A process that was suspended once, and then keeps up, lags once.
+        if is_high && self.was_high {
             self.refused = (before + RISE).min(REFUSED_MAX);
         } else if lag < LAG_LOW {
             self.refused = (before - FALL).max(0.0);
         }
+        self.was_high = is_high;
         ((before > 0.0) != (self.refused > 0.0)).then_some(self.refused)
     }
 
