Give refusals and the room of passes modules of their own

Cause: admission, choice, fleet and pass_limit of core::gateway imported each other in a circle. Change: moves only; setting costs and taking changes are methods of PassLimits, called by Fleet. Measured: admission, gateway, limited_server, rate_limits, crashing_*, concentrated, wait_queue and peers pass (106 tests).

--- a/crates/mastweir-core/src/gateway/admission.rs
+++ b/crates/mastweir-core/src/gateway/admission.rs
@@ -17,7 +17,7 @@
 //! them competes as the most urgent, so that no level starves. A pass limit lowers the bounds of
 //! less urgent streams further; callers of the most urgent ones prefer a late answer to none.
 
-use super::{choice::Refusal, pass_limit::PassRoom};
+use super::{pass_room::PassRoom, refusal::Refusal};
 use crate::time::Uptime;
 
 /// Mean load, as a fraction of slots, up to which all streams are admitted.
--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -7,10 +7,11 @@
 
 use super::{
     admission::ServiceLoad,
+    config::PassCost,
     directory::{Directory, DirectoryChange, Server},
     evacuations::Evacuations,
     follower_view::FollowerView,
-    pass_limit::PassLimits,
+    pass_limit::{PassLimitChange, PassLimits},
     permit_pool::PermitPool,
     rate_limits::{LimitChange, LimitReport, RateLimits},
     registry::ServerRegistry,
@@ -98,6 +99,17 @@
         self
     }
 
+    /// Sets the cost models of services whose servers run a model. A service whose costs are
+    /// unusable has no pass limit; the names of such services are returned.
+    pub fn set_pass_costs(&mut self, costs: HashMap<String, PassCost>) -> Vec<String> {
+        self.passes.set_costs(costs)
+    }
+
+    /// Takes the changes of pass limits since the last call, for the log.
+    pub fn take_limit_changes(&self) -> Vec<PassLimitChange> {
+        self.passes.take_changes()
+    }
+
     /// Sets the number of followers in the hall, which relays state with the loads that they
     /// forward; zero if this gateway receives the reports of all servers.
     pub fn set_followers(&mut self, followers: usize) {
--- a/crates/mastweir-core/src/gateway/pass_limit.rs
+++ b/crates/mastweir-core/src/gateway/pass_limit.rs
@@ -9,7 +9,7 @@
 //! same load reports, so the lag of reports affects both. The limit follows the lowest factor of
 //! [`WINDOW`]; a rise that ends within this time has no effect.
 
-use super::{admission::ADMIT_ALL_LOAD, config::PassCost, fleet::Fleet, status::LoadReport};
+use super::{admission::ADMIT_ALL_LOAD, config::PassCost, pass_room::PassRoom, status::LoadReport};
 use crate::time::Uptime;
 use std::{
     cell::RefCell,
@@ -92,26 +92,6 @@
     }
 }
 
-/// The room that passes leave for running requests in a service.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct PassRoom {
-    cost: PassCost,
-    /// Mean over ranks of the inverse factor.
-    speed: f64,
-    /// Mean number of slots per rank.
-    slots: f64,
-}
-
-impl PassRoom {
-    /// Returns the load, as a fraction of slots, at which passes keep to a gap between events.
-    pub(super) fn limit(&self, gap_ms: f64) -> Option<f64> {
-        let PassCost { steps, step_ms, request_ms, .. } = self.cost;
-        let running = (gap_ms * self.speed / steps - step_ms) / request_ms;
-        let limit = (running / self.slots).max(0.0);
-        (gap_ms > 0.0 && running.is_finite() && limit.is_finite()).then_some(limit)
-    }
-}
-
 /// A pass limit begins or stops to bind.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PassLimitChange {
@@ -140,6 +120,24 @@
 }
 
 impl PassLimits {
+    /// Sets the cost models by service. A service whose costs are unusable has no pass limit; the
+    /// names of such services are returned.
+    pub(super) fn set_costs(&mut self, costs: HashMap<String, PassCost>) -> Vec<String> {
+        let (usable, unusable): (HashMap<_, _>, HashMap<_, _>) =
+            costs.into_iter().partition(|(_, cost)| is_usable(cost));
+        // The share of experts is part of the measured factor.
+        let without_skew = |(service, cost)| (service, PassCost { expert_fraction: 0.0, ..cost });
+        self.costs = usable.into_iter().map(without_skew).collect();
+        let mut unusable = Vec::from_iter(unusable.into_keys());
+        unusable.sort_unstable();
+        unusable
+    }
+
+    /// Takes the changes since the last call, for the log.
+    pub(super) fn take_changes(&self) -> Vec<PassLimitChange> {
+        self.changes.take()
+    }
+
     /// Records a report of a service's server that has an age on arrival.
     pub(super) fn record(
         &mut self,
@@ -206,23 +204,3 @@
     let has_work = steps > 0.0 && step_ms >= 0.0 && request_ms > 0.0;
     has_work && [steps, step_ms, request_ms].into_iter().all(f64::is_finite)
 }
-
-impl Fleet {
-    /// Sets the cost models of services whose servers run a model. A service whose costs are
-    /// unusable has no pass limit; the names of such services are returned.
-    pub fn set_pass_costs(&mut self, costs: HashMap<String, PassCost>) -> Vec<String> {
-        let (usable, unusable): (HashMap<_, _>, HashMap<_, _>) =
-            costs.into_iter().partition(|(_, cost)| is_usable(cost));
-        // The share of experts is part of the measured factor.
-        let without_skew = |(service, cost)| (service, PassCost { expert_fraction: 0.0, ..cost });
-        self.passes.costs = usable.into_iter().map(without_skew).collect();
-        let mut unusable = Vec::from_iter(unusable.into_keys());
-        unusable.sort_unstable();
-        unusable
-    }
-
-    /// Takes the changes of pass limits since the last call, for the log.
-    pub fn take_limit_changes(&self) -> Vec<PassLimitChange> {
-        self.passes.changes.take()
-    }
-}
--- a/crates/mastweir-core/src/gateway/wait_queue.rs
+++ b/crates/mastweir-core/src/gateway/wait_queue.rs
@@ -10,7 +10,7 @@
 //! Customers go in the order of their start tags, not of start tag plus cost: callers wait for a
 //! fraction of a second only, in which a long request would never become due.
 
-use super::choice::Refusal;
+use super::refusal::Refusal;
 use crate::time::Uptime;
 use std::{
     cmp::Reverse,
