Send gossip in chunks at one place

Cause: three senders of gossip encoded their datagrams alike; forward and plain_answer imported each other. Change: relay::send_chunks; attempt_state stands with the attempts.

--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -17,7 +17,9 @@
 };
 use http_body_util::Full;
 use hyper::{Request, StatusCode, body::Incoming, http::response::Parts};
-use mastweir_core::gateway::{AttemptResult, Candidate, Fingerprint, Proof, Rate, RunEnd, RunId};
+use mastweir_core::gateway::{
+    AttemptResult, AttemptState, Candidate, Fingerprint, Proof, Rate, RunEnd, RunId,
+};
 use slog::info;
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time;
@@ -312,6 +314,17 @@
     is_allowed
 }
 
+/// Returns what decides about another attempt.
+pub fn attempt_state(call: &Call, progress: &Progress) -> AttemptState {
+    let route = call.route();
+    AttemptState {
+        repeatable: route.is_repeatable(),
+        may_have_run: progress.possible_runs > 0,
+        attempts_left: route.attempts.saturating_sub(progress.possible_runs),
+        time_left: call.time_left(),
+    }
+}
+
 fn on_unreachable(gateway: &Gateway, call: &Call, slot: &SlotGuard, error: &CallError) {
     gateway.fleet.borrow_mut().record_unreachable(&slot.server.id, gateway.clock.now());
     gateway.metrics.count("attempts_failed_total", "unreachable");
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -6,7 +6,7 @@
 //! answers to `plain_answer`.
 
 use super::{
-    attempt::{ServerAnswer, attempt, may_retry},
+    attempt::{ServerAnswer, attempt, attempt_state, may_retry},
     bodies::{ReadError, read_request},
     call::{Call, Progress},
     caller::Caller,
@@ -24,7 +24,7 @@
     body::Incoming,
     header::{CONNECTION, HOST, HeaderValue},
 };
-use mastweir_core::gateway::{AttemptState, Kind, NextAction, Route, final_action, next_action};
+use mastweir_core::gateway::{Kind, NextAction, Route, final_action, next_action};
 use rand::Rng;
 use slog::{info, warn};
 use std::{
@@ -226,14 +226,3 @@
     let is_genuine = answer.head.signed && answer.head.id == call.head.id;
     call.route().kind == Kind::Stream && answer.parts.status == StatusCode::OK && is_genuine
 }
-
-/// Returns what decides about another attempt.
-pub fn attempt_state(call: &Call, progress: &Progress) -> AttemptState {
-    let route = call.route();
-    AttemptState {
-        repeatable: route.is_repeatable(),
-        may_have_run: progress.possible_runs > 0,
-        attempts_left: route.attempts.saturating_sub(progress.possible_runs),
-        time_left: call.time_left(),
-    }
-}
--- a/src/mastweir/gateway/limit_gossip.rs
+++ b/src/mastweir/gateway/limit_gossip.rs
@@ -8,7 +8,7 @@
 use super::{
     message::{LIMITS_PER_DATAGRAM, Message},
     permits,
-    relay::send_all,
+    relay::send_chunks,
     server_notices::log_limit_change,
     state::Gateway,
     suspect_gossip::recipients,
@@ -56,11 +56,7 @@
 }
 
 fn send(gateway: &Gateway, socket: &UdpSocket, to: &[IpAddr], updates: &[LimitUpdate]) {
-    // Serializing these messages to a vector can't fail.
-    let message =
-        |chunk: &[LimitUpdate]| postcard::to_stdvec(&Message::Limits(chunk.to_vec())).ok();
-    let messages: Vec<Vec<u8>> = updates.chunks(LIMITS_PER_DATAGRAM).filter_map(message).collect();
-    send_all(gateway, socket, to, &messages);
+    send_chunks(gateway, socket, to, updates.chunks(LIMITS_PER_DATAGRAM), Message::Limits);
 }
 
 /// Records the limits that another gateway sent.
--- a/src/mastweir/gateway/plain_answer.rs
+++ b/src/mastweir/gateway/plain_answer.rs
@@ -6,12 +6,11 @@
 //! caller can tell that the answer is incomplete.
 
 use super::{
-    attempt::{ServerAnswer, SlotGuard, may_retry},
+    attempt::{ServerAnswer, SlotGuard, attempt_state, may_retry},
     bodies::{ReadBody, ReadError},
     call::{Call, Progress},
     crash_probe::suspect_crash,
     final_answer::{end, log_outcome},
-    forward::attempt_state,
     in_flight::InFlight,
     state::Gateway,
     stream::{Reply, StreamIncomplete},
--- a/src/mastweir/gateway/prompt_suspects.rs
+++ b/src/mastweir/gateway/prompt_suspects.rs
@@ -7,7 +7,7 @@
 use super::{
     message::{Message, PARTS_PER_DATAGRAM},
     quarantine,
-    relay::send_all,
+    relay::send_chunks,
     state::Gateway,
     suspect_gossip::recipients,
 };
@@ -74,13 +74,8 @@
         reports.extend(prompts.quarantined_reports(PARTS_PER_DATAGRAM, now));
     }
     drop(prompts);
-    if reports.is_empty() {
-        return;
+    if !reports.is_empty() {
+        let chunks = reports.chunks(PARTS_PER_DATAGRAM);
+        send_chunks(gateway, socket, &recipients(gateway), chunks, Message::PromptParts);
     }
-    let messages: Vec<Vec<u8>> = reports
-        .chunks(PARTS_PER_DATAGRAM)
-        // Encoding does not fail for these messages.
-        .filter_map(|chunk| postcard::to_stdvec(&Message::PromptParts(chunk.to_vec())).ok())
-        .collect();
-    send_all(gateway, socket, &recipients(gateway), &messages);
 }
--- a/src/mastweir/gateway/relay.rs
+++ b/src/mastweir/gateway/relay.rs
@@ -27,6 +27,7 @@
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     rc::Rc,
+    slice::Chunks,
     time::Duration,
 };
 use tokio::{net::UdpSocket, time};
@@ -95,6 +96,20 @@
     }
 }
 
+/// Sends items to each of the addresses, in as many datagrams as needed.
+pub fn send_chunks<T: Clone>(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    to: &[IpAddr],
+    chunks: Chunks<'_, T>,
+    message: impl Fn(Vec<T>) -> Message,
+) {
+    // Encoding does not fail for these messages.
+    let encode = |chunk: &[T]| postcard::to_stdvec(&message(chunk.to_vec())).ok();
+    let messages: Vec<Vec<u8>> = chunks.filter_map(encode).collect();
+    send_all(gateway, socket, to, &messages);
+}
+
 /// A report to forward.
 #[derive(Clone, Copy)]
 struct ForwardedLoad<'a> {
--- a/src/mastweir/gateway/suspect_gossip.rs
+++ b/src/mastweir/gateway/suspect_gossip.rs
@@ -9,7 +9,7 @@
 use super::{
     message::{Message, SUSPECTS_PER_DATAGRAM},
     prompt_suspects,
-    relay::send_all,
+    relay::send_chunks,
     state::Gateway,
 };
 use std::{net::IpAddr, rc::Rc, time::Duration};
@@ -44,15 +44,10 @@
         reports.extend(suspects.quarantined_reports(SUSPECTS_PER_DATAGRAM, now));
     }
     drop(suspects);
-    if reports.is_empty() {
-        return;
+    if !reports.is_empty() {
+        let chunks = reports.chunks(SUSPECTS_PER_DATAGRAM);
+        send_chunks(gateway, socket, &recipients(gateway), chunks, Message::Suspects);
     }
-    let messages: Vec<Vec<u8>> = reports
-        .chunks(SUSPECTS_PER_DATAGRAM)
-        // Encoding does not fail for these messages.
-        .filter_map(|chunk| postcard::to_stdvec(&Message::Suspects(chunk.to_vec())).ok())
-        .collect();
-    send_all(gateway, socket, &recipients(gateway), &messages);
 }
 
 /// Gateways to which this gateway sends gossip: the other relays of its hall and, if it is a
