Compute the holds of a prompt once, and drop code that only tests used

Cause: a last reading of the change. PoisonPrompts::begin computed a request's suspected parts twice right before each send, and every check collected the explained crashes even if no part of the prompt was suspected; lift and RecentRuns::is_empty had no caller in the product; the accept limit was kept twice. Change: holds are computed once and only if a part is known; the test of a lifted quarantine merges the report that operators cause, with the assertions as they were; watch_lag uses the gateway's limit. The design of whole requests points to that of prompt parts. Behaviour is the same. Measured: poison_*, concentrated_connections and crashing_prompt pass (26 tests), the linter is clean.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -85,7 +85,7 @@
 pub use poison_prompts::{MergedPart, PartCrash, PartReport, PoisonPrompts, PromptHold};
 pub use poison_requests::{PoisonRequests, QUARANTINE_DURATION, Quarantine, SuspectReport};
 pub use rate_limits::{LimitChange, LimitReport, LimitUpdate, Rate};
-pub use recent_runs::{CRASH_DELAY, CrashedPart, PassedPart, RecentRuns, RunEnd, RunId};
+pub use recent_runs::{CrashedPart, PassedPart, RecentRuns, RunEnd, RunId};
 pub use refusal::Refusal;
 pub use retry_detector::RetryDetector;
 pub use retry_policy::{AttemptResult, AttemptState, NextAction, Proof, final_action, next_action};
--- a/crates/mastweir-core/src/gateway/poison_prompts.rs
+++ b/crates/mastweir-core/src/gateway/poison_prompts.rs
@@ -364,11 +364,6 @@
         merged
     }
 
-    /// Ends the quarantine of a part, as if an answer on it had gone on.
-    pub fn lift(&mut self, part: Fingerprint, now: Uptime) {
-        self.record_passed(PassedPart { part, begun: now }, now);
-    }
-
     /// Returns the incarnations whose crashes the quarantined parts explain.
     fn explained(&self) -> HashSet<Fingerprint> {
         let quarantined = self.suspects.values().filter(|suspect| suspect.is_quarantined);
@@ -437,21 +432,19 @@
         }
         let now = now + PAST;
         let holds = self.holds(parts, now);
-        let hold = holds.into_iter().max_by_key(|hold| (hold.is_quarantined, hold.remaining))?;
-        if hold.is_quarantined
-            && let Some(suspect) = self.suspects.get_mut(&hold.part)
-        {
-            suspect.last_seen = now;
-        }
-        (!hold.remaining.is_zero()).then_some(hold)
+        self.longest(&holds, now)
     }
 
     /// Like [`Self::hold`], right before a request is sent; what is sent counts as a trial.
     pub fn begin(&mut self, parts: &[Fingerprint], now: Uptime) -> Option<PromptHold> {
-        let hold = self.hold(parts, now);
+        if self.suspects.is_empty() {
+            return None;
+        }
         let now = now + PAST;
-        if hold.is_none() && !self.suspects.is_empty() {
-            for hold in self.holds(parts, now) {
+        let holds = self.holds(parts, now);
+        let hold = self.longest(&holds, now);
+        if hold.is_none() {
+            for hold in &holds {
                 if let Some(suspect) = self.suspects.get_mut(&hold.part) {
                     suspect.trial = Some(now);
                 }
@@ -460,6 +453,17 @@
         hold
     }
 
+    /// Returns the hold that decides, unless all are over. Extends a quarantine.
+    fn longest(&mut self, holds: &[PromptHold], now: Uptime) -> Option<PromptHold> {
+        let hold = *holds.iter().max_by_key(|hold| (hold.is_quarantined, hold.remaining))?;
+        if hold.is_quarantined
+            && let Some(suspect) = self.suspects.get_mut(&hold.part)
+        {
+            suspect.last_seen = now;
+        }
+        (!hold.remaining.is_zero()).then_some(hold)
+    }
+
     pub fn has_quarantined(&self) -> bool {
         self.suspects.values().any(|suspect| suspect.is_quarantined)
     }
@@ -472,6 +476,9 @@
 
     /// Returns the suspected parts among these, also those that may be tried now.
     fn holds(&self, parts: &[Fingerprint], now: Uptime) -> Vec<PromptHold> {
+        if !parts.iter().any(|part| self.suspects.contains_key(part)) {
+            return Vec::new();
+        }
         let explained = self.explained();
         let suspected = parts.iter().filter_map(|part| {
             let suspect = self.suspects.get(part)?;
--- a/crates/mastweir-core/src/gateway/recent_runs.rs
+++ b/crates/mastweir-core/src/gateway/recent_runs.rs
@@ -13,9 +13,9 @@
     time::Duration,
 };
 
-/// Longest time from the beginning of an answer to the crash that it causes. Crashes were seen
-/// 0.1 s after it; a server that is slow or waits for its group may take longer.
-pub const CRASH_DELAY: Duration = Duration::from_millis(1_000);
+/// Longest time from the beginning of an answer to the crash that it causes. A server that is slow
+/// or waits for its group takes longer than others.
+const CRASH_DELAY: Duration = Duration::from_millis(1_000);
 /// Time from the beginning of an answer to the decision that its server survived. Covers
 /// [`CRASH_DELAY`] and the time in which gateways learn of a crash.
 const SETTLE_DELAY: Duration = Duration::from_millis(2_000);
@@ -198,8 +198,4 @@
         });
         passed
     }
-
-    pub fn is_empty(&self) -> bool {
-        self.runs.is_empty()
-    }
 }
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -19,7 +19,7 @@
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use mastweir_core::gateway::{AcceptLimit, LAG_INTERVAL};
+use mastweir_core::gateway::LAG_INTERVAL;
 use rand::Rng;
 use slog::{info, warn};
 use std::{cell::Cell, convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
@@ -162,11 +162,11 @@
 
 /// Records how late a timer fires, which decides whether new connections are refused.
 async fn watch_lag(gateway: Rc<Gateway>) {
-    let mut limit = AcceptLimit::default();
     loop {
         let due = gateway.clock.now() + LAG_INTERVAL;
         time::sleep(LAG_INTERVAL).await;
         let lag = gateway.clock.now().since(due);
+        let mut limit = gateway.accept_limit.get();
         if let Some(refused) = limit.record_lag(lag) {
             info!(gateway.log, "refusal of connections changed"; "refuses" => refused > 0.0,
                 "lag_ms" => lag.as_millis() as u64, "connections" => gateway.connections.get(),
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -12,7 +12,8 @@
 //! `follow`), other gateways (`peers`, `fetch`) and the sidecars of model servers (`relay`). Either
 //! the store or the peers suffice to stay up to date. `permits`, `limit_gossip`,
 //! `suspect_gossip`, `prompt_suspects` and `quarantine` keep rate limits and what is quarantined
-//! consistent between gateways. Decisions are made in [`mastweir_core::gateway`]; the modules here carry them out.
+//! consistent between gateways. Decisions are made in [`mastweir_core::gateway`]; the modules here
+//! carry them out.
 
 mod attempt;
 mod bodies;
--- a/src/mastweir/gateway/quarantine.rs
+++ b/src/mastweir/gateway/quarantine.rs
@@ -102,8 +102,8 @@
 }
 
 /// Reads the quarantines in the store, deletes expired ones, and writes missing ones again:
-/// once per [`QUARANTINE_DURATION`], or [`LIFT_INTERVAL`], and whenever the store was restored from an older copy.
-/// Does not return.
+/// once per [`QUARANTINE_DURATION`], or [`LIFT_INTERVAL`], and whenever the store was restored from
+/// an older copy. Does not return.
 pub async fn sync(gateway: &Rc<Gateway>) {
     let unreadable = UnreadableLog::default();
     let mut pause = RETRY_FIRST;
--- a/tests/testsuite/poison_prompts.rs
+++ b/tests/testsuite/poison_prompts.rs
@@ -142,7 +142,9 @@
     crash(&mut prompts, &[HARMFUL], 2, 15_000);
     expect_that!(prompts.quarantine_proven(at(16_000)), len(eq(1)));
     let mut tried = prompts.clone();
-    prompts.lift(HARMFUL, at(20_000));
+    let lifted = prompts.report(HARMFUL, at(20_000));
+    let lifted = lifted.map(|report| PartReport { passed_ms: Some(0), ..report });
+    lifted.iter().for_each(|report| drop(prompts.merge(report, at(20_000))));
     expect_that!(is_held(&mut prompts, HARMFUL, 20_000), eq(false));
     crash(&mut prompts, &[HARMFUL], 3, 30_000);
     expect_that!(prompts.quarantine_proven(at(31_000)), is_empty());
