--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -124,8 +124,21 @@
         self.events = []
         self.revision = 100
         self.changed = threading.Condition()
+        # How old the answers to reads with `stale_ok` are.
+        self.lag_s = 0.0
+        self.written = {}
+        # Connections that carry a watch at present, by kind, and those that went silent.
+        self.watching = {}
+        self.silent = set()
         super().__init__(ip)
 
+    def silence_watches(self):
+        """Makes the open connections that carry a watch silent for good. Returns their kinds."""
+        with self.changed:
+            kinds = sorted(self.watching.values())
+            self.silent |= set(self.watching)
+            return kinds
+
     def put(self, kind, name, spec):
         """Writes an object as the operator or a server does."""
         with self.changed:
@@ -139,6 +152,7 @@
             }
             self.objects[(kind, name)] = obj
             self.events.append((self.revision, kind, {"object": obj, "deleted": False}))
+            self.written[self.revision] = time.monotonic()
             self.changed.notify_all()
             return obj
 
@@ -148,6 +162,7 @@
             if old is not None:
                 self.revision += 1
                 self.events.append((self.revision, kind, {"object": old, "deleted": True}))
+                self.written[self.revision] = time.monotonic()
                 self.changed.notify_all()
 
     def serve(self, connection, peer):
@@ -161,7 +176,19 @@
             if body is None:
                 return
             method, target, _ = first.split(" ", 2)
+            waits = re.search(r"^/objects/([^/?]+)\?.*watch=.*wait_ms=[1-9]", target)
+            if waits:
+                with self.changed:
+                    self.watching[connection] = waits.group(1)
             status, answer = self.answer(method, target, body)
+            with self.changed:
+                self.watching.pop(connection, None)
+                is_silent = connection in self.silent
+            if is_silent:
+                # It stays open and takes bytes, and says nothing further.
+                while connection.recv(65536):
+                    pass
+                return
             data = json.dumps(answer).encode()
             connection.sendall(
                 f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
@@ -175,6 +202,8 @@
             return 404, {}
         kind, name = path[1], (path[2] if len(path) > 2 else None)
         if method == "GET" and "watch" in query:
+            if query.get("stale_ok") == "1":
+                return self.stale(kind, int(query["watch"]))
             return self.watch(kind, int(query["watch"]), int(query.get("wait_ms", "0")))
         with self.changed:
             if method == "GET" and name is None:
@@ -201,6 +230,16 @@
             return 200, {}
         return 200, self.put(kind, name, sent.get("spec", {}))
 
+    def stale(self, kind, since):
+        """Answers a read with `stale_ok` as of some time ago."""
+        with self.changed:
+            then = time.monotonic() - self.lag_s
+            known = max((revision for revision, at in self.written.items() if at <= then),
+                        default=100)
+            events = [event for revision, of, event in self.events
+                      if of == kind and since < revision <= known]
+            return 200, {"events": events, "timestamp": max(known, since)}
+
     def watch(self, kind, since, wait_ms):
         end = time.monotonic() + wait_ms / 1000
         with self.changed:
@@ -222,11 +261,19 @@
         self.plan = plan
         self.service, self.zone = service, zone
         self.runs = []
+        self.run_times = {}
+        self.ended = False
+        self.cut = []
         self.lock = threading.Lock()
         super().__init__(ip)
         if store is not None:
             self.list(store)
 
+    def end(self):
+        """Ends as a process does: refuses connections, and breaks off what it works on."""
+        self.ended = True
+        self.socket.close()
+
     def list(self, store, state="ready"):
         store.put("servers", self.id, {
             "service": self.service, "address": self.text, "zone": self.zone, "version": "v1",
@@ -244,6 +291,8 @@
                 return
             method, path, _ = first.split(" ", 2)
             request_id = headers.get("request-id", "")
+            if self.ended:
+                return
             if path == "/healthz":
                 connection.sendall(f"HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\n"
                                    f"Content-Length: 0\r\n\r\n".encode())
@@ -256,6 +305,7 @@
                 continue
             with self.lock:
                 self.runs.append(request_id)
+                self.run_times[request_id] = time.monotonic()
             self.record(f"{self.id} runs {request_id} ({method} {path}, {len(body)} bytes, "
                         f"deadline {headers.get('request-deadline')})")
             answer = self.plan(self, {"id": request_id, "method": method, "path": path,
