--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -7,6 +7,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -264,6 +265,7 @@
         self.run_times = {}
         self.ended = False
         self.cut = []
+        self.open = set()
         self.lock = threading.Lock()
         super().__init__(ip)
         if store is not None:
@@ -272,6 +274,7 @@
     def end(self):
         """Ends as a process does: refuses connections, and breaks off what it works on."""
         self.ended = True
+        self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
 
     def list(self, store, state="ready"):
@@ -279,7 +282,29 @@
             "service": self.service, "address": self.text, "zone": self.zone, "version": "v1",
             "slots": 12, "state": state, "warmup_left_ms": 0, "seq": 1})
 
+    def crash(self):
+        """Crashes: refuses connections, and resets those that are open."""
+        self.ended = True
+        # Wakes the thread that accepts, so that the port is closed at once.
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+        with self.lock:
+            for connection in self.open:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                      struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RD)
+                connection.close()
+
     def serve(self, connection, peer):
+        with self.lock:
+            self.open.add(connection)
+        try:
+            self.serve_requests(connection)
+        finally:
+            with self.lock:
+                self.open.discard(connection)
+
+    def serve_requests(self, connection):
         stream = connection.makefile("rb")
         while True:
             head = read_head(stream)
