--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -5,6 +5,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -518,6 +519,7 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Answer:
@@ -535,20 +537,25 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def stopped(_number, _frame):
+    """The case takes too long, and is stopped."""
+    raise CannotRun("stopped before its end")
+
+
 def main(folder, case):
     """Runs `case(site, record, trouble)`, which returns whether the rule was broken."""
     folder = os.path.abspath(folder)
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {'yes' if trouble else 'no'}")
-    site = None
+    signal.signal(signal.SIGTERM, stopped)
+    site, code = None, 2
     try:
         site = Site(folder)
         broken = case(site, record, trouble)
     except CannotRun as error:
         record(f"could not run: {error}")
         print(f"could not run: {error}")
-        code = 2
     else:
         code = 1 if broken else 0
         record("the rule was broken" if broken else "the rule held")
