--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -254,6 +254,22 @@
                 self.changed.wait(left)
 
 
+class Door(Store):
+    """An address of its own for a store, which may turn away who uses it."""
+
+    def __init__(self, ip, store):
+        Listener.__init__(self, ip)
+        self.store = store
+        self.watching, self.silent, self.changed = {}, set(), store.changed
+        self.is_shut = False
+
+    def answer(self, method, target, body):
+        answer = self.store.answer(method, target, body)
+        while self.is_shut:
+            time.sleep(0.05)
+        return answer
+
+
 class Server(Listener):
     """A server of a plain service. `plan(server, request)` returns (status, headers, body)."""
 
