--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -4,7 +4,6 @@
 import json
 import os
 import random
-import re
 import shutil
 import signal
 import socket
@@ -21,6 +20,8 @@
 HOST = "site.example"
 KEY = "key-of-north"
 START = time.monotonic()
+# Exit codes of a case, none of which Python itself uses; `run.sh` turns them into 0, 1 and 2.
+HELD, BROKEN, COULD_NOT_RUN = 40, 41, 42
 
 
 class CannotRun(Exception):
@@ -126,21 +127,8 @@
         self.events = []
         self.revision = 100
         self.changed = threading.Condition()
-        # How old the answers to reads with `stale_ok` are.
-        self.lag_s = 0.0
-        self.written = {}
-        # Connections that carry a watch at present, by kind, and those that went silent.
-        self.watching = {}
-        self.silent = set()
         super().__init__(ip)
 
-    def silence_watches(self):
-        """Makes the open connections that carry a watch silent for good. Returns their kinds."""
-        with self.changed:
-            kinds = sorted(self.watching.values())
-            self.silent |= set(self.watching)
-            return kinds
-
     def put(self, kind, name, spec):
         """Writes an object as the operator or a server does."""
         with self.changed:
@@ -154,7 +142,6 @@
             }
             self.objects[(kind, name)] = obj
             self.events.append((self.revision, kind, {"object": obj, "deleted": False}))
-            self.written[self.revision] = time.monotonic()
             self.changed.notify_all()
             return obj
 
@@ -164,7 +151,6 @@
             if old is not None:
                 self.revision += 1
                 self.events.append((self.revision, kind, {"object": old, "deleted": True}))
-                self.written[self.revision] = time.monotonic()
                 self.changed.notify_all()
 
     def serve(self, connection, peer):
@@ -178,19 +164,7 @@
             if body is None:
                 return
             method, target, _ = first.split(" ", 2)
-            waits = re.search(r"^/objects/([^/?]+)\?.*watch=.*wait_ms=[1-9]", target)
-            if waits:
-                with self.changed:
-                    self.watching[connection] = waits.group(1)
             status, answer = self.answer(method, target, body)
-            with self.changed:
-                self.watching.pop(connection, None)
-                is_silent = connection in self.silent
-            if is_silent:
-                # It stays open and takes bytes, and says nothing further.
-                while connection.recv(65536):
-                    pass
-                return
             data = json.dumps(answer).encode()
             connection.sendall(
                 f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
@@ -204,8 +178,6 @@
             return 404, {}
         kind, name = path[1], (path[2] if len(path) > 2 else None)
         if method == "GET" and "watch" in query:
-            if query.get("stale_ok") == "1":
-                return self.stale(kind, int(query["watch"]))
             return self.watch(kind, int(query["watch"]), int(query.get("wait_ms", "0")))
         with self.changed:
             if method == "GET" and name is None:
@@ -232,16 +204,6 @@
             return 200, {}
         return 200, self.put(kind, name, sent.get("spec", {}))
 
-    def stale(self, kind, since):
-        """Answers a read with `stale_ok` as of some time ago."""
-        with self.changed:
-            then = time.monotonic() - self.lag_s
-            known = max((revision for revision, at in self.written.items() if at <= then),
-                        default=100)
-            events = [event for revision, of, event in self.events
-                      if of == kind and since < revision <= known]
-            return 200, {"events": events, "timestamp": max(known, since)}
-
     def watch(self, kind, since, wait_ms):
         end = time.monotonic() + wait_ms / 1000
         with self.changed:
@@ -260,7 +222,6 @@
     def __init__(self, ip, store):
         Listener.__init__(self, ip)
         self.store = store
-        self.watching, self.silent, self.changed = {}, set(), store.changed
         self.is_shut = False
 
     def answer(self, method, target, body):
@@ -281,19 +242,12 @@
         self.runs = []
         self.run_times = {}
         self.ended = False
-        self.cut = []
         self.open = set()
         self.lock = threading.Lock()
         super().__init__(ip)
         if store is not None:
             self.list(store)
 
-    def end(self):
-        """Ends as a process does: refuses connections, and breaks off what it works on."""
-        self.ended = True
-        self.socket.shutdown(socket.SHUT_RDWR)
-        self.socket.close()
-
     def list(self, store, state="ready"):
         store.put("servers", self.id, {
             "service": self.service, "address": self.text, "zone": self.zone, "version": "v1",
@@ -565,7 +519,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {'yes' if trouble else 'no'}")
     signal.signal(signal.SIGTERM, stopped)
-    site, code = None, 2
+    site, code = None, COULD_NOT_RUN
     try:
         site = Site(folder)
         broken = case(site, record, trouble)
@@ -573,7 +527,7 @@
         record(f"could not run: {error}")
         print(f"could not run: {error}")
     else:
-        code = 1 if broken else 0
+        code = BROKEN if broken else HELD
         record("the rule was broken" if broken else "the rule held")
         print("the rule was broken" if broken else "the rule held")
     finally:
