--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -344,6 +344,7 @@
         self.processes = {}
         self.machines = {}
         self.ports = None
+        self.seeds = (1, 2, 3)
         self._addresses()
         self.store = Store(self.ip(200))
 
@@ -372,7 +373,7 @@
 
     def settings(self, name, number, zone, role="gateway", app=None, store=None):
         ip = self.ip(number)
-        seeds = ",".join(f'"{self.ip(n)}:{self.ports["control"]}"' for n in (1, 2, 3))
+        seeds = ",".join(f'"{self.ip(n)}:{self.ports["control"]}"' for n in self.seeds)
         listen = (f'front = "{ip}:{self.ports["front"]}"\nready = "{ip}:{self.ports["ready"]}"\n'
                   f'control = "{ip}:{self.ports["control"]}"') if role == "gateway" else ""
         head = f'app = "{app}"\n' if app else ""
