--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -223,8 +223,10 @@
         Listener.__init__(self, ip)
         self.store = store
         self.is_shut = False
+        self.asked = []
 
     def answer(self, method, target, body):
+        self.asked.append(f"{method} {target}")
         answer = self.store.answer(method, target, body)
         while self.is_shut:
             time.sleep(0.05)
