Log how long interrupted streams and sidecars were silent

Interruptions now state the time since the last event and the age of the last report, and streams that are not resumed state what forbade it, with counters for both. No decision changes.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -350,6 +350,12 @@
         self.statuses.get(id)?.report.as_ref().map(|(_, report)| report)
     }
 
+    /// Returns the age of the last report of a server's sidecar.
+    pub fn report_age(&self, id: &str, now: Uptime) -> Option<Duration> {
+        let status = self.statuses.get(id).filter(|status| status.from_sidecar)?;
+        status.report.as_ref().map(|(at, _)| now.since(*at))
+    }
+
     /// Returns the number of requests of this gateway that are in flight.
     pub fn in_flight(&self) -> u32 {
         self.statuses.values().map(|status| status.in_flight).sum()
--- a/crates/mastweir-core/src/gateway/stream_timing.rs
+++ b/crates/mastweir-core/src/gateway/stream_timing.rs
@@ -45,6 +45,11 @@
         is_longest
     }
 
+    /// Returns the time since the last event, or since the stream began.
+    pub fn gap(&self, now: Uptime) -> Duration {
+        now.since(self.last)
+    }
+
     /// Returns the time from the request's arrival to the first event.
     pub fn time_to_first(&self) -> Option<Duration> {
         self.first.map(|first| self.waited + first.since(self.began))
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -191,7 +191,7 @@
             gateway.metrics.count("attempts_failed_total", reason);
             info!(gateway.log, "server makes no progress"; "id" => &call.head.id,
                 "server" => &slot.server.id, "reason" => reason,
-                "fingerprint" => %call.fingerprint());
+                "report_age_ms" => report_age_ms(gateway, id), "fingerprint" => %call.fingerprint());
             return Err(AttemptResult::Broken);
         }
     };
@@ -289,6 +289,12 @@
     }
 }
 
+/// Returns the age of the last report of a server's sidecar, for the log.
+pub fn report_age_ms(gateway: &Gateway, id: &str) -> Option<u64> {
+    let age = gateway.fleet.borrow().report_age(id, gateway.clock.now())?;
+    Some(age.as_millis() as u64)
+}
+
 /// Returns whether a request may be sent again after a failed attempt, and takes the retry from
 /// the service's budget. Requests that were never sent are not charged; requests that must not be
 /// sent to a server are not retried.
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -6,9 +6,10 @@
 //! of the body, so that the caller can tell that the stream is incomplete.
 
 use super::{
-    attempt::{ServerAnswer, SlotGuard, attempt, may_retry, wait_until_stuck},
+    attempt::{ServerAnswer, SlotGuard, attempt, may_retry, report_age_ms, wait_until_stuck},
     call::{Call, Progress},
     crash_probe::suspect_crash,
+    final_answer::refusal_label,
     in_flight::InFlight,
     permits::choose_until,
     state::Gateway,
@@ -23,7 +24,7 @@
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use mastweir_core::{
-    gateway::{AttemptResult, BodyKind, EventSplitter, LoadReport, StreamTiming},
+    gateway::{AttemptResult, BodyKind, EventSplitter, LoadReport, Refusal, StreamTiming},
     time::Uptime,
 };
 use slog::info;
@@ -52,6 +53,31 @@
 #[error("stream incomplete; send the request again with the id of the last event")]
 pub struct StreamIncomplete;
 
+/// Why a stream is not continued at another server.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+enum ResumeDenied {
+    #[error("its route does not allow it; set stream_resume if its servers can resume")]
+    Route,
+    #[error("all attempts are used up; raise max_attempts to allow more")]
+    Attempts,
+    #[error("no retry is allowed; see retries_denied_total")]
+    Retry,
+    #[error("no server has capacity: {}", refusal_label(*.0))]
+    NoServer(Refusal),
+}
+
+impl ResumeDenied {
+    /// Name in logs and metrics.
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Route => "route",
+            Self::Attempts => "attempts",
+            Self::Retry => "retry",
+            Self::NoServer(_) => "no_server",
+        }
+    }
+}
+
 struct Upstream {
     body: Incoming,
     connection: Connection,
@@ -148,8 +174,8 @@
             let frame = tokio::select! {
                 frame = self.call.clock.timeout_at(self.call.deadline, upstream.body.frame()) => frame,
                 reason = wait_until_stuck(&self.gateway, &self.call, &upstream.slot, true) => {
-                    if !self.fail_over(reason).await {
-                        return self.abort("not resumed");
+                    if let Err(denial) = self.fail_over(reason).await {
+                        return self.abort_unresumed(denial);
                     }
                     continue;
                 }
@@ -172,8 +198,8 @@
                     return self.finish();
                 }
                 Ok(None) | Ok(Some(Err(_))) => {
-                    if !self.fail_over(BROKEN).await {
-                        return self.abort("not resumed");
+                    if let Err(denial) = self.fail_over(BROKEN).await {
+                        return self.abort_unresumed(denial);
                     }
                 }
             }
@@ -244,6 +270,14 @@
         Chunk::End
     }
 
+    fn abort_unresumed(&mut self, denial: ResumeDenied) -> Chunk {
+        self.gateway.metrics.count("streams_not_resumed_total", denial.label());
+        info!(self.gateway.log, "stream not resumed"; "id" => &self.call.head.id,
+            "reason" => denial.label(), "runs" => self.progress.possible_runs,
+            "error" => %denial);
+        self.abort("not resumed")
+    }
+
     fn abort(&mut self, reason: &'static str) -> Chunk {
         self.upstream = None;
         self.gateway.metrics.count("streams_total", "cut");
@@ -255,14 +289,17 @@
     }
 
     /// Leaves a server whose stream broke or stalled, and resumes the stream at another one.
-    /// Returns whether that succeeded.
-    async fn fail_over(&mut self, reason: &'static str) -> bool {
+    async fn fail_over(&mut self, reason: &'static str) -> Result<(), ResumeDenied> {
         if let Some(upstream) = self.upstream.take() {
             upstream.slot.mark_failed();
+            let now = self.gateway.clock.now();
+            self.gateway.metrics.count("streams_interrupted_total", reason);
             info!(self.gateway.log, "stream interrupted"; "id" => &self.call.head.id,
                 "server" => &upstream.slot.server.id, "reason" => reason,
                 "fingerprint" => %self.call.fingerprint(), "parts" => self.call.parts_label(),
-                "head_ms" => self.gateway.clock.now().since(upstream.begun).as_millis() as u64,
+                "head_ms" => now.since(upstream.begun).as_millis() as u64,
+                "gap_ms" => self.timing.gap(now).as_millis() as u64,
+                "report_age_ms" => report_age_ms(&self.gateway, &upstream.slot.server.id),
                 "last_event" => self.events.last_id());
             if reason == BROKEN {
                 suspect_crash(&self.gateway, &self.call, &upstream.slot.server).await;
@@ -271,22 +308,22 @@
         self.resume().await
     }
 
-    /// Continues the stream at another server after the last whole event. Returns whether a server
-    /// was found that does so.
-    async fn resume(&mut self) -> bool {
+    /// Continues the stream at another server after the last whole event.
+    async fn resume(&mut self) -> Result<(), ResumeDenied> {
         self.events.discard_partial();
         if !self.call.route().resumable {
-            return false;
+            return Err(ResumeDenied::Route);
         }
         let mut result = AttemptResult::Broken;
         while self.progress.possible_runs < self.call.route().attempts {
             if !may_retry(&self.gateway, &self.call, &self.progress, result) {
-                return false;
+                return Err(ResumeDenied::Retry);
             }
             let tried = &self.progress.tried;
             let until = self.gateway.clock.now() + RESUME_TIMEOUT.min(self.call.time_left());
             let needs = self.call.requirements(tried, RESUME_MAX_LOAD);
-            let Ok(server) = choose_until(&self.gateway, needs, until).await else { return false };
+            let chosen = choose_until(&self.gateway, needs, until).await;
+            let server = chosen.map_err(ResumeDenied::NoServer)?;
             let slot = SlotGuard::acquire(&self.gateway, server);
             let last = self.events.last_id().map(str::to_owned);
             let answered =
@@ -297,12 +334,12 @@
                         "last_event" => last, "server" => &answer.slot.server.id);
                     self.resumed += 1;
                     self.upstream = Some(to_upstream(answer, self.gateway.clock.now()));
-                    return true;
+                    return Ok(());
                 }
                 Ok(_) => result = AttemptResult::Failed,
                 Err(failure) => result = failure,
             }
         }
-        false
+        Err(ResumeDenied::Attempts)
     }
 }
