--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -56,6 +56,7 @@
 mod request_path;
 mod server_notices;
 mod sidecar_group;
+mod silent_server;
 mod slow_readers;
 mod soak;
 mod store_restore;
--- /dev/null
+++ b/tests/testsuite/silent_server.rs
@@ -0,0 +1,206 @@
+//! Guards against giving up answers that a server still makes: neither the silence of its sidecar
+//! nor a pause of its own is a failure of the server.
+
+use crate::{
+    gateway::{Script, TestFixture, answer, chunk, last_chunk, start_fixture, stream_head},
+    suspension::report,
+};
+use eyre::Result;
+use googletest::prelude::*;
+use mastweir_test_support::{
+    scripted::{Act, Got},
+    site::{Answer, exchange, request, wait_for},
+};
+use std::{
+    net::SocketAddr,
+    ops::RangeInclusive,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    task::{AbortHandle, JoinHandle},
+    time,
+};
+
+/// Interval of events, shorter than any bound on silence.
+const EVENT_INTERVAL: Duration = Duration::from_millis(50);
+/// Longer than any bound on silence.
+const PAUSE: Duration = Duration::from_millis(2_500);
+
+fn event(number: u32) -> String {
+    format!("id: {number}\ndata: a\n\n")
+}
+
+fn events(numbers: RangeInclusive<u32>) -> Vec<Act> {
+    let acts = numbers.flat_map(|number| [chunk(&event(number)), Act::Wait(EVENT_INTERVAL)]);
+    acts.collect()
+}
+
+fn whole(last: u32) -> String {
+    (1..=last).map(event).collect()
+}
+
+/// A stream of eight events with a pause in the middle.
+fn paused_stream(got: &Got) -> Vec<Act> {
+    let paused = vec![Act::Wait(PAUSE)];
+    [vec![stream_head(got)], events(1..=4), paused, events(5..=8), vec![last_chunk()]].concat()
+}
+
+/// A gateway whose servers have sidecars, each of which can be silenced.
+struct Reporting {
+    fixture: TestFixture,
+    is_reporting: Vec<Arc<AtomicBool>>,
+    reports: Vec<AbortHandle>,
+}
+
+impl Drop for Reporting {
+    fn drop(&mut self) {
+        self.reports.iter().for_each(AbortHandle::abort);
+    }
+}
+
+impl Reporting {
+    /// Starts the servers, and waits until the gateway relies on the reports of their sidecars.
+    async fn start(scripts: Vec<Script>) -> Result<Self> {
+        let fixture = start_fixture(scripts).await?;
+        let (mut is_reporting, mut reports) = (Vec::new(), Vec::new());
+        for server in &fixture.servers {
+            let flag = Arc::new(AtomicBool::new(true));
+            let task = report(fixture.site.internal(0), vec![server.addr], flag.clone());
+            reports.push(tokio::spawn(task).abort_handle());
+            is_reporting.push(flag);
+        }
+        time::sleep(Duration::from_millis(2_600)).await;
+        Ok(Self { fixture, is_reporting, reports })
+    }
+
+    fn call(&self, method: &str, path: &str, id: &str) -> JoinHandle<Result<Answer>> {
+        let bytes = request(method, path, id, "", "");
+        let callers: SocketAddr = self.fixture.gateway.callers;
+        tokio::spawn(async move { exchange(callers, &bytes).await })
+    }
+
+    /// Waits until a server has got a request, and silences its sidecar. Returns the server.
+    async fn silence_sidecar(&self) -> Result<usize> {
+        let servers = &self.fixture.servers;
+        wait_for(async || servers.iter().any(|server| !server.got().is_empty())).await?;
+        let server = servers.iter().position(|server| !server.got().is_empty()).unwrap_or(0);
+        self.is_reporting[server].store(false, Ordering::SeqCst);
+        Ok(server)
+    }
+
+    fn request_count(&self) -> usize {
+        self.fixture.servers.iter().map(|server| server.got().len()).sum()
+    }
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_stay_at_their_servers_while_sidecars_restart() -> Result<()> {
+    let script = || -> Script {
+        Box::new(|got| [vec![stream_head(got)], events(1..=50), vec![last_chunk()]].concat())
+    };
+    let site = Reporting::start(vec![script(), script()]).await?;
+    let calls = (0..6).map(|number| site.call("POST", "/stream/a", &format!("r-{number}")));
+    let calls: Vec<_> = calls.collect();
+    site.is_reporting.iter().for_each(|flag| flag.store(false, Ordering::SeqCst));
+    time::sleep(Duration::from_millis(1_200)).await;
+    site.is_reporting.iter().for_each(|flag| flag.store(true, Ordering::SeqCst));
+    for call in calls {
+        let reply = call.await??;
+        expect_that!((reply.whole, reply.body.as_str()), eq((true, whole(50).as_str())));
+    }
+    expect_that!(site.request_count(), eq(6));
+    Ok(())
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_no_other_server_resumes_is_not_cut_for_a_pause() -> Result<()> {
+    let site = Reporting::start(vec![Box::new(paused_stream)]).await?;
+    let call = site.call("POST", "/stream/a", "r-1");
+    site.silence_sidecar().await?;
+    let reply = call.await??;
+    expect_that!((reply.whole, reply.body.as_str()), eq((true, whole(8).as_str())));
+    Ok(())
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_goes_on_first_is_not_taken_from_its_server() -> Result<()> {
+    let script = || -> Script {
+        Box::new(|got| match got.header("last-event-id") {
+            Some(_) => vec![stream_head(got), Act::Hang],
+            None => paused_stream(got),
+        })
+    };
+    let site = Reporting::start(vec![script(), script()]).await?;
+    let call = site.call("POST", "/stream/a", "r-1");
+    let first = site.silence_sidecar().await?;
+    let other = &site.fixture.servers[1 - first];
+    let reply = call.await??;
+    expect_that!((reply.whole, reply.body.as_str()), eq((true, whole(8).as_str())));
+    let got = other.got();
+    let resumed: Vec<_> = got.iter().map(|got| got.header("last-event-id")).collect();
+    expect_that!(resumed, eq(&vec![Some("4")]));
+    wait_for(async || other.left() == 1).await?;
+    Ok(())
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_silent_server_is_resumed_elsewhere() -> Result<()> {
+    let script = || -> Script {
+        Box::new(|got| match got.header("last-event-id") {
+            Some(_) => [vec![stream_head(got)], events(5..=8), vec![last_chunk()]].concat(),
+            None => [vec![stream_head(got)], events(1..=4), vec![Act::Hang]].concat(),
+        })
+    };
+    let site = Reporting::start(vec![script(), script()]).await?;
+    let call = site.call("POST", "/stream/a", "r-1");
+    let first = site.silence_sidecar().await?;
+    let reply = call.await??;
+    expect_that!((reply.whole, reply.body.as_str()), eq((true, whole(8).as_str())));
+    // The silent server is told that its caller has left.
+    wait_for(async || site.fixture.servers[first].left() == 1).await?;
+    expect_that!(site.request_count(), eq(2));
+    Ok(())
+}
+
+/// A server may need longer for its answer than its sidecar for a restart.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_no_other_server_makes_is_awaited() -> Result<()> {
+    let script: Script = Box::new(|got| vec![Act::Wait(PAUSE), answer(got, "200 OK", "slow")]);
+    let site = Reporting::start(vec![script]).await?;
+    let call = site.call("GET", "/safe/a", "r-1");
+    site.silence_sidecar().await?;
+    let reply = call.await??;
+    expect_that!((reply.status, reply.body.as_str()), eq((200, "slow")));
+    expect_that!(site.request_count(), eq(1));
+    Ok(())
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_comes_first_wins() -> Result<()> {
+    let is_second = Arc::new(AtomicBool::new(false));
+    let script = || -> Script {
+        let is_second = is_second.clone();
+        Box::new(move |got| match is_second.swap(true, Ordering::SeqCst) {
+            true => vec![Act::Hang],
+            false => vec![Act::Wait(PAUSE), answer(got, "200 OK", "first")],
+        })
+    };
+    let site = Reporting::start(vec![script(), script()]).await?;
+    let call = site.call("GET", "/safe/a", "r-1");
+    let first = site.silence_sidecar().await?;
+    let reply = call.await??;
+    expect_that!((reply.status, reply.body.as_str()), eq((200, "first")));
+    wait_for(async || site.fixture.servers[1 - first].left() == 1).await?;
+    expect_that!(site.request_count(), eq(2));
+    Ok(())
+}
