Keep streams at servers that answer while their sidecars are silent

Callers saw answers cut, or events twice as late, whenever sidecars were restarted: a gateway that got no report of a sidecar for 0.7 s took its server for stuck and left every stream there, though the server wrote on. Streams that had used up their attempts were cut.

A server now counts as stuck only if neither its sidecar nor the server itself was heard for 0.7 s. Each piece of an answer shows that the server runs, whatever its sidecar does; that a sidecar's silence keeps new requests away from a server is as before.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -330,10 +330,12 @@
         self.statuses.get(id).is_some_and(|status| status.is_superseded(incarnation))
     }
 
-    /// Records that a server answered in any way.
-    pub fn record_reached(&mut self, id: &str) {
-        if let Some(status) = self.statuses.get_mut(id) {
+    /// Records that an incarnation of a server sent an answer or a part of one.
+    pub fn record_answered(&mut self, id: &str, incarnation: u64, now: Uptime) {
+        let Some(status) = self.statuses.get_mut(id) else { return };
+        if !status.is_superseded(incarnation) {
             status.connect_failures = 0;
+            status.last_answered = now;
         }
     }
 
@@ -361,9 +363,10 @@
         self.statuses.values().map(|status| status.in_flight).sum()
     }
 
-    /// Whether an incarnation of a server seems lost: a later one has begun, its sidecar is
-    /// silent, or the sidecar never reported while most others of the service did. A stalled
-    /// group is no reason to move requests: it resumes soon, and other groups lack the capacity.
+    /// Whether an incarnation of a server seems lost: a later one has begun, or neither the server
+    /// nor its sidecar is heard. A sidecar is silent if its reports stopped, or if it never reported
+    /// while most others of the service did. A stalled group is no reason to move requests: it
+    /// resumes soon, and other groups lack the capacity.
     pub fn is_stuck(&self, id: &str, incarnation: u64, now: Uptime) -> bool {
         let Some(status) = self.statuses.get(id) else { return false };
         if status.is_superseded(incarnation) {
@@ -374,6 +377,9 @@
         if server.is_some_and(|server| !self.view.contains(server)) {
             return false;
         }
+        if !status.is_unanswered(now) {
+            return false;
+        }
         let ready = server.map(|server| self.ready(&server.service));
         let most_servers_report = ready.is_some_and(|ready| self.most_servers_report(ready, now));
         status.is_silent(most_servers_report, self.reception_end(status, now), now)
@@ -392,10 +398,10 @@
         is_fresh && must_run && report.running > 0 && report.pass >= pass + SILENT_STREAM_PASSES
     }
 
-    /// Returns the time until a server counts as stuck without a further report; `None` if its
-    /// sidecar does not report or it is stuck already.
+    /// Returns the time until a server counts as stuck without a further report or answer; `None` if
+    /// its sidecar does not report or it is stuck already.
     pub fn time_to_stuck(&self, id: &str, now: Uptime) -> Option<Duration> {
-        let at = self.statuses.get(id)?.silent_at()?;
+        let at = self.statuses.get(id)?.stuck_at()?;
         (at > now).then(|| at.since(now))
     }
 
--- a/crates/mastweir-core/src/gateway/status.rs
+++ b/crates/mastweir-core/src/gateway/status.rs
@@ -67,6 +67,8 @@
     pub(super) report: Option<(Uptime, LoadReport)>,
     /// When a report was last received, from the sidecar or forwarded.
     pub(super) last_received: Uptime,
+    /// When a part of an answer was last received from the server itself.
+    pub(super) last_answered: Uptime,
     /// Whether the last report came from a sidecar rather than from an answer.
     pub(super) from_sidecar: bool,
     /// Whether the sidecar has ever reported a limit; then a report without one means that the
@@ -168,10 +170,15 @@
         now.since(self.last_failure) < backoff.min(BACKOFF_MAX)
     }
 
-    /// Returns when the server will count as silent without a further report.
-    pub(super) fn silent_at(&self) -> Option<Uptime> {
+    /// Whether the server itself has sent nothing for as long as a silent sidecar.
+    pub(super) fn is_unanswered(&self, now: Uptime) -> bool {
+        now.since(self.last_answered) >= SILENT_AFTER
+    }
+
+    /// Returns when the server will count as stuck without a further report or answer.
+    pub(super) fn stuck_at(&self) -> Option<Uptime> {
         let (at, _) = self.report.as_ref().filter(|_| self.from_sidecar)?;
-        Some(*at + SILENT_AFTER)
+        Some((*at).max(self.last_answered) + SILENT_AFTER)
     }
 }
 
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -91,8 +91,16 @@
         }
     }
 
+    /// Records that the server sent an answer or a part of one.
+    fn record_answered(&self) {
+        let Candidate { id, incarnation, .. } = &self.server;
+        let now = self.gateway.clock.now();
+        self.gateway.fleet.borrow_mut().record_answered(id, *incarnation, now);
+    }
+
     /// Records that a piece of the answer was read.
     pub fn record_written(&self) {
+        self.record_answered();
         if let Some(run) = self.run.get() {
             self.gateway.runs.borrow_mut().record_written(run, self.gateway.clock.now());
         }
@@ -218,7 +226,7 @@
     };
     let (parts, body) = response.into_parts();
     let head = headers::read_answer(parts.status, &parts.headers);
-    gateway.fleet.borrow_mut().record_reached(&slot.server.id);
+    slot.record_answered();
     record_notices(
         gateway,
         call,
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -224,6 +224,28 @@
     expect_that!(listed(&["a", "b"]).is_stuck("a", 0, later), eq(false));
 }
 
+/// The sidecar beside a server may restart while the server goes on.
+#[googletest::test]
+fn server_that_answers_is_not_stuck_while_its_sidecar_is_silent() {
+    let start = Uptime::from_secs(10);
+    let after = |ms| start + Duration::from_millis(ms);
+    let mut fleet = fleet(&["a", "b"]);
+    for id in ["a", "b"] {
+        fleet.record_report(id, report(2), start);
+    }
+    fleet.record_answered("a", 0, after(600));
+    expect_that!(fleet.is_stuck("a", 0, after(1_200)), eq(false));
+    expect_that!(fleet.is_stuck("b", 0, after(1_200)), eq(true));
+    expect_that!(fleet.time_to_stuck("a", after(1_200)), some(eq(Duration::from_millis(100))));
+    // It has sent nothing since, either.
+    expect_that!(fleet.is_stuck("a", 0, after(1_300)), eq(true));
+    // A later incarnation proves that the earlier one has ended.
+    fleet.record_answered("a", 0, after(1_400));
+    fleet.record_report("a", LoadReport { incarnation: 2, ..report(0) }, after(1_500));
+    fleet.record_report("a", LoadReport { incarnation: 3, ..report(0) }, after(1_500));
+    expect_that!(fleet.is_stuck("a", 2, after(1_500)), eq(true));
+}
+
 #[googletest::test]
 fn a_server_is_stuck_from_the_predicted_moment() {
     let now = Uptime::from_secs(10);
@@ -321,7 +343,7 @@
         }
     }
     expect_that!(tries, eq(&vec![10_000, 11_000, 13_000, 17_000]));
-    fleet.record_reached("a");
+    fleet.record_answered("a", 0, Uptime::from_millis(17_900));
     expect_that!(choose(&fleet, Uptime::from_millis(18_000)), ok(eq("a")));
 }
 
