Count a stream's missed passes from its last event

A stream whose events are further apart than 0.3 s could be given up as silent when its server's sidecar came back from a restart: the passes were counted from the last report before its last event, so that a report after the restart showed all passes of that time at once.

passes_before_the_last_event_do_not_make_a_stream_silent failed before: one of six streams was moved to another server, which began it anew. Passes are now counted from the first report that was made after the last event.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -385,6 +385,14 @@
         status.is_silent(most_servers_report, self.reception_end(status, now), now)
     }
 
+    /// Returns the number of the last pass of a server's group in a report made after `since`. An
+    /// older report says nothing about the passes since then.
+    pub fn pass_after(&self, id: &str, since: Uptime) -> Option<u64> {
+        let status = self.statuses.get(id).filter(|status| status.from_sidecar)?;
+        let (at, report) = status.report.as_ref()?;
+        (*at > since).then_some(report.pass)
+    }
+
     /// Whether a request's stream delivers nothing although the server works: its group has made
     /// many passes since `pass`, each of which yields an event for every running request.
     /// `runs`: the request is known to run rather than wait.
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -30,6 +30,8 @@
 /// silent stream after two seconds.
 const STUCK_POLL_MAX: Duration = Duration::from_millis(300);
 const STUCK_POLL_MIN: Duration = Duration::from_millis(20);
+/// The same until a report shows which pass the server's group makes.
+const FIRST_PASS_POLL: Duration = Duration::from_millis(100);
 
 /// Maximum number of sends of a request beyond the attempts of its route. Sends after which the
 /// request has certainly not run don't count as attempts.
@@ -280,14 +282,16 @@
         return std::future::pending().await;
     }
     let id = &slot.server.id;
-    let pass = gateway.fleet.borrow().last_report(id).map(|report| report.pass);
+    let since = gateway.clock.now();
+    let mut pass = None;
     loop {
         let until_stuck = gateway.fleet.borrow().time_to_stuck(id, gateway.clock.now());
-        let pause =
-            until_stuck.map_or(STUCK_POLL_MAX, |until_stuck| until_stuck.max(STUCK_POLL_MIN));
-        time::sleep(pause.min(STUCK_POLL_MAX)).await;
+        let max = if pass.is_none() { FIRST_PASS_POLL } else { STUCK_POLL_MAX };
+        let pause = until_stuck.map_or(max, |until_stuck| until_stuck.max(STUCK_POLL_MIN));
+        time::sleep(pause.min(max)).await;
         let now = gateway.clock.now();
         let fleet = gateway.fleet.borrow();
+        pass = pass.or_else(|| fleet.pass_after(id, since));
         if fleet.is_stuck(id, slot.server.incarnation, now) {
             return "stuck";
         }
--- a/tests/testsuite/silent_server.rs
+++ b/tests/testsuite/silent_server.rs
@@ -1,12 +1,11 @@
 //! Guards against giving up answers that a server still makes: neither the silence of its sidecar
 //! nor a pause of its own is a failure of the server.
 
-use crate::{
-    gateway::{Script, TestFixture, answer, chunk, last_chunk, start_fixture, stream_head},
-    suspension::report,
-};
+use crate::gateway::{Script, TestFixture, answer, chunk, last_chunk, start_fixture, stream_head};
 use eyre::Result;
 use googletest::prelude::*;
+use mastweir::gateway::message::{Message, ServerReport};
+use mastweir_core::gateway::LoadReport;
 use mastweir_test_support::{
     scripted::{Act, Got},
     site::{Answer, exchange, request, wait_for},
@@ -21,12 +20,15 @@
     time::Duration,
 };
 use tokio::{
+    net::UdpSocket,
     task::{AbortHandle, JoinHandle},
     time,
 };
 
 /// Interval of events, shorter than any bound on silence.
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval of the passes of a server's group; twelve without an event make a stream silent.
+const PASS_INTERVAL: Duration = Duration::from_millis(50);
 /// Longer than any bound on silence.
 const PAUSE: Duration = Duration::from_millis(2_500);
 
@@ -35,8 +37,11 @@
 }
 
 fn events(numbers: RangeInclusive<u32>) -> Vec<Act> {
-    let acts = numbers.flat_map(|number| [chunk(&event(number)), Act::Wait(EVENT_INTERVAL)]);
-    acts.collect()
+    events_at(numbers, EVENT_INTERVAL)
+}
+
+fn events_at(numbers: RangeInclusive<u32>, interval: Duration) -> Vec<Act> {
+    numbers.flat_map(|number| [chunk(&event(number)), Act::Wait(interval)]).collect()
 }
 
 fn whole(last: u32) -> String {
@@ -49,6 +54,26 @@
     [vec![stream_head(got)], events(1..=4), paused, events(5..=8), vec![last_chunk()]].concat()
 }
 
+/// Sends the reports of a server's sidecar to a gateway, unless it is silenced.
+async fn report(
+    gateway: SocketAddr,
+    server: SocketAddr,
+    is_reporting: Arc<AtomicBool>,
+) -> Result<()> {
+    let socket = UdpSocket::bind("127.0.0.1:0").await?;
+    let start = time::Instant::now();
+    loop {
+        if is_reporting.load(Ordering::SeqCst) {
+            let passes = start.elapsed().as_millis() / PASS_INTERVAL.as_millis();
+            let pass = u64::try_from(passes)?;
+            let load = LoadReport { running: 1, group_open: true, pass, ..LoadReport::default() };
+            let report = Message::Report(ServerReport { server, load, coordinator: None });
+            socket.send_to(&postcard::to_stdvec(&report)?, gateway).await?;
+        }
+        time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// A gateway whose servers have sidecars, each of which can be silenced.
 struct Reporting {
     fixture: TestFixture,
@@ -69,7 +94,7 @@
         let (mut is_reporting, mut reports) = (Vec::new(), Vec::new());
         for server in &fixture.servers {
             let flag = Arc::new(AtomicBool::new(true));
-            let task = report(fixture.site.internal(0), vec![server.addr], flag.clone());
+            let task = report(fixture.site.internal(0), server.addr, flag.clone());
             reports.push(tokio::spawn(task).abort_handle());
             is_reporting.push(flag);
         }
@@ -92,6 +117,13 @@
         Ok(server)
     }
 
+    /// Silences all sidecars for a while.
+    async fn restart_sidecars(&self) {
+        self.is_reporting.iter().for_each(|flag| flag.store(false, Ordering::SeqCst));
+        time::sleep(Duration::from_millis(1_200)).await;
+        self.is_reporting.iter().for_each(|flag| flag.store(true, Ordering::SeqCst));
+    }
+
     fn request_count(&self) -> usize {
         self.fixture.servers.iter().map(|server| server.got().len()).sum()
     }
@@ -106,9 +138,7 @@
     let site = Reporting::start(vec![script(), script()]).await?;
     let calls = (0..6).map(|number| site.call("POST", "/stream/a", &format!("r-{number}")));
     let calls: Vec<_> = calls.collect();
-    site.is_reporting.iter().for_each(|flag| flag.store(false, Ordering::SeqCst));
-    time::sleep(Duration::from_millis(1_200)).await;
-    site.is_reporting.iter().for_each(|flag| flag.store(true, Ordering::SeqCst));
+    site.restart_sidecars().await;
     for call in calls {
         let reply = call.await??;
         expect_that!((reply.whole, reply.body.as_str()), eq((true, whole(50).as_str())));
@@ -117,6 +147,31 @@
     Ok(())
 }
 
+/// Passes that a group made before the last event of a stream say nothing about the stream.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn passes_before_the_last_event_do_not_make_a_stream_silent() -> Result<()> {
+    let script = || -> Script {
+        Box::new(|got| {
+            let events = events_at(1..=8, Duration::from_millis(400));
+            [vec![stream_head(got)], events, vec![last_chunk()]].concat()
+        })
+    };
+    let site = Reporting::start(vec![script(), script()]).await?;
+    let mut calls = Vec::new();
+    for number in 0..6 {
+        calls.push(site.call("POST", "/stream/a", &format!("r-{number}")));
+        time::sleep(Duration::from_millis(70)).await;
+    }
+    site.restart_sidecars().await;
+    for call in calls {
+        let reply = call.await??;
+        expect_that!((reply.whole, reply.body.as_str()), eq((true, whole(8).as_str())));
+    }
+    expect_that!(site.request_count(), eq(6));
+    Ok(())
+}
+
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_no_other_server_resumes_is_not_cut_for_a_pause() -> Result<()> {
--- a/tests/testsuite/suspension.rs
+++ b/tests/testsuite/suspension.rs
@@ -151,7 +151,7 @@
 }
 
 /// Sends the reports of the servers' sidecars to the gateway.
-pub async fn report(
+async fn report(
     gateway: SocketAddr,
     servers: Vec<SocketAddr>,
     is_sending: Arc<AtomicBool>,
