Await a silent server until another one has answered

Callers of a sound server that was silent for a second or so, and then went on, lost their answers: the gateway closed the connection as soon as it suspected the server, and asked for another server only then. Where the attempts, the retry budget, the route or the capacity of other servers forbade that, the stream was cut and other requests ended with 502 or 504. A server that went on while the next one was asked could not continue, either.

Silence is now a reason to ask another server as well, not to leave the first: whichever gives the next event, or the head of an answer, first is used and the other attempt is cancelled. If no other server may be asked, the first is awaited until its connection breaks, the deadline passes or the caller leaves. Each send counts as an attempt from its beginning, and against the retry budget as before.

--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -2,14 +2,16 @@
 //!
 //! Runs in the gateway's process. A failed attempt reports whether the request may have run:
 //! only a connection that never carried it, a server's statement that it did not run it, and an
-//! address that belongs to another server prove that it has not. The attempt is given up early
-//! if the server makes no progress and the request may be repeated.
+//! address that belongs to another server prove that it has not. If the server makes no progress and
+//! the request may be repeated, another server is asked as well, and the answer that comes first is
+//! used: silence does not prove that a server has failed.
 
 use super::{
     call::{Call, Progress},
     crash_probe::suspect_crash,
     server_notices::{ReceivedAnswer, record_notices},
     state::Gateway,
+    waiting::wait_for_server,
 };
 use crate::{
     net::http::{CallError, Connection},
@@ -18,10 +20,11 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode, body::Incoming, http::response::Parts};
 use mastweir_core::gateway::{
-    AttemptResult, AttemptState, Candidate, Fingerprint, Proof, Rate, RunEnd, RunId,
+    AttemptResult, AttemptState, Candidate, Fingerprint, NextAction, Proof, Rate, RunEnd, RunId,
+    next_action,
 };
 use slog::info;
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 use tokio::time;
 
 /// Several round trips. Short, as a machine that is down does not answer at all.
@@ -47,7 +50,7 @@
     pub body: Incoming,
     /// The connection that the body comes from.
     pub connection: Connection,
-    pub slot: SlotGuard,
+    pub slot: Rc<SlotGuard>,
 }
 
 /// Counts a request in its server's load from the choice of the server until the guard is dropped.
@@ -145,12 +148,11 @@
 pub async fn attempt(
     gateway: &Rc<Gateway>,
     call: &Call,
-    slot: SlotGuard,
+    slot: Rc<SlotGuard>,
     last_event: Option<&str>,
-    progress: &mut Progress,
+    progress: &Progress,
 ) -> Result<ServerAnswer, AttemptResult> {
-    progress.tried.push(slot.server.id.clone());
-    progress.send_delay.get_or_insert(call.age());
+    progress.record_chosen(&slot.server.id, call.age());
     let addr = slot.server.addr;
     let id = &slot.server.id;
     let idle = if call.route().is_repeatable() { gateway.server_pool.reuse(addr) } else { None };
@@ -172,6 +174,7 @@
         return Err(AttemptResult::NotRun(Proof::NeverSent));
     }
     slot.record_sent(call);
+    progress.record_sent();
     let added = AddedHeaders {
         remaining: call.time_left(),
         server_id: &slot.server.id,
@@ -189,31 +192,21 @@
         sent = gateway.clock.timeout_at(call.deadline, connection.send(request)) => sent,
         // The server drops it from its queue once the connection is closed.
         () = call.wait_until_quarantined(gateway) => {
-            progress.possible_runs += 1;
             gateway.metrics.count("attempts_failed_total", "quarantined");
             info!(gateway.log, "waiting attempt cancelled for a part of its prompt"; "id" => &call.head.id,
                 "server" => &slot.server.id, "parts" => call.parts_label());
             return Err(AttemptResult::Broken);
         }
-        reason = wait_until_stuck(gateway, call, &slot, false) => {
-            progress.possible_runs += 1;
-            slot.mark_failed();
-            gateway.metrics.count("attempts_failed_total", reason);
-            info!(gateway.log, "server makes no progress"; "id" => &call.head.id,
-                "server" => &slot.server.id, "reason" => reason,
-                "report_age_ms" => report_age_ms(gateway, id), "fingerprint" => %call.fingerprint());
-            return Err(AttemptResult::Broken);
-        }
     };
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(error)) if error.is_unsent() => {
             slot.record_end(RunEnd::NotRun);
+            progress.record_not_run();
             on_unreachable(gateway, call, &slot, &error);
             return Err(AttemptResult::NotRun(Proof::NeverSent));
         }
         Ok(Err(error)) => {
-            progress.possible_runs += 1;
             on_broken(gateway, call, &slot, &error);
             // A malformed answer comes from a server that runs.
             if !error.is_malformed() {
@@ -222,7 +215,6 @@
             return Err(AttemptResult::Broken);
         }
         Err(_) => {
-            progress.possible_runs += 1;
             return Err(AttemptResult::Broken);
         }
     };
@@ -236,7 +228,6 @@
         ReceivedAnswer { status: parts.status, head: &head, sent_at },
     );
     if !head.id.is_empty() && head.id != call.head.id {
-        progress.possible_runs += 1;
         slot.mark_failed();
         info!(gateway.log, "answer belongs to another request"; "id" => &call.head.id,
             "answer_id" => &head.id, "server" => &slot.server.id);
@@ -246,14 +237,74 @@
     if is_wrong_server || head.not_run {
         let proof = if is_wrong_server { Proof::WrongServer } else { Proof::Refused };
         slot.record_end(RunEnd::NotRun);
+        progress.record_not_run();
         on_refused(gateway, call, &slot, proof, &head);
         return Err(AttemptResult::NotRun(proof));
     }
-    progress.possible_runs += 1;
     slot.record_begun();
     Ok(ServerAnswer { parts, head, body, connection, slot })
 }
 
+/// Makes an attempt and, while its server makes no progress, one at another server. Returns the
+/// answer that comes first.
+///
+/// # Errors
+///
+/// The result of the first attempt, if neither was answered.
+pub async fn attempt_with_backup(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    slot: SlotGuard,
+    progress: &Progress,
+) -> Result<ServerAnswer, AttemptResult> {
+    let slot = Rc::new(slot);
+    let mut first = pin!(attempt(gateway, call, slot.clone(), None, progress));
+    let reason = tokio::select! {
+        biased;
+        result = &mut first => return result,
+        reason = wait_until_stuck(gateway, call, &slot, false) => reason,
+    };
+    info!(gateway.log, "server makes no progress"; "id" => &call.head.id,
+        "server" => &slot.server.id, "reason" => reason,
+        "report_age_ms" => report_age_ms(gateway, &slot.server.id),
+        "fingerprint" => %call.fingerprint());
+    let mut backup = pin!(back_up(gateway, call, progress));
+    tokio::select! {
+        biased;
+        result = &mut first => match result {
+            Ok(answer) => Ok(answer),
+            Err(result) => backup.await.ok_or(result),
+        },
+        answer = &mut backup => match answer {
+            Some(answer) => {
+                slot.mark_failed();
+                gateway.metrics.count("attempts_failed_total", reason);
+                Ok(answer)
+            }
+            None => first.await,
+        },
+    }
+}
+
+/// Makes an attempt at another server if the route, the retry budget and the servers' capacity
+/// allow it.
+async fn back_up(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    progress: &Progress,
+) -> Option<ServerAnswer> {
+    let result = AttemptResult::Broken;
+    let next = next_action(attempt_state(call, progress), result);
+    if next != NextAction::Retry || !may_retry(gateway, call, progress, result) {
+        return None;
+    }
+    let slot = wait_for_server(gateway, call, progress).await.ok()?;
+    if call.held(gateway).is_some() {
+        return None;
+    }
+    attempt(gateway, call, Rc::new(slot), None, progress).await.ok()
+}
+
 /// Returns the request's priority in its server's queue. A resumed stream goes first, since its
 /// caller waits for the next event. Where requests differ in urgency, it follows from the level.
 /// Elsewhere a retry after a refusal goes last, since it is late already.
@@ -316,7 +367,7 @@
     progress: &Progress,
     result: AttemptResult,
 ) -> bool {
-    let sends = u32::try_from(progress.tried.len()).unwrap_or(u32::MAX);
+    let sends = u32::try_from(progress.sends()).unwrap_or(u32::MAX);
     if sends >= call.route().attempts + EXTRA_SENDS {
         return false;
     }
@@ -337,8 +388,8 @@
     let route = call.route();
     AttemptState {
         repeatable: route.is_repeatable(),
-        may_have_run: progress.possible_runs > 0,
-        attempts_left: route.attempts.saturating_sub(progress.possible_runs),
+        may_have_run: progress.possible_runs() > 0,
+        attempts_left: route.attempts.saturating_sub(progress.possible_runs()),
         time_left: call.time_left(),
     }
 }
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -17,7 +17,12 @@
     },
     time::Uptime,
 };
-use std::{cell::OnceCell, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell, RefCell},
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 
 /// A request of a caller, with its body.
 #[derive(Debug)]
@@ -201,13 +206,53 @@
     }
 }
 
-/// The attempts at a request so far.
+/// The attempts at a request so far. Two of them may be under way at the same time.
 #[derive(Debug, Default)]
 pub struct Progress {
-    /// Servers that were chosen for the request.
-    pub tried: Vec<String>,
-    /// Sends after which the request may have run.
-    pub possible_runs: u32,
-    /// Time from the request's arrival to its first send.
-    pub send_delay: Option<Duration>,
+    tried: RefCell<Vec<String>>,
+    runs: Cell<u32>,
+    send_delay: Cell<Option<Duration>>,
+}
+
+impl Progress {
+    /// Records that a server was chosen for the request, `age` after its arrival.
+    pub fn record_chosen(&self, server: &str, age: Duration) {
+        self.tried.borrow_mut().push(server.to_owned());
+        self.send_delay.set(self.send_delay.get().or(Some(age)));
+    }
+
+    /// Records that the request is being sent, so that it may run.
+    pub fn record_sent(&self) {
+        self.runs.set(self.runs.get() + 1);
+    }
+
+    /// Records that a request that was sent has certainly not run.
+    pub fn record_not_run(&self) {
+        self.runs.set(self.runs.get().saturating_sub(1));
+    }
+
+    /// Returns the servers that were chosen for the request.
+    pub fn tried(&self) -> Vec<String> {
+        self.tried.borrow().clone()
+    }
+
+    /// Returns the server that was chosen last.
+    pub fn last_tried(&self) -> Option<String> {
+        self.tried.borrow().last().cloned()
+    }
+
+    /// Returns the number of servers that were chosen for the request.
+    pub fn sends(&self) -> usize {
+        self.tried.borrow().len()
+    }
+
+    /// Returns the number of sends after which the request may have run.
+    pub fn possible_runs(&self) -> u32 {
+        self.runs.get()
+    }
+
+    /// Returns the time from the request's arrival to its first send.
+    pub fn send_delay(&self) -> Option<Duration> {
+        self.send_delay.get()
+    }
 }
--- a/src/mastweir/gateway/final_answer.rs
+++ b/src/mastweir/gateway/final_answer.rs
@@ -49,7 +49,7 @@
     }
     let retry_after = retry_after(gateway, call, refusal);
     info!(gateway.log, "no server found"; "id" => &call.head.id, "service" => &call.service,
-        "reason" => reason, "tried" => progress.tried.join(","),
+        "reason" => reason, "tried" => progress.tried().join(","),
         "returned" => call.is_retry, "left_ms" => call.time_left().as_millis() as u64,
         "waited_ms" => call.age().as_millis() as u64, "level" => call.level.rank,
         "outage_ms" => outage.map(|outage| outage.age.as_millis() as u64),
@@ -66,7 +66,7 @@
             gateway.metrics.count("refusals_total", "quarantined");
             info!(gateway.log, "quarantined request refused"; "id" => &call.head.id, "ends" => quarantine.crashes, "proved" => quarantine.confirmed,
                 "fingerprint" => %call.fingerprint(), "age_ms" => quarantine.age.as_millis() as u64,
-                "tried" => progress.tried.join(","));
+                "tried" => progress.tried().join(","));
             if quarantine.confirmed { QUARANTINE_DURATION } else { RETRY_AFTER_PROBES }
         }
         Held::Prompt(hold) => {
@@ -76,7 +76,7 @@
                 "reason" => reason, "part" => %hold.part, "crashes" => hold.crashes,
                 "suspects" => hold.suspects, "parts" => call.parts_label(),
                 "remaining_ms" => hold.remaining.as_millis() as u64,
-                "tried" => progress.tried.join(","));
+                "tried" => progress.tried().join(","));
             hold.remaining
         }
     };
@@ -84,8 +84,8 @@
 }
 
 /// Returns how a request ends that is not sent to another server.
-pub const fn end_action(progress: &Progress) -> NextAction {
-    if progress.possible_runs > 0 { NextAction::EndUnknown } else { NextAction::EndNotRun }
+pub fn end_action(progress: &Progress) -> NextAction {
+    if progress.possible_runs() > 0 { NextAction::EndUnknown } else { NextAction::EndNotRun }
 }
 
 /// Returns the gateway's own final answer to a request. `retry_after` is sent only if the request
@@ -137,7 +137,7 @@
     info!(gateway.log, "request"; "id" => &call.head.id, "route" => &call.route().name,
         "outcome" => outcome, "status" => status.as_u16(), "took_ms" => took.as_millis() as u64,
         "late" => if took.as_millis() > u128::from(call.route().objective_ms) { "yes" } else { "no" },
-        "waited_ms" => progress.send_delay.map(|delay| delay.as_millis() as u64),
-        "sends" => progress.tried.len(), "server" => progress.tried.last(),
+        "waited_ms" => progress.send_delay().map(|delay| delay.as_millis() as u64),
+        "sends" => progress.sends(), "server" => progress.last_tried(),
         "config" => call.active.config.version);
 }
--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -6,7 +6,7 @@
 //! answers to `plain_answer`.
 
 use super::{
-    attempt::{ServerAnswer, attempt, attempt_state, may_retry},
+    attempt::{ServerAnswer, attempt_state, attempt_with_backup, may_retry},
     bodies::{ReadError, read_request},
     call::{Call, Progress},
     caller::Caller,
@@ -163,7 +163,7 @@
     gateway.count_request(&call.service);
     let mut call = Rc::new(call);
     let in_flight = Rc::new(in_flight);
-    let mut progress = Progress::default();
+    let progress = Progress::default();
     loop {
         if call.transfer.is_ended() {
             return end(gateway, &call, &progress, end_action(&progress), RETRY_AFTER_FULL);
@@ -187,7 +187,7 @@
             Ok(slot) => slot,
             Err(refusal) => return no_server(gateway, &call, &progress, refusal),
         };
-        let attempted = attempt(gateway, &call, slot, None, &mut progress);
+        let attempted = attempt_with_backup(gateway, &call, slot, &progress);
         let Some(attempted) = call.transfer.unless_ended(attempted).await else {
             // The server has got a part of the request.
             return end(gateway, &call, &progress, NextAction::EndUnknown, RETRY_AFTER_FULL);
@@ -210,7 +210,7 @@
         if next_action(state, result) == NextAction::Retry {
             if may_retry(gateway, &call, &progress, result) {
                 info!(gateway.log, "retrying request at another server"; "id" => &call.head.id, "after" => ?result,
-                    "tried" => progress.tried.join(","), "left_ms" => call.time_left().as_millis() as u64);
+                    "tried" => progress.tried().join(","), "left_ms" => call.time_left().as_millis() as u64);
                 continue;
             }
             if let Some(held) = call.held(gateway) {
--- a/src/mastweir/gateway/mod.rs
+++ b/src/mastweir/gateway/mod.rs
@@ -3,9 +3,9 @@
 //! Each instance runs one gateway process with one thread. `listen` accepts connections; `forward`
 //! finds the route, customer and server of a request (`call`), for which it may have to wait
 //! (`waiting`), and makes one or more attempts (`attempt`) until there is a final answer
-//! (`plain_answer`, `final_answer`); `stream` forwards streams of events and resumes them at another
-//! server if they break. `bodies` and `memory` bound the memory of all bodies, and `caller` cuts
-//! callers that do not read. `crash_probe` finds out whether a server
+//! (`plain_answer`, `final_answer`); `stream` forwards streams of events, and `resumption` resumes
+//! them at another server if they break or stall. `bodies` and `memory` bound the memory of all
+//! bodies, and `caller` cuts callers that do not read. `crash_probe` finds out whether a server
 //! crashed under a request.
 //!
 //! The gateway's view of the fleet comes from three sources: the platform's store (`watch`,
@@ -40,6 +40,7 @@
 mod prompt_suspects;
 mod quarantine;
 mod relay;
+mod resumption;
 mod return_times;
 mod server_notices;
 mod service_outages;
--- a/src/mastweir/gateway/plain_answer.rs
+++ b/src/mastweir/gateway/plain_answer.rs
@@ -157,7 +157,7 @@
 struct Upstream {
     body: Incoming,
     connection: Connection,
-    slot: SlotGuard,
+    slot: Rc<SlotGuard>,
     keep_alive: Option<Duration>,
 }
 
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -1,32 +1,28 @@
 //! Forwards a stream of events from a server to its caller, in the gateway's process.
 //!
-//! Only whole events are forwarded. If the server's connection breaks or the server makes no
-//! progress, the request is sent to another server with the id of the last forwarded event, and
-//! the stream continues there. If that fails, the caller's connection is closed without the end
-//! of the body, so that the caller can tell that the stream is incomplete.
+//! Only whole events are forwarded. If the server's connection breaks, the request is sent to
+//! another server with the id of the last forwarded event, and the stream continues there. If that
+//! fails, the caller's connection is closed without the end of the body, so that the caller can tell
+//! that the stream is incomplete.
+//!
+//! A server that makes no progress may have failed, or may go on. So the stream is resumed at
+//! another server while the connection to the first one is kept, and whichever delivers the next
+//! event first continues the stream. If no other server may resume it, the first one is awaited.
 
 use super::{
-    attempt::{ServerAnswer, SlotGuard, attempt, may_retry, report_age_ms, wait_until_stuck},
+    attempt::{ServerAnswer, report_age_ms, wait_until_stuck},
     call::{Call, Progress},
     crash_probe::suspect_crash,
-    final_answer::refusal_label,
     in_flight::InFlight,
-    permits::choose_until,
+    resumption::{Read, ResumeDenied, Resumed, StallEnd, Upstream, may_resume, race, resume},
     state::Gateway,
 };
-use crate::{net::http::Connection, platform::headers};
+use crate::platform::headers;
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
-use http_body_util::{BodyExt, Either, Full, StreamBody};
-use hyper::{
-    Response, StatusCode,
-    body::{Frame, Incoming},
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-};
-use mastweir_core::{
-    gateway::{AttemptResult, BodyKind, EventSplitter, LoadReport, Refusal, StreamTiming},
-    time::Uptime,
-};
+use http_body_util::{Either, Full, StreamBody};
+use hyper::{Response, StatusCode, body::Frame};
+use mastweir_core::gateway::{BodyKind, EventSplitter, LoadReport, StreamTiming};
 use slog::info;
 use std::{pin::Pin, rc::Rc, time::Duration};
 
@@ -37,15 +33,7 @@
 /// An answer to a caller.
 pub type Reply = Response<Either<Full<Bytes>, StreamReply>>;
 
-/// Highest load, as a fraction of its slots, of a server that may resume a stream. Resumed streams
-/// have priority over new requests.
-const RESUME_MAX_LOAD: f64 = 2.5;
-
-/// Longest wait for a permit if only rate-limited servers could resume a stream. Callers
-/// disconnect two seconds after the last event.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1_000);
-
-/// Reason for a failover: the server's connection broke.
+/// Reason for an interruption: the server's connection broke.
 const BROKEN: &str = "broken";
 
 /// A stream that can't be finished. Ends the caller's connection before the end of the body.
@@ -53,42 +41,6 @@
 #[error("stream incomplete; send the request again with the id of the last event")]
 pub struct StreamIncomplete;
 
-/// Why a stream is not continued at another server.
-#[derive(Clone, Copy, Debug, thiserror::Error)]
-enum ResumeDenied {
-    #[error("its route does not allow it; set stream_resume if its servers can resume")]
-    Route,
-    #[error("all attempts are used up; raise max_attempts to allow more")]
-    Attempts,
-    #[error("no retry is allowed; see retries_denied_total")]
-    Retry,
-    #[error("no server has capacity: {}", refusal_label(*.0))]
-    NoServer(Refusal),
-}
-
-impl ResumeDenied {
-    /// Name in logs and metrics.
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Route => "route",
-            Self::Attempts => "attempts",
-            Self::Retry => "retry",
-            Self::NoServer(_) => "no_server",
-        }
-    }
-}
-
-struct Upstream {
-    body: Incoming,
-    connection: Connection,
-    slot: SlotGuard,
-    keep_alive: Option<Duration>,
-    /// Whether the end of the body can be told from the end of the connection.
-    is_framed: bool,
-    /// When the head of the answer was read.
-    begun: Uptime,
-}
-
 struct StreamForwarder {
     gateway: Rc<Gateway>,
     call: Rc<Call>,
@@ -119,7 +71,7 @@
 ) -> Reply {
     let head = headers::for_caller(&answer.parts.headers);
     let events = EventSplitter::after(call.head.last_event.clone());
-    let upstream = Some(to_upstream(answer, gateway.clock.now()));
+    let upstream = Some(Upstream::new(answer, gateway.clock.now()));
     let timing = StreamTiming::new(gateway.clock.now(), call.age());
     let forwarder = StreamForwarder {
         gateway,
@@ -151,55 +103,32 @@
     reply
 }
 
-fn to_upstream(answer: ServerAnswer, begun: Uptime) -> Upstream {
-    let headers = &answer.parts.headers;
-    let is_framed = headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
-    Upstream {
-        is_framed,
-        begun,
-        body: answer.body,
-        connection: answer.connection,
-        slot: answer.slot,
-        keep_alive: answer.head.keep_alive,
-    }
-}
-
 impl StreamForwarder {
     /// Returns the next whole events or the end of the stream, after failovers where needed.
     async fn next(&mut self) -> Chunk {
         loop {
-            // A server that crashes may close its connection before the first event.
-            let has_begun = self.events.last_id().is_some();
             let Some(upstream) = &mut self.upstream else { return Chunk::Incomplete };
-            let frame = tokio::select! {
-                frame = self.call.clock.timeout_at(self.call.deadline, upstream.body.frame()) => frame,
-                reason = wait_until_stuck(&self.gateway, &self.call, &upstream.slot, true) => {
-                    if let Err(denial) = self.fail_over(reason).await {
-                        return self.abort_unresumed(denial);
-                    }
-                    continue;
+            let can_resume = may_resume(&self.call, &self.progress).is_ok();
+            let slot = upstream.slot.clone();
+            let read = tokio::select! {
+                biased;
+                read = upstream.read(&self.call, &mut self.events) => read,
+                reason = wait_until_stuck(&self.gateway, &self.call, &slot, true), if can_resume => {
+                    self.resume_or_wait(reason).await
                 }
             };
-            match frame {
-                Err(_) => return self.abort("late"),
-                Ok(Some(Ok(frame))) => {
-                    let Some(bytes) = frame.data_ref() else { continue };
-                    let events = self.events.push(bytes);
-                    if !events.is_empty() {
-                        upstream.slot.record_written();
-                        self.record_event();
-                        return Chunk::Events(events.into());
-                    }
-                    if self.events.is_oversized() {
-                        return self.abort("oversized event");
-                    }
-                }
-                Ok(None) if self.events.is_at_boundary() && (upstream.is_framed || has_begun) => {
-                    return self.finish();
+            match read {
+                Read::Events(bytes) => {
+                    self.record_event();
+                    return Chunk::Events(bytes);
                 }
-                Ok(None) | Ok(Some(Err(_))) => {
-                    if let Err(denial) = self.fail_over(BROKEN).await {
-                        return self.abort_unresumed(denial);
+                Read::End => return self.finish(),
+                Read::Late => return self.abort("late"),
+                Read::Oversized => return self.abort("oversized event"),
+                Read::Broken => {
+                    if let Err(denied) = self.fail_over().await {
+                        self.log_denied(denied);
+                        return self.abort("not resumed");
                     }
                 }
             }
@@ -245,11 +174,11 @@
         let slowest = self.slowest_report.as_ref();
         info!(self.gateway.log, "stream timing"; "id" => &self.call.head.id, "late" => late,
             "end" => end, "route" => &route.name,
-            "waited_ms" => self.progress.send_delay.map(|delay| delay.as_millis() as u64),
+            "waited_ms" => self.progress.send_delay().map(|delay| delay.as_millis() as u64),
             "first_ms" => first.map(|first| first.as_millis() as u64),
             "pause_ms" => self.timing.longest_gap().as_millis() as u64,
             "pause_at_ms" => self.timing.longest_gap_end().as_millis() as u64,
-            "server" => self.progress.tried.last(),
+            "server" => self.progress.last_tried(),
             "group" => slowest.and_then(|report| report.group.clone()),
             "pass" => slowest.map(|report| report.pass), "pass_ms" => slowest.map(|report| report.pass_ms),
             "running" => slowest.map(|report| report.running),
@@ -270,12 +199,11 @@
         Chunk::End
     }
 
-    fn abort_unresumed(&mut self, denial: ResumeDenied) -> Chunk {
-        self.gateway.metrics.count("streams_not_resumed_total", denial.label());
+    fn log_denied(&self, denied: ResumeDenied) {
+        self.gateway.metrics.count("streams_not_resumed_total", denied.label());
         info!(self.gateway.log, "stream not resumed"; "id" => &self.call.head.id,
-            "reason" => denial.label(), "runs" => self.progress.possible_runs,
-            "error" => %denial);
-        self.abort("not resumed")
+            "reason" => denied.label(), "runs" => self.progress.possible_runs(),
+            "error" => %denied);
     }
 
     fn abort(&mut self, reason: &'static str) -> Chunk {
@@ -283,63 +211,96 @@
         self.gateway.metrics.count("streams_total", "cut");
         self.log_timing("cut");
         info!(self.gateway.log, "stream cut"; "id" => &self.call.head.id, "reason" => reason,
-            "last_event" => self.events.last_id(), "tried" => self.progress.tried.join(","),
+            "last_event" => self.events.last_id(), "tried" => self.progress.tried().join(","),
             "took_ms" => self.call.age().as_millis() as u64);
         Chunk::Incomplete
     }
 
-    /// Leaves a server whose stream broke or stalled, and resumes the stream at another one.
-    async fn fail_over(&mut self, reason: &'static str) -> Result<(), ResumeDenied> {
-        if let Some(upstream) = self.upstream.take() {
-            upstream.slot.mark_failed();
-            let now = self.gateway.clock.now();
-            self.gateway.metrics.count("streams_interrupted_total", reason);
-            info!(self.gateway.log, "stream interrupted"; "id" => &self.call.head.id,
-                "server" => &upstream.slot.server.id, "reason" => reason,
-                "fingerprint" => %self.call.fingerprint(), "parts" => self.call.parts_label(),
-                "head_ms" => now.since(upstream.begun).as_millis() as u64,
-                "gap_ms" => self.timing.gap(now).as_millis() as u64,
-                "report_age_ms" => report_age_ms(&self.gateway, &upstream.slot.server.id),
-                "last_event" => self.events.last_id());
-            if reason == BROKEN {
-                suspect_crash(&self.gateway, &self.call, &upstream.slot.server).await;
-            }
+    /// Leaves a server whose connection broke, and resumes the stream at another one.
+    async fn fail_over(&mut self) -> Result<(), ResumeDenied> {
+        if let Some(broken) = self.upstream.take() {
+            self.leave(&broken, BROKEN);
+            suspect_crash(&self.gateway, &self.call, &broken.slot.server).await;
         }
-        self.resume().await
+        self.events.discard_partial();
+        let last = self.events.last_id();
+        let upstream = resume(&self.gateway, &self.call, &self.progress, last).await?;
+        self.resumed += 1;
+        self.upstream = Some(upstream);
+        Ok(())
     }
 
-    /// Continues the stream at another server after the last whole event.
-    async fn resume(&mut self) -> Result<(), ResumeDenied> {
-        self.events.discard_partial();
-        if !self.call.route().resumable {
-            return Err(ResumeDenied::Route);
-        }
-        let mut result = AttemptResult::Broken;
-        while self.progress.possible_runs < self.call.route().attempts {
-            if !may_retry(&self.gateway, &self.call, &self.progress, result) {
-                return Err(ResumeDenied::Retry);
+    /// Resumes the stream at another server, but keeps the connection to the present one until an
+    /// event has come from the other. Returns what comes first.
+    async fn resume_or_wait(&mut self, reason: &'static str) -> Read {
+        self.log_stalled(reason);
+        let Some(stalled) = &mut self.upstream else { return Read::Broken };
+        let race = race(&self.gateway, &self.call, &self.progress, stalled, &mut self.events);
+        match race.await {
+            StallEnd::Continued(read) => {
+                self.log_stall_end("continued");
+                read
+            }
+            StallEnd::Resumed(resumed) => {
+                self.log_stall_end("resumed");
+                self.switch(*resumed, reason)
             }
-            let tried = &self.progress.tried;
-            let until = self.gateway.clock.now() + RESUME_TIMEOUT.min(self.call.time_left());
-            let needs = self.call.requirements(tried, RESUME_MAX_LOAD);
-            let chosen = choose_until(&self.gateway, needs, until).await;
-            let server = chosen.map_err(ResumeDenied::NoServer)?;
-            let slot = SlotGuard::acquire(&self.gateway, server);
-            let last = self.events.last_id().map(str::to_owned);
-            let answered =
-                attempt(&self.gateway, &self.call, slot, last.as_deref(), &mut self.progress);
-            match answered.await {
-                Ok(answer) if answer.parts.status == StatusCode::OK => {
-                    info!(self.gateway.log, "stream resumed"; "id" => &self.call.head.id,
-                        "last_event" => last, "server" => &answer.slot.server.id);
-                    self.resumed += 1;
-                    self.upstream = Some(to_upstream(answer, self.gateway.clock.now()));
-                    return Ok(());
+            StallEnd::Denied(denied) => {
+                self.log_denied(denied);
+                let Some(stalled) = &mut self.upstream else { return Read::Broken };
+                let read = stalled.read(&self.call, &mut self.events).await;
+                self.log_stall_end("awaited");
+                read
+            }
+            StallEnd::Broken(resumed) => {
+                self.log_stall_end("broken");
+                if let Some(broken) = self.upstream.take() {
+                    self.leave(&broken, BROKEN);
                 }
-                Ok(_) => result = AttemptResult::Failed,
-                Err(failure) => result = failure,
+                resumed.map_or(Read::Broken, |resumed| self.switch(*resumed, BROKEN))
             }
         }
-        Err(ResumeDenied::Attempts)
+    }
+
+    /// Continues with a server that has resumed the stream.
+    fn switch(&mut self, resumed: Resumed, reason: &'static str) -> Read {
+        if let Some(stalled) = self.upstream.replace(resumed.upstream) {
+            self.leave(&stalled, reason);
+        }
+        self.events = resumed.events;
+        self.resumed += 1;
+        resumed.read
+    }
+
+    fn log_stalled(&self, reason: &'static str) {
+        let Some(upstream) = &self.upstream else { return };
+        let server = &upstream.slot.server.id;
+        self.gateway.metrics.count("streams_stalled_total", reason);
+        info!(self.gateway.log, "stream stalled"; "id" => &self.call.head.id,
+            "server" => server, "reason" => reason,
+            "gap_ms" => self.timing.gap(self.gateway.clock.now()).as_millis() as u64,
+            "report_age_ms" => report_age_ms(&self.gateway, server),
+            "last_event" => self.events.last_id());
+    }
+
+    fn log_stall_end(&self, outcome: &'static str) {
+        self.gateway.metrics.count("stalls_ended_total", outcome);
+        info!(self.gateway.log, "stall ended"; "id" => &self.call.head.id, "outcome" => outcome,
+            "gap_ms" => self.timing.gap(self.gateway.clock.now()).as_millis() as u64);
+    }
+
+    /// Records that a server failed to continue the stream.
+    fn leave(&self, upstream: &Upstream, reason: &'static str) {
+        let server = &upstream.slot.server.id;
+        upstream.slot.mark_failed();
+        let now = self.gateway.clock.now();
+        self.gateway.metrics.count("streams_interrupted_total", reason);
+        info!(self.gateway.log, "stream interrupted"; "id" => &self.call.head.id,
+            "server" => server, "reason" => reason,
+            "fingerprint" => %self.call.fingerprint(), "parts" => self.call.parts_label(),
+            "head_ms" => now.since(upstream.begun).as_millis() as u64,
+            "gap_ms" => self.timing.gap(now).as_millis() as u64,
+            "report_age_ms" => report_age_ms(&self.gateway, server),
+            "last_event" => self.events.last_id());
     }
 }
--- a/src/mastweir/gateway/waiting.rs
+++ b/src/mastweir/gateway/waiting.rs
@@ -264,8 +264,8 @@
         let status = WaitStatus { refusal: None, end, tries: 0, outcome: None };
         Self {
             call: call.clone(),
-            tried: progress.tried.clone(),
-            is_first_send: progress.send_delay.is_none(),
+            tried: progress.tried(),
+            is_first_send: progress.send_delay().is_none(),
             since: gateway.clock.now(),
             status: RefCell::new(status),
             changed: Notify::new(),
