Test: answers beside a stop and a change of the configuration

Neither loses a request today, which nothing guarded: an answer outlives its route, the customer's key and the service, and a stopping gateway answers each request that it sent to a server, also on connections that their callers keep. In the second test 24 callers send on kept connections until the gateway refuses connections.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod incarnations;
 mod limited_server;
 mod log_analysis;
+mod lost_answers;
 mod lost_watch;
 mod map_change;
 mod map_change_world;
