Requests that wait for a server are refused before a stop ends

Callers whose request waited in a gateway's queue when it stopped got a closed connection in place of an answer, though no server had got the request and it could have been refused. The queue did not know of the stop: a request waits for a fifth of its objective, which may be longer than the grace time, and at the end of that the process cut it.

The queue now ends all waits 0.4 s before connections are cut. What no server has got is refused with 503 and a time to return.

The test failed before: "Actual: 0, which isn't equal to 503", where 0 stands for no answer.

--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -3,7 +3,8 @@
 //!
 //! A planned stop has three phases within the grace time: the gateway reports that it is not ready
 //! until the balancer has taken it out, then it stops accepting connections, and then it waits for
-//! the open ones to end.
+//! the open ones to end. Shortly before the end of the grace time it refuses the requests that still
+//! wait for a server, so that their callers get an answer.
 
 use super::{
     caller::Caller,
@@ -34,6 +35,9 @@
 const UNREADY_DURATION: Duration = Duration::from_millis(2_600);
 /// Part of the grace time that is left for the process to exit.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the grace time before it in which the answers to requests that still wait for a server
+/// are written.
+const WAITS_MARGIN: Duration = Duration::from_millis(400);
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval of checks whether a connection that is to be closed is idle.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(150);
@@ -93,8 +97,10 @@
     task::spawn_local(accept(gateway.clone(), caller_listener, closed));
     stop.await;
     let grace = gateway.settings.borrow().bounds.grace;
-    let deadline = time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
+    let serving = grace.saturating_sub(STOP_MARGIN);
+    let deadline = time::Instant::now() + serving;
     gateway.stopping.set(true);
+    gateway.waits_end.set(Some(gateway.clock.now() + serving.saturating_sub(WAITS_MARGIN)));
     info!(gateway.log, "gateway stopping"; "held" => gateway.in_flight.get(),
         "connections" => gateway.connections.get());
     time::sleep(UNREADY_DURATION.min(grace / 2)).await;
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -148,6 +148,8 @@
     pub connections: Cell<usize>,
     /// Whether a planned stop has begun.
     pub stopping: Cell<bool>,
+    /// When a planned stop ends the waits of requests for a server.
+    pub waits_end: Cell<Option<Uptime>>,
     active: RefCell<Option<Rc<ActiveConfig>>>,
     retries: RefCell<HashMap<String, RetryWindow>>,
 }
@@ -201,6 +203,7 @@
             accept_limit: Cell::default(),
             connections: Cell::new(0),
             stopping: Cell::new(false),
+            waits_end: Cell::new(None),
             active: RefCell::default(),
             retries: RefCell::default(),
             settings: options.settings.clone(),
--- a/src/mastweir/gateway/waiting.rs
+++ b/src/mastweir/gateway/waiting.rs
@@ -4,7 +4,7 @@
 //! enters the queue ([`WaitQueue`], which decides on the order). The task [`run`] tries the waiting
 //! requests in order when servers may have capacity again. Each request ends its own wait at its
 //! limit, so none waits longer even if the task is behind, and is removed by a guard if its caller
-//! leaves.
+//! leaves. Near the end of a planned stop all waits end, as the connections are about to be cut.
 
 use super::{
     attempt::SlotGuard,
@@ -194,6 +194,11 @@
     waiter.finish(gateway, outcome, Err(refusal));
 }
 
+/// Whether a planned stop is about to cut the callers' connections.
+fn is_stop_near(gateway: &Gateway) -> bool {
+    gateway.waits_end.get().is_some_and(|end| gateway.clock.now() >= end)
+}
+
 /// Finds servers for waiting requests. Does not return.
 pub async fn run(gateway: Rc<Gateway>) {
     let state = &gateway.waiting;
@@ -234,6 +239,11 @@
         // The request may have ended its wait since the order was made.
         let waiter = state.waiters.borrow().get(&ticket).cloned();
         let Some(waiter) = waiter.filter(|waiter| !waiter.has_outcome()) else { continue };
+        if is_stop_near(gateway) {
+            let refusal = waiter.status.borrow().refusal.unwrap_or(Refusal::Full);
+            refuse(gateway, ticket, &waiter, "stopped", refusal);
+            continue;
+        }
         let call = &waiter.call;
         let is_model = call.is_model();
         let is_unrestricted = waiter.tried.is_empty() && call.has_no_homes();
--- a/tests/testsuite/lost_answers.rs
+++ b/tests/testsuite/lost_answers.rs
@@ -1,12 +1,12 @@
 //! Guards against requests that end without a complete answer although their servers are sound,
 //! beside a planned stop or a change of the configuration.
 
-use crate::gateway::{Script, answer, chunk, last_chunk, start_fixture, stream_head};
+use crate::gateway::{Script, TestFixture, answer, chunk, last_chunk, start_fixture, stream_head};
 use eyre::Result;
 use googletest::prelude::*;
 use mastweir_test_support::{
     scripted::{Act, Got},
-    site::{Answer, Site, exchange, parse, request, wait_for},
+    site::{Answer, Site, exchange, parse, request, route, wait_for},
 };
 use serde_json::json;
 use std::{
@@ -21,6 +21,8 @@
     time,
 };
 
+/// Longer than a server without an entry is a last resort.
+const LAST_RESORT: Duration = Duration::from_millis(2_200);
 /// Pause between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 /// Number of events of a stream that lasts longer than a sidecar may be silent.
@@ -84,6 +86,40 @@
     Ok(())
 }
 
+/// Starts a gateway whose route and requests have a minute, and a server that never answers.
+async fn start_patient() -> Result<TestFixture> {
+    let fixture = start_fixture(vec![Box::new(|_| vec![Act::Hang])]).await?;
+    let mut route = route("/patient/", "safe");
+    route["timeout_ms"] = json!(60_000);
+    route["target_latency_ms"] = json!(60_000);
+    fixture.site.configure(2, &[route]);
+    let callers = fixture.gateway.callers;
+    wait_for(async || {
+        let more = "Request-Deadline: 100\r\n";
+        let reply = exchange(callers, &request("GET", "/patient/a", "r-0", more, "")).await;
+        reply.is_ok_and(|reply| reply.status == 504)
+    })
+    .await?;
+    Ok(fixture)
+}
+
+/// A request that still waits for a server when its gateway ends is refused.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_waits_at_the_end_of_a_stop_is_refused() -> Result<()> {
+    let mut fixture = start_patient().await?;
+    fixture.site.platform.remove("servers", "i-0");
+    time::sleep(LAST_RESORT).await;
+    let waiting = call(fixture.gateway.callers, "GET", "/patient/a", "r-1");
+    time::sleep(Duration::from_millis(300)).await;
+    fixture.gateway.ask_to_stop();
+    fixture.gateway.ended().await?;
+    let reply = waiting.await??;
+    expect_that!(reply.status, eq(503));
+    expect_that!(reply.header("retry-after"), some(anything()));
+    Ok(())
+}
+
 /// Reads one answer with a length from a connection that is kept.
 async fn read_answer(stream: &mut TcpStream) -> Option<Answer> {
     let mut read = Vec::new();
