The end of a server that was leaving is no crash

A caller whose stream was broken off by two servers that left as planned got it cut, although a third server could go on, and for an hour each repetition of the request was refused in all gateways. A server that leaves ends some time after it has said so, or after its entry has gone, and breaks off what still runs there. Its port then refuses connections, which the gateway took for a crash under each of these requests; two such crashes quarantine a request that was never completed.

A server that is leaving, or that is no longer listed, is not suspected now. It gets no requests, so that the crash of a harmful one goes uncounted only if that was sent just before.

The test failed before: "Value of: (reply.status, reply.whole), Actual: (200, false), which isn't equal to (200, true)". The tests of crashing requests and prompts pass.

--- a/crates/mastweir-core/src/gateway/exclusions.rs
+++ b/crates/mastweir-core/src/gateway/exclusions.rs
@@ -8,7 +8,7 @@
 //! [`ServerNotices`]: super::server_notices::ServerNotices
 
 use super::{
-    directory::Server,
+    directory::{Server, ServerState},
     evacuations::EvacuationList,
     fleet::Fleet,
     homes::Homes,
@@ -85,6 +85,13 @@
         exclusion.or_else(|| is_limited().then(|| Exclusion::Limited(self.permits.wait(id, now))))
     }
 
+    /// Whether a server is about to end as planned: it has stated so, or its entry is gone.
+    pub fn is_leaving(&self, id: &str, now: Uptime) -> bool {
+        let server = self.registry.server(id);
+        let is_ready = server.is_some_and(|server| server.state == ServerState::Ready);
+        !is_ready || self.exclusion(id, now) == Some(Exclusion::Leaving)
+    }
+
     /// Whether a server is in a home of a request.
     pub(super) fn is_in_home(&self, server: &Server, homes: Homes<'_>) -> bool {
         homes.include(&server.hall, &self.regions)
--- a/src/mastweir/gateway/crash_probe.rs
+++ b/src/mastweir/gateway/crash_probe.rs
@@ -32,11 +32,15 @@
 
 /// Records that a server may have crashed under a request, and probes the server. The suspicion is
 /// cleared if the server turns out to run. A request that may be repeated waits for the first
-/// probe; probing continues if its caller disconnects.
+/// probe; probing continues if its caller disconnects. The end of a server that was leaving is no
+/// crash.
 pub async fn suspect_crash(gateway: &Rc<Gateway>, call: &Call, server: &Candidate) {
+    let now = gateway.clock.now();
+    if gateway.fleet.borrow().is_leaving(&server.id, now) {
+        return;
+    }
     let request = call.fingerprint();
     let incarnation = Fingerprint::of_incarnation(&server.id);
-    let now = gateway.clock.now();
     gateway.suspects.borrow_mut().add_suspect(request, incarnation, now);
     let (is_new, first) = gateway.pending_probes.add(&server.id, request);
     if is_new {
--- a/tests/testsuite/lost_answers.rs
+++ b/tests/testsuite/lost_answers.rs
@@ -5,7 +5,7 @@
 use eyre::Result;
 use googletest::prelude::*;
 use mastweir_test_support::{
-    scripted::{Act, Got},
+    scripted::{Act, Got, Scripted},
     site::{Answer, Site, exchange, parse, request, route, wait_for},
 };
 use serde_json::json;
@@ -182,3 +182,44 @@
     expect_that!(lost, is_empty());
     Ok(())
 }
+
+/// A server that leaves may end in the middle of an answer. That is no crash under the request.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_outlives_servers_that_leave() -> Result<()> {
+    let script = || -> Script {
+        Box::new(|got| match got.header("last-event-id") {
+            _ if got.head.contains("/safe/") => vec![answer(got, "200 OK", "whole")],
+            None => [vec![stream_head(got)], events(1..=20), vec![Act::End]].concat(),
+            Some("20") => [vec![stream_head(got)], events(21..=40), vec![Act::End]].concat(),
+            Some(_) => [vec![stream_head(got)], events(41..=42), vec![last_chunk()]].concat(),
+        })
+    };
+    let fixture = start_fixture(vec![script(), script(), script()]).await?;
+    let mut stream = route("/stream/", "streaming");
+    stream["max_attempts"] = json!(4);
+    stream["timeout_ms"] = json!(20_000);
+    fixture.site.configure(2, &[route("/safe/", "safe"), stream]);
+    let callers = fixture.gateway.callers;
+    // The retry budget grows with the requests.
+    for number in 0..40 {
+        call(callers, "GET", "/safe/a", &format!("r-{number}")).await??;
+    }
+    let stream = call(callers, "POST", "/stream/a", "r-s");
+    let is_serving =
+        |server: &Scripted| server.got().iter().any(|got| got.header("request-id") == Some("r-s"));
+    let mut left = Vec::new();
+    while left.len() < 2 && !stream.is_finished() {
+        for (number, server) in fixture.servers.iter().enumerate() {
+            if is_serving(server) && !left.contains(&number) {
+                fixture.site.list(&format!("i-{number}"), server, "draining");
+                left.push(number);
+            }
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    let reply = stream.await??;
+    expect_that!((reply.status, reply.whole), eq((200, true)), "{}", reply.body);
+    expect_that!(fixture.gateway.metric("mastweir_requests_quarantined_total").await?, eq(0));
+    Ok(())
+}
