Keep connections through a planned stop until their answers are written

Callers that read steadily but slowly lost the rest of their answers when their gateway got SIGTERM: some 3 s later, with seconds of the grace time left, the connection was closed in the middle of an answer that the server had completed.

A stopping gateway dropped a connection after two checks that found no request in flight on it. A request counted as in flight until its answer was handed to the HTTP library, while the unread part of the answer still waited there to be written.

The library knows what is written: after its graceful shutdown it ends a connection once the current answer is flushed, and ends an idle or unused one at once. Its end alone now decides, up to the end of the grace time. It has no end of its own for a connection whose first head is incomplete, so such a connection is dropped after 300 ms as before; it has carried no request.

Bytes that a caller has sent are read before its connection is shut down, rather than in either order.

Sites in tests have a grace time of their choice, so that slow machines don't reach its end.

--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -42,6 +42,8 @@
 pub const KEY: &str = "key-of-north";
 /// Byte budget of a gateway by default.
 const BUFFER_BYTES: u64 = 28 << 20;
+/// Grace time of a gateway by default.
+const GRACE: Duration = Duration::from_secs(8);
 /// A host in it.
 pub const HOST: &str = "site.example";
 
@@ -140,6 +142,8 @@
     pub has_evacuations: bool,
     /// Byte budget of each gateway that is started.
     pub buffer_bytes: u64,
+    /// Time that a gateway has for a planned stop.
+    pub grace: Duration,
     ips: Vec<IpAddr>,
     ports: Ports,
 }
@@ -174,6 +178,7 @@
             platform: Platform::new(),
             has_evacuations: false,
             buffer_bytes: BUFFER_BYTES,
+            grace: GRACE,
             ips,
             ports: Ports { internal, callers, ready, metrics },
         })
@@ -257,7 +262,7 @@
             bounds: Bounds {
                 drain: Duration::from_secs(2),
                 heartbeat: Duration::from_millis(1_200),
-                grace: Duration::from_secs(8),
+                grace: self.grace,
                 retry_ratio: 0.2,
                 retry_window: Duration::from_secs(10),
                 retry_extra: 90.0,
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -23,7 +23,9 @@
 use mastweir_core::gateway::LAG_INTERVAL;
 use rand::Rng;
 use slog::{info, warn};
-use std::{cell::Cell, convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, future, net::SocketAddr, pin::pin, rc::Rc, time::Duration,
+};
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
     sync::watch as flag,
@@ -39,8 +41,8 @@
 /// are written.
 const WAITS_MARGIN: Duration = Duration::from_millis(400);
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval of checks whether a connection that is to be closed is idle.
-const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(150);
+/// Time for a connection's first request head to arrive once the gateway closes its connections.
+const LAST_HEAD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval of the removal of idle connections, expired servers and old suspect requests.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 /// Smallest buffer that the HTTP library accepts.
@@ -208,12 +210,12 @@
     let caller = Caller::new(stream.meter());
     let limits = gateway.active().map(|active| active.config.limits).unwrap_or_default();
     let serving = gateway.clone();
-    let in_flight = Rc::new(Cell::new(0));
-    let (counted, calling) = (in_flight.clone(), caller.clone());
+    let requests = Rc::new(Cell::new(0));
+    let (counted, calling) = (requests.clone(), caller.clone());
     let service = service_fn(move |request| {
-        let (gateway, in_flight) = (serving.clone(), counted.clone());
+        let (gateway, requests) = (serving.clone(), counted.clone());
         let caller = calling.clone();
-        async move { Ok::<_, Infallible>(forward::serve(gateway, request, in_flight, caller).await) }
+        async move { Ok::<_, Infallible>(forward::serve(gateway, request, requests, caller).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -225,15 +227,19 @@
     let mut connection = pin!(connection);
     let mut cut = pin!(caller.wait_until_cut(&gateway));
     let result = tokio::select! {
+        // Requests that have arrived are read before the connection is closed.
+        biased;
         result = &mut connection => result,
         // Dropping the connection cancels what runs for it.
         () = &mut cut => return,
         _ = closed.wait_for(|closed| *closed) => {
+            // Ends the connection as soon as the answer to the request in flight is written.
             connection.as_mut().graceful_shutdown();
             tokio::select! {
+                biased;
                 result = &mut connection => result,
                 () = &mut cut => return,
-                () = wait_until_idle(&in_flight) => Ok(()),
+                () = wait_without_request(&requests) => Ok(()),
             }
         }
     };
@@ -242,13 +248,14 @@
     }
 }
 
-/// Waits until two consecutive checks find no request in flight on a connection. The library's
-/// graceful shutdown does not close a connection that has never carried a request.
-async fn wait_until_idle(in_flight: &Cell<usize>) {
-    let mut idle_checks = 0;
-    while idle_checks < 2 {
-        time::sleep(IDLE_POLL_INTERVAL).await;
-        idle_checks = if in_flight.get() == 0 { idle_checks + 1 } else { 0 };
+/// Completes if a connection has carried no request once [`LAST_HEAD_TIMEOUT`] has passed. The
+/// library's graceful shutdown waits for the rest of a head, and a request that is read late may be
+/// cut off by the end of the grace time.
+async fn wait_without_request(requests: &Cell<usize>) {
+    time::sleep(LAST_HEAD_TIMEOUT).await;
+    if requests.get() > 0 {
+        // Only the library knows which part of an answer is not written yet.
+        future::pending::<()>().await;
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -48,6 +48,7 @@
 mod overload_world;
 mod peers;
 mod permits;
+mod planned_stop;
 mod plans;
 mod platform_file;
 mod poison_prompts;
