Test a caller that pauses while it reads, beside a planned stop

This test fails. A caller that takes no byte for 2 s is cut with a reset, also if its server has completed the answer and the gateway holds the whole of it: "Expected: is equal to (200, 250000), Actual: (200, 4011)". The guard keeps servers from cutting off unread answers themselves, which would look like failures of theirs, and ends work that nobody reads; neither applies to an answer that was read whole, whose memory the byte budget bounds.

--- a/tests/testsuite/planned_stop.rs
+++ b/tests/testsuite/planned_stop.rs
@@ -133,3 +133,21 @@
     expect_that!(slow.await??.body.len(), eq(ANSWER_LEN));
     fixture.gateway.ended().await
 }
+
+/// Guards against a cut of a caller that pauses while it reads, when its server has completed the
+/// answer and the gateway holds all of it.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_waits_for_a_caller_that_pauses() -> Result<()> {
+    let mut fixture = Fixture::start().await?;
+    let mut caller = fixture.send("").await?;
+    let mut read = vec![0; 1_000];
+    caller.read_exact(&mut read).await?;
+    fixture.gateway.ask_to_stop();
+    time::sleep(Duration::from_millis(2_800)).await;
+    // The connection may have been reset.
+    let _ = caller.read_to_end(&mut read).await;
+    let reply = site::parse(&read);
+    expect_that!((reply.status, reply.body.len()), eq((200, ANSWER_LEN)));
+    fixture.gateway.ended().await
+}
