Answer requests that servers still work on when a planned stop ends

Callers whose request was at a server when the grace time of their gateway ended got a closed connection in place of an answer. request_without_an_answer_at_the_end_of_a_stop_is_answered failed before with status 0, expected 502 or 504.

The time at which waits for a server end is now announced to all requests, and those without the head of an answer, or with an answer that is not read whole, end with 502 while there is time left to write it. Streams and large answers that have begun are cut at the end, as before.

--- a/src/mastweir/gateway/forward.rs
+++ b/src/mastweir/gateway/forward.rs
@@ -38,8 +38,8 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
 
-/// Serves one request of a caller. `connection_requests` is the number of requests in flight on
-/// the caller's connection.
+/// Serves one request of a caller. `connection_requests` is the number of requests that the caller's
+/// connection has carried.
 pub async fn serve(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
@@ -188,8 +188,9 @@
             Err(refusal) => return no_server(gateway, &call, &progress, refusal),
         };
         let attempted = attempt_with_backup(gateway, &call, slot, &progress);
-        let Some(attempted) = call.transfer.unless_ended(attempted).await else {
-            // The server has got a part of the request.
+        let attempted = gateway.unless_ending(call.transfer.unless_ended(attempted)).await;
+        let Some(attempted) = attempted.flatten() else {
+            // The server may have got a part of the request.
             return end(gateway, &call, &progress, NextAction::EndUnknown, RETRY_AFTER_FULL);
         };
         let result = match attempted {
@@ -200,9 +201,13 @@
             }
             Ok(answer) => {
                 let reply = plain_answer::reply(gateway, &mut call, answer, &progress, &in_flight);
-                match reply.await {
-                    Ok(reply) => return reply,
-                    Err(result) => result,
+                match gateway.unless_ending(reply).await {
+                    Some(Ok(reply)) => return reply,
+                    Some(Err(result)) => result,
+                    None => {
+                        let action = NextAction::EndUnknown;
+                        return end(gateway, &call, &progress, action, RETRY_AFTER_FULL);
+                    }
                 }
             }
         };
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -3,8 +3,8 @@
 //!
 //! A planned stop has three phases within the grace time: the gateway reports that it is not ready
 //! until the balancer has taken it out, then it stops accepting connections, and then it waits for
-//! the open ones to end. Shortly before the end of the grace time it refuses the requests that still
-//! wait for a server, so that their callers get an answer.
+//! the open ones to end. Shortly before the end of the grace time it answers the requests that no
+//! server has answered.
 
 use super::{
     caller::Caller,
@@ -37,9 +37,8 @@
 const UNREADY_DURATION: Duration = Duration::from_millis(2_600);
 /// Part of the grace time that is left for the process to exit.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
-/// Part of the grace time before it in which the answers to requests that still wait for a server
-/// are written.
-const WAITS_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the grace time before it in which requests that no server has answered are answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(400);
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for a connection's first request head to arrive once the gateway closes its connections.
 const LAST_HEAD_TIMEOUT: Duration = Duration::from_millis(300);
@@ -102,7 +101,7 @@
     let serving = grace.saturating_sub(STOP_MARGIN);
     let deadline = time::Instant::now() + serving;
     gateway.stopping.set(true);
-    gateway.waits_end.set(Some(gateway.clock.now() + serving.saturating_sub(WAITS_MARGIN)));
+    task::spawn_local(announce_end(gateway.clone(), serving.saturating_sub(ANSWER_MARGIN)));
     info!(gateway.log, "gateway stopping"; "held" => gateway.in_flight.get(),
         "connections" => gateway.connections.get());
     time::sleep(UNREADY_DURATION.min(grace / 2)).await;
@@ -115,6 +114,12 @@
     Ok(())
 }
 
+/// Announces that callers' connections are about to be cut.
+async fn announce_end(gateway: Rc<Gateway>, after: Duration) {
+    time::sleep(after).await;
+    gateway.ending.send_replace(true);
+}
+
 async fn bind(addr: SocketAddr) -> eyre::Result<TcpListener> {
     TcpListener::bind(addr)
         .await
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -148,8 +148,8 @@
     pub connections: Cell<usize>,
     /// Whether a planned stop has begun.
     pub stopping: Cell<bool>,
-    /// When a planned stop ends the waits of requests for a server.
-    pub waits_end: Cell<Option<Uptime>>,
+    /// Whether a planned stop is about to cut the callers' connections.
+    pub ending: watch::Sender<bool>,
     active: RefCell<Option<Rc<ActiveConfig>>>,
     retries: RefCell<HashMap<String, RetryWindow>>,
 }
@@ -203,7 +203,7 @@
             accept_limit: Cell::default(),
             connections: Cell::new(0),
             stopping: Cell::new(false),
-            waits_end: Cell::new(None),
+            ending: watch::Sender::new(false),
             active: RefCell::default(),
             retries: RefCell::default(),
             settings: options.settings.clone(),
@@ -215,6 +215,17 @@
         self.active.borrow().clone()
     }
 
+    /// Runs a future until a planned stop is about to cut the callers' connections. Returns `None` in
+    /// that case.
+    pub async fn unless_ending<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let mut ending = self.ending.subscribe();
+        tokio::select! {
+            biased;
+            value = future => Some(value),
+            _ = ending.wait_for(|is_ending| *is_ending) => None,
+        }
+    }
+
     /// Returns the version of the configuration in force; zero without one.
     pub fn version(&self) -> u64 {
         self.active.borrow().as_ref().map_or(0, |active| active.config.version)
--- a/src/mastweir/gateway/waiting.rs
+++ b/src/mastweir/gateway/waiting.rs
@@ -194,11 +194,6 @@
     waiter.finish(gateway, outcome, Err(refusal));
 }
 
-/// Whether a planned stop is about to cut the callers' connections.
-fn is_stop_near(gateway: &Gateway) -> bool {
-    gateway.waits_end.get().is_some_and(|end| gateway.clock.now() >= end)
-}
-
 /// Finds servers for waiting requests. Does not return.
 pub async fn run(gateway: Rc<Gateway>) {
     let state = &gateway.waiting;
@@ -239,7 +234,7 @@
         // The request may have ended its wait since the order was made.
         let waiter = state.waiters.borrow().get(&ticket).cloned();
         let Some(waiter) = waiter.filter(|waiter| !waiter.has_outcome()) else { continue };
-        if is_stop_near(gateway) {
+        if *gateway.ending.borrow() {
             let refusal = waiter.status.borrow().refusal.unwrap_or(Refusal::Full);
             refuse(gateway, ticket, &waiter, "stopped", refusal);
             continue;
