Let callers pause while they read answers that were read whole

A caller that took no byte for 2 s lost the rest of its answer, although the gateway had all of it and the server was done; beside a planned stop that is a lost request. The limit is for streams and large answers, whose servers wait for the caller.

The caller of an answer that was read whole may now pause until its deadline; its bytes stay in the byte budget, which ends those that have paused for longest. The tests of slow readers pass unchanged.

--- a/src/mastweir/gateway/caller.rs
+++ b/src/mastweir/gateway/caller.rs
@@ -10,14 +10,15 @@
 use std::{
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 use tokio::sync::Notify;
 
 /// Time for which a caller may take no byte while bytes wait for it. Servers cut off answers that
-/// stay unread for some seconds, which would look like a failure of theirs.
+/// stay unread for some seconds, which would look like a failure of theirs. An answer that was read
+/// whole keeps no server busy, so its caller may pause until its deadline.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval of checks of a connection with waiting bytes.
 const UNREAD_INTERVAL: Duration = Duration::from_millis(250);
@@ -30,6 +31,8 @@
     last_id: Mutex<String>,
     /// Number of answers that are not completely written yet.
     replies: AtomicUsize,
+    /// Until when the caller may pause as it reads.
+    patience: AtomicU64,
     cut: Notify,
 }
 
@@ -39,6 +42,7 @@
             meter,
             last_id: Mutex::default(),
             replies: AtomicUsize::new(0),
+            patience: AtomicU64::new(0),
             cut: Notify::new(),
         })
     }
@@ -48,8 +52,9 @@
         id.clone_into(&mut self.last_id.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
-    /// Records that an answer begins.
-    pub fn begin_reply(&self) {
+    /// Records that an answer begins, and until when the caller may pause as it reads.
+    pub fn begin_reply(&self, patience: Uptime) {
+        self.patience.store(patience.0, Ordering::Relaxed);
         self.replies.fetch_add(1, Ordering::Relaxed);
     }
 
@@ -73,9 +78,13 @@
     pub async fn wait_until_cut(&self, gateway: &Gateway) {
         // An answer that the system has whole holds no memory of the process and no work at a server.
         let is_active = || self.replies.load(Ordering::Relaxed) > 0;
+        let timeout = || {
+            let patience = Uptime(self.patience.load(Ordering::Relaxed));
+            (gateway.clock.now() >= patience).then_some(UNREAD_TIMEOUT)
+        };
         tokio::select! {
             () = self.cut.notified() => (),
-            stalled = self.meter.wait_until_unread(UNREAD_TIMEOUT, UNREAD_INTERVAL, is_active) => {
+            stalled = self.meter.wait_until_unread(timeout, UNREAD_INTERVAL, is_active) => {
                 gateway.metrics.count("buffers_ended_total", "unread");
                 info!(gateway.log, "caller takes no bytes; connection cut";
                     "id" => &*self.last_id.lock().unwrap_or_else(PoisonError::into_inner), "reason" => "unread",
--- a/src/mastweir/gateway/memory.rs
+++ b/src/mastweir/gateway/memory.rs
@@ -286,8 +286,13 @@
 
     /// Records that the answer begins, so that the end of the transfer resets the connection.
     pub fn begin_reply(&self) {
+        self.begin_whole_reply(Uptime::default());
+    }
+
+    /// The same for an answer that was read whole, whose caller may pause as it reads until `patience`.
+    pub fn begin_whole_reply(&self, patience: Uptime) {
         if !self.0.has_reply.swap(true, Ordering::Relaxed) {
-            self.0.caller.begin_reply();
+            self.0.caller.begin_reply(patience);
         }
         if self.is_ended() {
             self.0.caller.cut();
--- a/src/mastweir/gateway/plain_answer.rs
+++ b/src/mastweir/gateway/plain_answer.rs
@@ -135,7 +135,7 @@
         (body, Some(charge)) => call.transfer.deliver(body, charge),
         (body, None) => body,
     };
-    call.transfer.begin_reply();
+    call.transfer.begin_whole_reply(call.deadline);
     let mut reply = Response::new(Either::Left(Full::new(body)));
     *reply.status_mut() = status;
     *reply.headers_mut() = headers::for_caller(&parts.headers);
--- a/src/mastweir/net/metered.rs
+++ b/src/mastweir/net/metered.rs
@@ -62,9 +62,10 @@
 
     /// Waits until the peer has taken no byte for `timeout` while bytes wait for it and `is_active`
     /// holds, and returns how long that was. Samples the connection each `interval` while they do.
+    /// `None` for `timeout` means that the peer may pause for now.
     pub async fn wait_until_unread(
         &self,
-        timeout: Duration,
+        timeout: impl Fn() -> Option<Duration>,
         interval: Duration,
         is_active: impl Fn() -> bool,
     ) -> Duration {
@@ -88,7 +89,7 @@
                 }
                 // Longer pauses are suspensions of this machine, in which the peer may have waited.
                 stalled += now.since(before).min(interval * 2);
-                if stalled >= timeout {
+                if timeout().is_some_and(|timeout| stalled >= timeout) {
                     return stalled;
                 }
             }
