Soak: servers that fall silent, sidecars that restart, answers lost beside them

A sound server may write nothing for a second or so and go on, and a sidecar may restart as planned. The soak played neither, and its ledger counted an answer that a gateway cut at such a server as one more cut, so nothing failed when streams were abandoned that their servers went on with.

A scripted server now holds all that it writes and closes while it is silent, state reports included, and then goes on with everything. Plans have silent servers (0.8 to 1.5 s, one or several, some in series, some while their sidecars restart) and restarts of sidecars, each drawn from a seed of its own: the other faults of a seed stay what they were.

The ledger keeps when faults began and ended. A request is lost if its connection ends without a whole answer although a server that ran it was sound, or, if none ran it, over 200 ms after its last byte. It is not lost if its deadline had come, if its gateway was killed or stood still, or at the end of the grace time of a gateway that was asked to stop. Silence, drains, pauses and limits that servers ask for, sidecars that are away and outages of the store excuse nothing.

The test of the stand-in fails if its writes are not held: the stream goes on, and the second request and the report of the state are answered at once.

--- a/crates/mastweir-soak/src/callers.rs
+++ b/crates/mastweir-soak/src/callers.rs
@@ -183,7 +183,8 @@
         body.len()
     );
     let limit = leaves.unwrap_or(WAIT);
-    let read = time::timeout(limit, exchange(gateway, bytes.as_bytes())).await;
+    let written = || ledger.written(id);
+    let read = time::timeout(limit, exchange(gateway, bytes.as_bytes(), written)).await;
     match read {
         Ok(Some(read)) => ledger.answered(id, Some(&site::parse(&read))),
         Ok(None) => ledger.answered(id, None),
@@ -201,10 +202,11 @@
     format!("Prompt-Prefix: {first},{second},{id}:300")
 }
 
-async fn exchange(addr: SocketAddr, bytes: &[u8]) -> Option<Vec<u8>> {
+async fn exchange(addr: SocketAddr, bytes: &[u8], written: impl FnOnce()) -> Option<Vec<u8>> {
     let connected = time::timeout(CONNECT_LASTS, TcpStream::connect(addr)).await;
     let mut stream = connected.ok()?.ok()?;
     stream.write_all(bytes).await.ok()?;
+    written();
     let mut read = Vec::new();
     // A reset ends an answer as well; what came before it counts.
     let _ = stream.read_to_end(&mut read).await;
--- a/crates/mastweir-soak/src/faults.rs
+++ b/crates/mastweir-soak/src/faults.rs
@@ -46,7 +46,7 @@
         let both = |entry: &Entry| {
             let lasts = match entry.fault {
                 Fault::KillGateway(_) | Fault::KillSidecar(_) | Fault::KillAll => DOWN_LASTS,
-                Fault::StopGateway(_) => STOP_LASTS,
+                Fault::StopGateway(_) | Fault::StopSidecar(_) => STOP_LASTS,
                 Fault::Replace(_) => LEAVES_LAST,
                 _ => entry.lasts,
             };
@@ -73,9 +73,11 @@
                 players.look(world, ledger)?;
             }
             if moment.begins {
+                ledger.began(moment.fault);
                 players.begin(world, moment.fault)?;
             } else {
                 players.end(world, ledger, moment.fault)?;
+                ledger.ended(moment.fault);
             }
         }
         for number in 0..count {
@@ -92,6 +94,8 @@
     asked: Option<Instant>,
     /// When it was killed or stood still last.
     disturbed: Option<Instant>,
+    /// When it starts again, if it stopped for a planned restart.
+    restarts: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -106,9 +110,13 @@
         Self(vec![Player::default(); count])
     }
 
-    /// A process that ended though nobody asked it to has broken its promise.
+    /// A process that ended though nobody asked it to has broken its promise. A sidecar that
+    /// stopped as planned starts again a little later.
     fn look(&mut self, world: &mut World, ledger: &Ledger) -> eyre::Result<()> {
         for number in 0..self.0.len() {
+            if self.0[number].restarts.is_some_and(|at| at <= Instant::now()) {
+                self.start_again(world, number)?;
+            }
             let member = world.at(number);
             let Some(process) = &mut member.process else { continue };
             let Some(status) = process.ended()? else { continue };
@@ -117,6 +125,8 @@
             if self.0[number].asked.is_none() {
                 ledger.broken(format!("{name} ended by itself: {status}"));
                 world.run(number)?;
+            } else if number >= world.gateways.len() {
+                self.0[number].restarts = Some(Instant::now() + DOWN_LASTS);
             }
         }
         Ok(())
@@ -141,8 +151,16 @@
         world.at(number).process.iter().for_each(|process| process.resume());
     }
 
+    fn stop(&mut self, world: &mut World, number: usize) {
+        if let Some(process) = &world.at(number).process {
+            process.terminate();
+            self.0[number].asked = Some(Instant::now());
+        }
+    }
+
     fn start_again(&mut self, world: &mut World, number: usize) -> eyre::Result<()> {
         self.thaw(world, number);
+        self.0[number].restarts = None;
         if world.at(number).process.is_none() {
             self.0[number].asked = None;
             world.excuse(number);
@@ -154,7 +172,11 @@
     /// A planned stop is over: it has to have ended by itself.
     fn stopped(&mut self, world: &mut World, ledger: &Ledger, number: usize) -> eyre::Result<()> {
         self.look(world, ledger)?;
-        let Player { asked, disturbed } = self.0[number];
+        let Player { asked, disturbed, .. } = self.0[number];
+        if asked.is_some_and(|asked| asked.elapsed() < STOP_LASTS - LOOK_EVERY) {
+            // Asked again since.
+            return Ok(());
+        }
         let quiet = disturbed < asked;
         let member = world.at(number);
         if member.process.is_some() && asked.is_some() {
@@ -172,12 +194,8 @@
             Fault::KillGateway(number) => self.kill(world, number),
             Fault::KillSidecar(number) => self.kill(world, gateways + number),
             Fault::KillAll => (0..self.0.len()).for_each(|number| self.kill(world, number)),
-            Fault::StopGateway(number) => {
-                if let Some(process) = &world.at(number).process {
-                    process.terminate();
-                    self.0[number].asked = Some(Instant::now());
-                }
-            }
+            Fault::StopGateway(number) => self.stop(world, number),
+            Fault::StopSidecar(number) => self.stop(world, gateways + number),
             Fault::FreezeGateway(number) => self.freeze(world, number),
             Fault::FreezeInstance(number) => {
                 self.freeze(world, gateways + number);
@@ -209,12 +227,13 @@
                 (0..self.0.len()).try_for_each(|number| self.start_again(world, number))?;
             }
             Fault::StopGateway(number) => self.stopped(world, ledger, number)?,
+            Fault::StopSidecar(number) => self.stopped(world, ledger, gateways + number)?,
             Fault::FreezeGateway(number) => self.thaw(world, number),
             Fault::FreezeInstance(number) => {
                 self.thaw(world, gateways + number);
                 set(&world.places[number].proxy.faults.cut, false);
             }
-            Fault::Replace(number) => replace(world, number),
+            Fault::Replace(number) => replace(world, ledger, number),
             Fault::StoreReturns => world.come_back(),
             Fault::HangUp(_)
             | Fault::BreakGroup(_)
@@ -256,6 +275,7 @@
             let delay = if on { SLOW_MS } else { 0 };
             world.places[number].proxy.faults.delay_ms.store(delay, Ordering::Relaxed);
         }
+        Fault::ServerSilent(number) => world.places[number].set_silent(on),
         Fault::GreyServer(number, grey) => {
             world.places[number].server.set_grey(on.then_some(grey));
         }
@@ -281,7 +301,8 @@
 }
 
 /// The life of a server ends, and another begins at its address.
-fn replace(world: &World, number: usize) {
+fn replace(world: &World, ledger: &Ledger, number: usize) {
+    ledger.broke_off(number);
     let server = &world.places[number].server;
     let before = server.id();
     server.begin_anew();
--- a/crates/mastweir-soak/src/ledger.rs
+++ b/crates/mastweir-soak/src/ledger.rs
@@ -3,6 +3,10 @@
 //! Only what was seen on sockets counts. An entry is checked as soon as it can be:
 //! when a server runs a request, and when its caller has its answer.
 
+use crate::{
+    lost::{Disturbances, Ended},
+    plan::{Fault, Sizes},
+};
 use mastweir_test_support::site::Answer;
 use std::{
     collections::HashMap,
@@ -75,6 +79,8 @@
     pub wait_ms: u64,
     /// Whether the server runs it.
     pub runs: bool,
+    /// The server.
+    pub server: usize,
 }
 
 #[derive(Debug)]
@@ -83,7 +89,12 @@
     at: Instant,
     arrivals: u32,
     runs: u32,
+    /// Servers that ran it.
+    ran_at: Vec<usize>,
+    /// When its last byte was sent.
+    written: Option<Instant>,
     outcome: Option<Outcome>,
+    ended: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -100,12 +111,14 @@
     prompts: Vec<(Instant, SocketAddr)>,
     /// When each gateway was last disturbed.
     disturbed: HashMap<SocketAddr, Vec<Instant>>,
+    /// Faults, and servers that broke off.
+    disturbances: Disturbances,
 }
 
 /// Servers that end under a harmful prompt before gateways have to know it, the time until they
 /// do, and requests that may still be sent then. A disturbed gateway is out of touch for as long.
 const PROMPT_ENDS: usize = 5;
-const CONTACT: Duration = Duration::from_secs(3);
+pub const CONTACT: Duration = Duration::from_secs(3);
 const PROMPTS_MAX: usize = 3;
 /// Servers that may end under one request: three, and three sends more.
 const ENDS_MAX: u32 = 6;
@@ -168,6 +181,21 @@
         self.with(|inner| inner.disturbed.entry(gateway).or_default().push(Instant::now()));
     }
 
+    /// A fault begins.
+    pub fn began(&self, fault: Fault) {
+        self.with(|inner| inner.disturbances.began(fault, Instant::now()));
+    }
+
+    /// It is over.
+    pub fn ended(&self, fault: Fault) {
+        self.with(|inner| inner.disturbances.ended(fault, Instant::now()));
+    }
+
+    /// A server breaks off what it runs, or another life begins in its place.
+    pub fn broke_off(&self, server: usize) {
+        self.with(|inner| inner.disturbances.broke_off(server, Instant::now()));
+    }
+
     /// Harmful prompts have to be kept from servers by gateways that are in touch.
     pub fn check_prompts(&self) {
         let late = self.with(|inner| {
@@ -197,13 +225,31 @@
     /// A caller sends a request.
     pub fn sent(&self, id: &str, sent: Sent) {
         let at = Instant::now();
-        let request = Request { sent, at, arrivals: 0, runs: 0, outcome: None };
+        let request = Request {
+            sent,
+            at,
+            arrivals: 0,
+            runs: 0,
+            ran_at: Vec::new(),
+            written: None,
+            outcome: None,
+            ended: None,
+        };
         self.with(|inner| {
             inner.requests.insert(id.to_owned(), request);
             inner.starts.push(at);
         });
     }
 
+    /// The last byte of a request was sent.
+    pub fn written(&self, id: &str) {
+        self.with(|inner| {
+            if let Some(request) = inner.requests.get_mut(id) {
+                request.written = Some(Instant::now());
+            }
+        });
+    }
+
     /// When a request was sent and to which gateway, and whether its caller stays.
     pub fn origin(&self, id: &str) -> Option<(SocketAddr, Instant, bool)> {
         self.with(|inner| {
@@ -221,6 +267,7 @@
             inner.arrivals.push((Instant::now(), request.arrivals > 0));
             request.arrivals += 1;
             request.runs += u32::from(arrival.runs);
+            request.ran_at.extend(arrival.runs.then_some(arrival.server));
             check_arrival(request, arrival)
         });
         if let Err(what) = checked {
@@ -232,6 +279,7 @@
     pub fn answered(&self, id: &str, answer: Option<&Answer>) -> Outcome {
         let checked = self.with(|inner| {
             let request = inner.requests.get_mut(id).ok_or("answered but not sent")?;
+            request.ended = Some(Instant::now());
             let outcome = outcome(id, request, answer)?;
             request.outcome = Some(outcome);
             Ok(outcome)
@@ -277,6 +325,32 @@
         wrong.into_iter().for_each(|what| self.broken(what));
     }
 
+    /// What a sound server works on has to end with a whole answer. Gives how many of these
+    /// requests ended with a failure or a refusal instead.
+    pub fn check_lost(&self, gateways: &[SocketAddr], sizes: Sizes) -> usize {
+        let (lost, replaced) = self.with(|inner| {
+            let (mut lost, mut replaced) = (Vec::new(), 0);
+            for (id, request) in &inner.requests {
+                let Some(ended) = ended(request, gateways) else { continue };
+                match request.outcome {
+                    Some(Outcome::Cut | Outcome::Broken) => {
+                        let what = inner.disturbances.lost(&ended, sizes);
+                        lost.extend(what.map(|what| format!("{id}: {what}")));
+                    }
+                    Some(Outcome::Failed | Outcome::Refused) => {
+                        let sound = inner.disturbances.sound_server(&ended, sizes);
+                        replaced += usize::from(sound.is_some());
+                    }
+                    _ => (),
+                }
+            }
+            lost.sort();
+            (lost, replaced)
+        });
+        lost.into_iter().for_each(|what| self.broken(what));
+        replaced
+    }
+
     /// Arrivals beyond the first of each request have to stay within a part of the
     /// requests and an extra, in every window.
     pub fn check_retries(&self, window: Duration, ratio: f64, extra: f64) {
@@ -320,6 +394,17 @@
     Ok(())
 }
 
+fn ended<'a>(request: &'a Request, gateways: &[SocketAddr]) -> Option<Ended<'a>> {
+    Some(Ended {
+        sent: request.at,
+        written: request.written,
+        end: request.ended?,
+        wait: Duration::from_millis(request.sent.wait_ms),
+        gateway: gateways.iter().position(|gateway| *gateway == request.sent.through)?,
+        ran_at: &request.ran_at,
+    })
+}
+
 fn at_end(request: &Request) -> Option<&'static str> {
     let refused = request.outcome == Some(Outcome::Refused);
     if refused && request.sent.kind == Kind::Once && request.runs > 0 {
--- a/crates/mastweir-soak/src/lib.rs
+++ b/crates/mastweir-soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod callers;
 pub mod faults;
 pub mod ledger;
+pub mod lost;
 pub mod plan;
 pub mod servers;
 pub mod tokens;
@@ -71,6 +72,9 @@
     pub ends: u32,
     /// Servers that ended under harmful prompts.
     pub prompt_ends: usize,
+    /// Requests that a sound server worked on, and that a gateway ended with a failure or a
+    /// refusal.
+    pub replaced: usize,
     /// What the processes wrote.
     pub logs: PathBuf,
 }
@@ -84,6 +88,7 @@
         }
         write!(f, "{} changes of maps, {} servers ended", self.changes, self.ends)?;
         write!(f, ", {} under prompts", self.prompt_ends)?;
+        write!(f, ", {} answers of sound servers replaced", self.replaced)?;
         if self.broken.is_empty() {
             return Ok(());
         }
@@ -117,6 +122,8 @@
     check_after(&mut world, &ledger).await;
     asking.abort();
     ledger.check_all();
+    let gateways: Vec<SocketAddr> = world.doors.iter().map(|(callers, _)| *callers).collect();
+    let replaced = ledger.check_lost(&gateways, SIZES);
     ledger.check_ends();
     ledger.check_prompts();
     tokens::check(&logs, &ledger)?;
@@ -128,7 +135,8 @@
     let changes = world.groups.iter().map(|group| group.changes()).sum();
     let (broken, counts) = (ledger.all_broken(), ledger.counts());
     let (ends, prompt_ends) = (ledger.servers_ended(), ledger.ends_under_prompts());
-    Ok(Report { seed: options.seed, plan, broken, counts, changes, ends, prompt_ends, logs })
+    let seed = options.seed;
+    Ok(Report { seed, plan, broken, counts, changes, ends, prompt_ends, replaced, logs })
 }
 
 async fn all_of<F: Future<Output = bool>>(
--- a/crates/mastweir-soak/src/plan.rs
+++ b/crates/mastweir-soak/src/plan.rs
@@ -22,6 +22,13 @@
 /// The same for harmful prompts, and for connections that go to one gateway.
 const PROMPTS_SEED: u64 = 0x9a47;
 const CONCENTRATED_SEED: u64 = 0xc0cc;
+/// The same for servers that fall silent: how long, and how long they write between two silences.
+const SILENT_SEED: u64 = 0x5e1f;
+const SILENT_LASTS_MS: [u64; 2] = [800, 1_500];
+const SILENT_GAP_MS: [u64; 2] = [200, 2_000];
+/// The same for planned restarts of sidecars, and for the pause between two rounds of them.
+const RESTART_SEED: u64 = 0x4e57;
+const RESTART_GAP_MS: [u64; 2] = [700, 2_500];
 
 /// Sizes of the world that a plan is for.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +43,13 @@
     pub groups: usize,
 }
 
+impl Sizes {
+    /// Group of a server, if it is a model's.
+    pub fn group_of(self, server: usize) -> Option<usize> {
+        (server < self.models).then(|| server / (self.models / self.groups))
+    }
+}
+
 /// How a server misbehaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Grey {
@@ -68,6 +82,8 @@
     CutFromStore(usize),
     /// A sidecar is killed, and starts again.
     KillSidecar(usize),
+    /// It is asked to stop, and starts again once it has.
+    StopSidecar(usize),
     /// A model server's instance stands still, the sidecar with it.
     FreezeInstance(usize),
     /// Nothing passes to a server and back.
@@ -78,6 +94,8 @@
     ResetServer(usize),
     /// It is slow to reach.
     SlowServer(usize),
+    /// It writes nothing to anybody, and then goes on with everything. It is sound all the while.
+    ServerSilent(usize),
     /// It misbehaves.
     GreyServer(usize, Grey),
     /// It turns requests away, and names a time for which it wants none.
@@ -150,6 +168,8 @@
     plan.extend(limits(seed, whole, sizes));
     plan.extend(harmful_prompts(seed, whole));
     plan.extend(concentrated(seed, whole, sizes));
+    plan.extend(silent_servers(seed, whole, sizes));
+    plan.extend(restarts(seed, whole, sizes));
     plan.sort_by_key(|entry| entry.at);
     plan
 }
@@ -247,6 +267,61 @@
     rng.random_bool(1.0 / 3.0).then_some(entry)
 }
 
+/// In half of the runs servers fall silent: one, several or both of the plain service, once or a
+/// few times in series, and in some of them the sidecars beside them restart meanwhile. Drawn
+/// apart from the other faults.
+fn silent_servers(seed: u64, whole: u64, sizes: Sizes) -> Vec<Entry> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ SILENT_SEED);
+    let mut at = rng.random_range(0..whole.max(1));
+    let all = sizes.models + sizes.plain;
+    let servers: Vec<usize> = match rng.random_range(0..6) {
+        0 => vec![rng.random_range(0..all)],
+        1 => (0..all).filter(|_| rng.random_bool(0.4)).collect(),
+        2 => (sizes.models..all).chain([rng.random_range(0..sizes.models)]).collect(),
+        _ => Vec::new(),
+    };
+    let restarts = rng.random_bool(0.5);
+    let mut plan = Vec::new();
+    for _ in 0..[1, 1, 2, 4][rng.random_range(0..4)] {
+        let ms = rng.random_range(SILENT_LASTS_MS[0]..=SILENT_LASTS_MS[1]);
+        let lasts = Duration::from_millis(ms);
+        let entry = |ms, fault| Entry { at: Duration::from_millis(ms), lasts, fault };
+        for server in &servers {
+            plan.push(entry(at, Fault::ServerSilent(*server)));
+            if restarts && *server < sizes.models {
+                let within = rng.random_range(0..ms);
+                plan.push(entry(at + within, Fault::StopSidecar(*server)));
+            }
+        }
+        at += ms + rng.random_range(SILENT_GAP_MS[0]..SILENT_GAP_MS[1]);
+    }
+    plan
+}
+
+/// In half of the runs sidecars restart as planned: one, several, or all at once, in some runs
+/// round after round. Drawn apart from the other faults.
+fn restarts(seed: u64, whole: u64, sizes: Sizes) -> Vec<Entry> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ RESTART_SEED);
+    let mut at = rng.random_range(0..whole.max(1));
+    let way = rng.random_range(0..6);
+    let mut plan = Vec::new();
+    for _ in 0..[1, 1, 3][rng.random_range(0..3)] {
+        let sidecars: Vec<usize> = match way {
+            0 => vec![rng.random_range(0..sizes.models)],
+            1 => (0..sizes.models).filter(|_| rng.random_bool(0.5)).collect(),
+            2 => (0..sizes.models).collect(),
+            _ => Vec::new(),
+        };
+        plan.extend(sidecars.into_iter().map(|sidecar| Entry {
+            at: Duration::from_millis(at),
+            lasts: Duration::ZERO,
+            fault: Fault::StopSidecar(sidecar),
+        }));
+        at += rng.random_range(RESTART_GAP_MS[0]..RESTART_GAP_MS[1]);
+    }
+    plan
+}
+
 fn fault(rng: &mut SmallRng, sizes: Sizes) -> Fault {
     let gateway = rng.random_range(0..sizes.gateways);
     let model = rng.random_range(0..sizes.models);
--- a/crates/mastweir-soak/src/servers.rs
+++ b/crates/mastweir-soak/src/servers.rs
@@ -55,6 +55,8 @@
     busy: bool,
     /// Whether its answers may be lost on their way.
     unheard: bool,
+    /// Since when it writes nothing.
+    silent: Option<Instant>,
     /// What it asked of gateways.
     asked: Asked<SocketAddr>,
     /// What it named as its limit, and what it got since.
@@ -94,6 +96,7 @@
             grey: None,
             busy: false,
             unheard: false,
+            silent: None,
             asked: Asked::default(),
             limit: Limit::default(),
         };
@@ -153,6 +156,16 @@
         life.asked = Asked::default();
     }
 
+    /// It writes nothing from now on, or goes on: what it runs takes longer by this time.
+    pub fn set_silent(&self, silent: bool) {
+        let mut life = self.life();
+        let now = Instant::now();
+        if let Some(since) = life.silent.take() {
+            life.running.iter_mut().filter(|end| **end > since).for_each(|end| *end += now - since);
+        }
+        life.silent = silent.then_some(now);
+    }
+
     /// It names a limit from now on, or none.
     pub fn set_limit(&self, per_s: Option<f64>) {
         self.life().limit.name(per_s, Instant::now());
@@ -191,7 +204,7 @@
     fn respond(self: &Arc<Self>, got: &Got) -> Vec<Act> {
         let running = {
             let mut life = self.life();
-            let now = Instant::now();
+            let now = life.silent.unwrap_or_else(Instant::now);
             life.running.retain(|end| *end > now);
             u32::try_from(life.running.len()).unwrap_or(u32::MAX)
         };
@@ -253,7 +266,7 @@
     }
 
     /// Checks that the request may come, and keeps what its answer will say. Answers that
-    /// break off, or whose callers leave, may not be read.
+    /// break off, that are held, or whose callers leave, may not be read.
     fn note_asked(&self, id: &str, busy: bool, grey: Option<Grey>) {
         let Some((gateway, sent, stays)) = self.ledger.origin(id) else { return };
         let now = Instant::now();
@@ -266,7 +279,7 @@
         {
             self.ledger.broken(format!("{id} at {}: over its limit, {exceeded:?}", life.id));
         }
-        if life.unheard || !stays || grey.is_some() {
+        if life.unheard || life.silent.is_some() || !stays || grey.is_some() {
             return;
         }
         if busy {
@@ -282,7 +295,8 @@
         let path = got.head.split(' ').nth(1).unwrap_or_default();
         let wait_ms = text(got, "request-deadline").parse().unwrap_or(u64::MAX);
         let customer = &text(got, "tenant");
-        self.ledger.arrived(&Arrival { id, path, body: &got.body, customer, wait_ms, runs });
+        let (body, server) = (got.body.as_slice(), self.number);
+        self.ledger.arrived(&Arrival { id, path, body, customer, wait_ms, runs, server });
     }
 
     /// Far beyond the bound, since gateways stand still and are cut off here.
@@ -298,7 +312,10 @@
         let events = if is_stream { events_after(id, last) } else { Vec::new() };
         let count = u32::try_from(events.len()).unwrap_or(0);
         let lasts = PLAIN_LASTS + EVENT_EVERY * count;
-        self.life().running.push(Instant::now() + lasts);
+        let mut life = self.life();
+        let begins = life.silent.unwrap_or_else(Instant::now);
+        life.running.push(begins + lasts);
+        drop(life);
         let signature = format!("sig-{own}");
         let mut acts = vec![Act::Wait(PLAIN_LASTS)];
         let signed = signed(own);
--- a/crates/mastweir-soak/src/world.rs
+++ b/crates/mastweir-soak/src/world.rs
@@ -71,7 +71,15 @@
     pub server: Arc<Server>,
     /// The proxy, at the address that the store lists.
     pub proxy: Proxy,
-    _scripted: Scripted,
+    scripted: Scripted,
+}
+
+impl Place {
+    /// The server writes nothing from now on, or goes on with everything.
+    pub fn set_silent(&self, silent: bool) {
+        self.server.set_silent(silent);
+        self.scripted.set_silent(silent);
+    }
 }
 
 /// All of it.
@@ -171,9 +179,8 @@
         address: SocketAddr,
         ledger: &Arc<Ledger>,
     ) -> eyre::Result<()> {
-        let ranks = SIZES.models / SIZES.groups;
-        let seat =
-            (number < SIZES.models).then(|| (self.groups[number / ranks].clone(), number % ranks));
+        let rank = number % (SIZES.models / SIZES.groups);
+        let seat = SIZES.group_of(number).map(|group| (self.groups[group].clone(), rank));
         let (server, scripted) = Server::start(number, seat, ledger.clone()).await?;
         let seed = u64::try_from(number).unwrap_or(0);
         let proxy = Proxy::start_at(address, scripted.addr, scripted.addr, seed).await?;
@@ -182,8 +189,9 @@
             proxy.faults.clone(),
             proxy.tcp,
             self.platform.clone(),
+            ledger.clone(),
         ));
-        self.places.push(Place { server, proxy, _scripted: scripted });
+        self.places.push(Place { server, proxy, scripted });
         self.list(number, "ready");
         Ok(())
     }
@@ -360,14 +368,17 @@
     faults: Arc<Faults>,
     address: SocketAddr,
     platform: Arc<Platform>,
+    ledger: Arc<Ledger>,
 ) {
     loop {
         server.ends.notified().await;
+        ledger.broke_off(server.number);
         faults.ended.store(true, Ordering::SeqCst);
         break_up(&server);
         time::sleep(RESTARTS_IN).await;
         platform.remove("servers", &server.id());
         server.begin_anew();
+        ledger.broke_off(server.number);
         break_up(&server);
         faults.ended.store(false, Ordering::SeqCst);
         list(&platform, &server, address, "ready");
--- a/crates/mastweir-test-support/src/scripted.rs
+++ b/crates/mastweir-test-support/src/scripted.rs
@@ -64,6 +64,7 @@
     got: Arc<Mutex<Vec<Got>>>,
     left: Arc<Mutex<usize>>,
     alive: watch::Sender<bool>,
+    silent: watch::Sender<bool>,
 }
 
 impl Scripted {
@@ -93,9 +94,16 @@
             got: Arc::default(),
             left: Arc::default(),
             alive: watch::Sender::new(true),
+            silent: watch::Sender::new(false),
         };
-        let (got, left, alive) = (server.got.clone(), server.left.clone(), server.alive.clone());
-        let script: Script = Arc::new(script);
+        let serving = Serving {
+            script: Arc::new(script),
+            got: server.got.clone(),
+            left: server.left.clone(),
+            alive: server.alive.clone(),
+            silent: server.silent.clone(),
+        };
+        let alive = server.alive.clone();
         tokio::spawn(async move {
             let mut ended = alive.subscribe();
             loop {
@@ -108,9 +116,7 @@
                     // Dropped here, it refuses connections.
                     return;
                 };
-                let serving =
-                    serve(stream, script.clone(), got.clone(), left.clone(), alive.clone());
-                tokio::spawn(serving);
+                tokio::spawn(serve(stream, serving.clone()));
             }
         });
         Ok(server)
@@ -121,6 +127,11 @@
         !*self.alive.borrow()
     }
 
+    /// Holds all that it writes and closes from now on, or goes on with it.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.send_replace(silent);
+    }
+
     /// Requests that it got so far.
     pub fn got(&self) -> Vec<Got> {
         lock(&self.got).clone()
@@ -132,16 +143,20 @@
     }
 }
 
-async fn serve(
-    mut stream: TcpStream,
+/// What the connections of a server share.
+#[derive(Clone)]
+struct Serving {
     script: Script,
     got: Arc<Mutex<Vec<Got>>>,
     left: Arc<Mutex<usize>>,
     alive: watch::Sender<bool>,
-) {
-    let mut ended = alive.subscribe();
+    silent: watch::Sender<bool>,
+}
+
+async fn serve(mut stream: TcpStream, serving: Serving) {
+    let mut ended = serving.alive.subscribe();
     tokio::select! {
-        () = answer(&mut stream, script, &got, &left, &alive) => (),
+        () = answer(&mut stream, &serving) => (),
         _ = ended.wait_for(|alive| !alive) => {
             // Closing with nothing left to send resets.
             let _ = stream.set_zero_linger();
@@ -149,18 +164,17 @@
     }
 }
 
-async fn answer(
-    stream: &mut TcpStream,
-    script: Script,
-    got: &Mutex<Vec<Got>>,
-    left: &Mutex<usize>,
-    alive: &watch::Sender<bool>,
-) {
+async fn answer(stream: &mut TcpStream, serving: &Serving) {
+    let mut silent = serving.silent.subscribe();
     let mut read = Vec::new();
     while let Some(request) = next_request(stream, &mut read).await {
-        let acts = script(&request);
-        lock(got).push(request);
+        let acts = (serving.script)(&request);
+        lock(&serving.got).push(request);
         for act in acts {
+            if matches!(act, Act::Send(_) | Act::Close | Act::Reset) {
+                // Fails only once the server is dropped.
+                let _ = silent.wait_for(|silent| !silent).await;
+            }
             let done = match act {
                 Act::Send(bytes) => stream.write_all(&bytes).await.is_err(),
                 Act::Wait(time) => {
@@ -176,11 +190,11 @@
                 Act::Hang => {
                     // Whatever ends the read, the other side has gone.
                     let _ = stream.read(&mut [0]).await;
-                    *lock(left) += 1;
+                    *lock(&serving.left) += 1;
                     true
                 }
                 Act::End => {
-                    alive.send_replace(false);
+                    serving.alive.send_replace(false);
                     return std::future::pending().await;
                 }
             };
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -61,6 +61,7 @@
 mod silent_server;
 mod slow_readers;
 mod soak;
+mod soak_silence;
 mod store_restore;
 mod suspension;
 mod unreadable;
