Soak: streams abandoned beside planned restarts and silent servers

planned_restarts_of_sidecars_cut_no_answer: all sidecars restart twice within two seconds, beside three changes of the configuration and no other fault. 12 to 16 streams were cut at servers that went on with them.

servers_that_fall_silent_and_go_on_are_waited_for: one to three servers at a time write nothing for 1.5 s, beside a planned stop of a gateway, restarts of two sidecars and a configuration. 6 to 8 streams were cut.

--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -7,6 +7,7 @@
     ledger::{Kind, Outcome},
     plan::{Entry, Fault},
     run,
+    world::SIZES,
 };
 use std::{path::Path, time::Duration};
 
@@ -46,6 +47,41 @@
     Ok(())
 }
 
+/// Of the planned work, nothing touches a server: each goes on with its answers.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_restarts_of_sidecars_cut_no_answer() -> Result<()> {
+    let all = |ms| (0..SIZES.models).map(move |sidecar| at(ms, Fault::StopSidecar(sidecar)));
+    let configured = [1_000, 2_500, 4_000].map(|ms| at(ms, Fault::Configure));
+    let plan: Vec<Entry> = all(1_500).chain(all(3_500)).chain(configured).collect();
+    let report = soak(111, Some(&plan)).await?;
+    expect_that!(report.broken, is_empty());
+    expect_that!(count(&report, Kind::Stream, Outcome::Served), gt(0));
+    Ok(())
+}
+
+/// A model's server and one of the plain service each time, for longer than gateways wait for
+/// news, beside the planned stop of a gateway and restarts of sidecars.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_that_fall_silent_and_go_on_are_waited_for() -> Result<()> {
+    let silent = [(1_000, 0), (1_000, 6), (2_800, 3), (2_800, 4), (2_800, 7), (4_600, 0)]
+        .map(|(ms, server)| at(ms, Fault::ServerSilent(server)));
+    let planned = [
+        at(1_800, Fault::StopGateway(1)),
+        at(3_000, Fault::StopSidecar(3)),
+        at(3_000, Fault::StopSidecar(5)),
+        at(4_500, Fault::Configure),
+    ];
+    let plan = [silent.as_slice(), &planned].concat();
+    let report = soak(112, Some(&plan)).await?;
+    expect_that!(report.broken, is_empty());
+    for kind in [Kind::Stream, Kind::Once, Kind::Safe] {
+        expect_that!(count(&report, kind, Outcome::Served), gt(0), "{kind:?}");
+    }
+    Ok(())
+}
+
 /// The coordinator of a group stands still, wherever it sits.
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
