Meter both servers that a request's body is being sent to

Found in review, by reading: with two attempts under way, the second one's connection replaced the first one's in the account of the transfer, and the end of either cleared it. A large body that went on to the first server looked stalled and could be ended first when the byte budget was spent. The transfer now samples each connection that its body is being sent on.

--- a/src/mastweir/gateway/memory.rs
+++ b/src/mastweir/gateway/memory.rs
@@ -61,8 +61,8 @@
     request_id: String,
     shared: Arc<Shared>,
     caller: Arc<Caller>,
-    /// The connection to the server that the request's body is being sent to.
-    server: Mutex<Option<Arc<Meter>>>,
+    /// The connections to the servers that the request's body is being sent to.
+    servers: Mutex<Vec<Arc<Meter>>>,
     is_ended: AtomicBool,
     ended: Notify,
     /// Whether the caller's answer has begun.
@@ -96,7 +96,10 @@
 }
 
 /// Marks that the request's body is being sent to a server.
-struct Sending(Moving);
+struct Sending {
+    moving: Moving,
+    server: Arc<Meter>,
+}
 
 /// Marks a piece of an answer that waits for the caller.
 struct Undelivered(Moving);
@@ -140,7 +143,7 @@
             request_id: request_id.to_owned(),
             shared: self.0.clone(),
             caller: caller.clone(),
-            server: Mutex::default(),
+            servers: Mutex::default(),
             is_ended: AtomicBool::new(false),
             ended: Notify::new(),
             has_reply: AtomicBool::new(false),
@@ -189,8 +192,8 @@
 impl Inner {
     /// Returns when the peers' connections last carried a byte.
     fn last_progress(&self) -> Uptime {
-        let server = lock(&self.server).as_ref().map(|meter| meter.sample());
-        server.unwrap_or_default().max(self.caller.last_progress())
+        let servers = lock(&self.servers).iter().map(|meter| meter.sample()).max();
+        servers.unwrap_or_default().max(self.caller.last_progress())
     }
 
     /// Ends the transfer, unless that has been done. Its task reacts by its stage.
@@ -280,8 +283,9 @@
         if body.is_empty() {
             return Bytes::new();
         }
-        *lock(&self.0.server) = Some(server);
-        Bytes::from_owner(Held { bytes: body.clone(), _guard: Sending(self.begin_move()) })
+        lock(&self.0.servers).push(server.clone());
+        let guard = Sending { moving: self.begin_move(), server };
+        Bytes::from_owner(Held { bytes: body.clone(), _guard: guard })
     }
 
     /// Records that the answer begins, so that the end of the transfer resets the connection.
@@ -358,7 +362,8 @@
 impl Drop for Sending {
     fn drop(&mut self) {
         // The connection may carry other requests from now on.
-        *lock(&self.0.0.0.server) = None;
+        let mut servers = lock(&self.moving.0.0.servers);
+        servers.retain(|server| !Arc::ptr_eq(server, &self.server));
     }
 }
 
--- a/tests/testsuite/silent_server.rs
+++ b/tests/testsuite/silent_server.rs
@@ -7,15 +7,15 @@
 use mastweir::gateway::message::{Message, ServerReport};
 use mastweir_core::gateway::LoadReport;
 use mastweir_test_support::{
-    scripted::{Act, Got},
-    site::{Answer, exchange, request, wait_for},
+    scripted::{Act, Got, Scripted},
+    site::{Answer, exchange, request, route, wait_for},
 };
 use std::{
     net::SocketAddr,
     ops::RangeInclusive,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -124,6 +124,17 @@
         self.is_reporting.iter().for_each(|flag| flag.store(true, Ordering::SeqCst));
     }
 
+    /// Waits until a server has got a certain request, and silences its sidecar.
+    async fn silence_server_of(&self, id: &str) -> Result<()> {
+        let servers = &self.fixture.servers;
+        let has =
+            |server: &Scripted| server.got().iter().any(|got| got.header("request-id") == Some(id));
+        wait_for(async || servers.iter().any(has)).await?;
+        let server = servers.iter().position(has).unwrap_or(0);
+        self.is_reporting[server].store(false, Ordering::SeqCst);
+        Ok(())
+    }
+
     fn request_count(&self) -> usize {
         self.fixture.servers.iter().map(|server| server.got().len()).sum()
     }
@@ -259,3 +270,162 @@
     expect_that!(site.request_count(), eq(2));
     Ok(())
 }
+
+/// A server states that it did not run a request.
+fn refusal(got: &Got) -> Act {
+    let id = got.header("request-id").unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
+         Content-Length: 0\r\n\r\n"
+    );
+    Act::Send(head.into_bytes())
+}
+
+/// Returns the script of a server that plays its part in the order in which servers get requests.
+fn in_order(order: &Arc<AtomicUsize>, parts: fn(usize, &Got) -> Vec<Act>) -> Script {
+    let order = order.clone();
+    Box::new(move |got| match got.header("request-id") {
+        Some("r-1") => parts(order.fetch_add(1, Ordering::SeqCst), got),
+        _ => vec![answer(got, "200 OK", "other")],
+    })
+}
+
+/// Sends requests that are answered, of which each adds to the budget of retries.
+async fn earn_retries(site: &Reporting) -> Result<()> {
+    for number in 0..60 {
+        expect_that!(site.call("GET", "/safe/a", &format!("o-{number}")).await??.status, eq(200));
+    }
+    Ok(())
+}
+
+/// A server that was asked as well may refuse, which says nothing about the others.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_backup_is_followed_by_another() -> Result<()> {
+    let order = Arc::new(AtomicUsize::new(0));
+    let parts = |number: usize, got: &Got| match number {
+        0 => vec![Act::Hang],
+        1 => vec![refusal(got)],
+        _ => vec![answer(got, "200 OK", "third")],
+    };
+    let scripts = (0..3).map(|_| in_order(&order, parts)).collect();
+    let site = Reporting::start(scripts).await?;
+    earn_retries(&site).await?;
+    let call = site.call("GET", "/safe/a", "r-1");
+    site.silence_server_of("r-1").await?;
+    let reply = time::timeout(Duration::from_secs(6), call).await???;
+    expect_that!((reply.status, reply.body.as_str()), eq((200, "third")));
+    Ok(())
+}
+
+/// The failure of a server that was asked as well does not end an answer that another still makes.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_backup_does_not_replace_the_first_answer() -> Result<()> {
+    let order = Arc::new(AtomicUsize::new(0));
+    let parts = |number: usize, got: &Got| match number {
+        0 => vec![Act::Wait(PAUSE), answer(got, "200 OK", "first")],
+        _ => vec![answer(got, "500 Internal Server Error", "failed")],
+    };
+    let scripts = (0..2).map(|_| in_order(&order, parts)).collect();
+    let site = Reporting::start(scripts).await?;
+    earn_retries(&site).await?;
+    let call = site.call("GET", "/safe/a", "r-1");
+    site.silence_server_of("r-1").await?;
+    let reply = call.await??;
+    expect_that!((reply.status, reply.body.as_str()), eq((200, "first")));
+    Ok(())
+}
+
+/// That no server could resume a stream at first does not mean that none can later.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_silent_server_is_resumed_once_another_is_there() -> Result<()> {
+    let parts = |got: &Got| match got.header("last-event-id") {
+        Some(_) => [vec![stream_head(got)], events(5..=8), vec![last_chunk()]].concat(),
+        None => [vec![stream_head(got)], events(1..=4), vec![Act::Hang]].concat(),
+    };
+    let site = Reporting::start(vec![Box::new(parts)]).await?;
+    let call = site.call("POST", "/stream/a", "r-1");
+    site.silence_sidecar().await?;
+    time::sleep(Duration::from_millis(1_200)).await;
+    let server = Scripted::start(parts).await?;
+    site.fixture.site.list("i-1", &server, "ready");
+    let reply = time::timeout(Duration::from_secs(6), call).await???;
+    expect_that!((reply.whole, reply.body.as_str()), eq((true, whole(8).as_str())));
+    Ok(())
+}
+
+/// A server that was to resume a stream may fall silent as well.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_resumed_at_a_silent_server_is_resumed_elsewhere() -> Result<()> {
+    let order = Arc::new(AtomicUsize::new(0));
+    let parts = |number: usize, got: &Got| match number {
+        0 => [vec![stream_head(got)], events(1..=4), vec![Act::Reset]].concat(),
+        1 => vec![Act::Hang],
+        _ => [vec![stream_head(got)], events(5..=8), vec![last_chunk()]].concat(),
+    };
+    let scripts = (0..3).map(|_| in_order(&order, parts)).collect();
+    let site = Reporting::start(scripts).await?;
+    let mut streams = route("/stream/", "streaming");
+    streams["max_attempts"] = 3.into();
+    site.fixture.site.configure(2, &[streams, route("/safe/", "safe")]);
+    time::sleep(Duration::from_millis(1_000)).await;
+    earn_retries(&site).await?;
+    let call = site.call("POST", "/stream/a", "r-1");
+    let servers = &site.fixture.servers;
+    let resumed =
+        |server: &Scripted| server.got().iter().any(|got| got.header("last-event-id") == Some("4"));
+    wait_for(async || servers.iter().any(resumed)).await?;
+    let at = servers.iter().position(resumed).unwrap_or(0);
+    site.is_reporting[at].store(false, Ordering::SeqCst);
+    let reply = time::timeout(Duration::from_secs(6), call).await???;
+    expect_that!((reply.whole, reply.body.as_str()), eq((true, whole(8).as_str())));
+    Ok(())
+}
+
+/// A server that crashes under a stream that it was to resume is suspected like any other.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_of_a_resuming_server_is_noticed() -> Result<()> {
+    let script = || -> Script {
+        Box::new(|got| match got.header("last-event-id") {
+            Some(_) => vec![stream_head(got), Act::End],
+            None => [vec![stream_head(got)], events(1..=4), vec![Act::Hang]].concat(),
+        })
+    };
+    let site = Reporting::start(vec![script(), script()]).await?;
+    let call = site.call("POST", "/stream/a", "r-1");
+    site.silence_sidecar().await?;
+    let _ = time::timeout(Duration::from_secs(6), call).await??;
+    time::sleep(Duration::from_secs(2)).await;
+    let gateway = &site.fixture.gateway;
+    expect_that!(gateway.metric("mastweir_servers_ended_total").await?, eq(1));
+    Ok(())
+}
+
+/// A server that closes an answer without a length before its first event has not ended a stream.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_connection_of_a_resuming_server_does_not_end_a_stream() -> Result<()> {
+    let script = || -> Script {
+        Box::new(|got| match got.header("last-event-id") {
+            Some(_) => {
+                let id = got.header("request-id").unwrap_or_default();
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\n\
+                     Content-Type: text/event-stream\r\n\r\n"
+                );
+                vec![Act::Send(head.into_bytes()), Act::Close]
+            }
+            None => paused_stream(got),
+        })
+    };
+    let site = Reporting::start(vec![script(), script()]).await?;
+    let call = site.call("POST", "/stream/a", "r-1");
+    site.silence_sidecar().await?;
+    let reply = call.await??;
+    expect_that!((reply.whole, reply.body.as_str()), eq((true, whole(8).as_str())));
+    Ok(())
+}
