Go on asking other servers while one is silent

Each try took a retry from the budget, also if nothing was sent. A failure of the second server replaced an answer that the first would have given. A second server that was silent itself was not left although a third was allowed, and its crash before the first event was not noticed.

While the first server is silent, others are now asked for as long as attempts are left, at intervals while there is no capacity or retry; a retry is taken once a server is chosen; only a success replaces the first server's answer; a server that has started again is left at once, as nothing of the request is left there; a request is not sent if another attempt took its last run meanwhile. After a delay of its own a gateway waits until reports can have been read again before it takes a server for stuck.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -326,7 +326,7 @@
     }
 
     /// Whether a later incarnation of a server is known, so that late reports are ignored.
-    pub(super) fn is_superseded(&self, id: &str, incarnation: u64) -> bool {
+    pub fn is_superseded(&self, id: &str, incarnation: u64) -> bool {
         self.statuses.get(id).is_some_and(|status| status.is_superseded(incarnation))
     }
 
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -9,6 +9,7 @@
 use super::{
     call::{Call, Progress},
     crash_probe::suspect_crash,
+    resumption::CAPACITY_POLL,
     server_notices::{ReceivedAnswer, record_notices},
     state::Gateway,
     waiting::wait_for_server,
@@ -33,13 +34,20 @@
 /// silent stream after two seconds.
 const STUCK_POLL_MAX: Duration = Duration::from_millis(300);
 const STUCK_POLL_MIN: Duration = Duration::from_millis(20);
-/// The same until a report shows which pass the server's group makes.
+/// Longest time until a report shows which pass the server's group makes.
 const FIRST_PASS_POLL: Duration = Duration::from_millis(100);
+/// Delay of a check from which on this process counts as suspended or busy.
+const DELAY_MAX: Duration = Duration::from_millis(250);
+/// Time after such a delay in which reports of sidecars arrive again, also forwarded ones.
+const CATCH_UP: Duration = Duration::from_millis(400);
 
 /// Maximum number of sends of a request beyond the attempts of its route. Sends after which the
 /// request has certainly not run don't count as attempts.
 const EXTRA_SENDS: u32 = 2;
 
+/// Why a server makes no progress: it has started again, so nothing of the request is left there.
+pub const RESTARTED: &str = "restarted";
+
 /// An answer whose head was read, with its unread body.
 #[derive(Debug)]
 pub struct ServerAnswer {
@@ -173,6 +181,11 @@
         gateway.server_pool.release(connection, None);
         return Err(AttemptResult::NotRun(Proof::NeverSent));
     }
+    // Another attempt may have been sent meanwhile.
+    if progress.possible_runs() >= call.route().attempts {
+        gateway.server_pool.release(connection, None);
+        return Err(AttemptResult::NotRun(Proof::NeverSent));
+    }
     slot.record_sent(call);
     progress.record_sent();
     let added = AddedHeaders {
@@ -268,11 +281,19 @@
         "server" => &slot.server.id, "reason" => reason,
         "report_age_ms" => report_age_ms(gateway, &slot.server.id),
         "fingerprint" => %call.fingerprint());
+    if reason == RESTARTED {
+        slot.mark_failed();
+        gateway.metrics.count("attempts_failed_total", reason);
+        return Err(AttemptResult::Broken);
+    }
     let mut backup = pin!(back_up(gateway, call, progress));
     tokio::select! {
         biased;
         result = &mut first => match result {
-            Ok(answer) => Ok(answer),
+            Ok(answer) => {
+                progress.record_answered(&answer.slot.server.id);
+                Ok(answer)
+            }
             Err(result) => backup.await.ok_or(result),
         },
         answer = &mut backup => match answer {
@@ -286,23 +307,35 @@
     }
 }
 
-/// Makes an attempt at another server if the route, the retry budget and the servers' capacity
-/// allow it.
+/// Makes attempts at other servers until one succeeds, as soon as they have capacity and as often as
+/// the route and the retry budget allow.
 async fn back_up(
     gateway: &Rc<Gateway>,
     call: &Rc<Call>,
     progress: &Progress,
 ) -> Option<ServerAnswer> {
-    let result = AttemptResult::Broken;
-    let next = next_action(attempt_state(call, progress), result);
-    if next != NextAction::Retry || !may_retry(gateway, call, progress, result) {
-        return None;
-    }
-    let slot = wait_for_server(gateway, call, progress).await.ok()?;
-    if call.held(gateway).is_some() {
-        return None;
+    let mut result = AttemptResult::Broken;
+    loop {
+        let next = next_action(attempt_state(call, progress), result);
+        if next != NextAction::Retry || !may_send_again(gateway, call, progress) {
+            return None;
+        }
+        let slot = wait_for_server(gateway, call, progress).await;
+        let Ok(slot) = slot else {
+            time::sleep(CAPACITY_POLL).await;
+            continue;
+        };
+        if !may_retry(gateway, call, progress, result) {
+            time::sleep(CAPACITY_POLL).await;
+            continue;
+        }
+        match attempt(gateway, call, Rc::new(slot), None, progress).await {
+            // The first server may still succeed.
+            Ok(answer) if !answer.parts.status.is_success() => result = AttemptResult::Failed,
+            Ok(answer) => return Some(answer),
+            Err(failure) => result = failure,
+        }
     }
-    attempt(gateway, call, Rc::new(slot), None, progress).await.ok()
 }
 
 /// Returns the request's priority in its server's queue. A resumed stream goes first, since its
@@ -320,8 +353,8 @@
     }
 }
 
-/// Waits until a server is stuck or its connection is silent, and returns which of them. Never
-/// completes for a request that may not be repeated. `has_started` says whether the server has
+/// Waits until a server is stuck, its connection is silent, or it has started again, and returns which
+/// of them. Never completes for a request that may not be repeated. `has_started` says whether the server has
 /// sent an event of the request.
 pub async fn wait_until_stuck(
     gateway: &Gateway,
@@ -334,15 +367,28 @@
     }
     let id = &slot.server.id;
     let since = gateway.clock.now();
+    let mut now = since;
     let mut pass = None;
+    let mut delayed = None;
     loop {
-        let until_stuck = gateway.fleet.borrow().time_to_stuck(id, gateway.clock.now());
+        let until_stuck = gateway.fleet.borrow().time_to_stuck(id, now);
         let max = if pass.is_none() { FIRST_PASS_POLL } else { STUCK_POLL_MAX };
-        let pause = until_stuck.map_or(max, |until_stuck| until_stuck.max(STUCK_POLL_MIN));
-        time::sleep(pause.min(max)).await;
-        let now = gateway.clock.now();
+        let pause = until_stuck.map_or(max, |until_stuck| until_stuck.max(STUCK_POLL_MIN)).min(max);
+        time::sleep(pause).await;
+        let slept = gateway.clock.now().since(now);
+        now = now + slept;
+        if slept > pause + DELAY_MAX {
+            delayed = Some(now);
+        }
+        // What arrived while this process stood still or was busy may not be read yet.
+        if delayed.is_some_and(|at| now.since(at) < CATCH_UP) {
+            continue;
+        }
         let fleet = gateway.fleet.borrow();
         pass = pass.or_else(|| fleet.pass_after(id, since));
+        if fleet.is_superseded(id, slot.server.incarnation) {
+            return RESTARTED;
+        }
         if fleet.is_stuck(id, slot.server.incarnation, now) {
             return "stuck";
         }
@@ -367,12 +413,7 @@
     progress: &Progress,
     result: AttemptResult,
 ) -> bool {
-    let sends = u32::try_from(progress.sends()).unwrap_or(u32::MAX);
-    if sends >= call.route().attempts + EXTRA_SENDS {
-        return false;
-    }
-    if call.held(gateway).is_some() {
-        gateway.metrics.count("retries_denied_total", "quarantined");
+    if !may_send_again(gateway, call, progress) {
         return false;
     }
     let is_unsent = result == AttemptResult::NotRun(Proof::NeverSent);
@@ -383,6 +424,19 @@
     is_allowed
 }
 
+/// Returns whether a request may be sent again as far as its number of sends and quarantines decide.
+pub fn may_send_again(gateway: &Gateway, call: &Call, progress: &Progress) -> bool {
+    let sends = u32::try_from(progress.sends()).unwrap_or(u32::MAX);
+    if sends >= call.route().attempts + EXTRA_SENDS {
+        return false;
+    }
+    let is_held = call.held(gateway).is_some();
+    if is_held {
+        gateway.metrics.count("retries_denied_total", "quarantined");
+    }
+    !is_held
+}
+
 /// Returns what decides about another attempt.
 pub fn attempt_state(call: &Call, progress: &Progress) -> AttemptState {
     let route = call.route();
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -210,6 +210,8 @@
 #[derive(Debug, Default)]
 pub struct Progress {
     tried: RefCell<Vec<String>>,
+    /// The server whose answer is used, if it was not chosen last.
+    answered: RefCell<Option<String>>,
     runs: Cell<u32>,
     send_delay: Cell<Option<Duration>>,
 }
@@ -236,9 +238,15 @@
         self.tried.borrow().clone()
     }
 
-    /// Returns the server that was chosen last.
-    pub fn last_tried(&self) -> Option<String> {
-        self.tried.borrow().last().cloned()
+    /// Records that the answer of a server is used that may not have been chosen last.
+    pub fn record_answered(&self, server: &str) {
+        *self.answered.borrow_mut() = Some(server.to_owned());
+    }
+
+    /// Returns the server whose answer is used, or that was chosen last.
+    pub fn server(&self) -> Option<String> {
+        let answered = self.answered.borrow().clone();
+        answered.or_else(|| self.tried.borrow().last().cloned())
     }
 
     /// Returns the number of servers that were chosen for the request.
--- a/src/mastweir/gateway/final_answer.rs
+++ b/src/mastweir/gateway/final_answer.rs
@@ -138,6 +138,6 @@
         "outcome" => outcome, "status" => status.as_u16(), "took_ms" => took.as_millis() as u64,
         "late" => if took.as_millis() > u128::from(call.route().objective_ms) { "yes" } else { "no" },
         "waited_ms" => progress.send_delay().map(|delay| delay.as_millis() as u64),
-        "sends" => progress.sends(), "server" => progress.last_tried(),
+        "sends" => progress.sends(), "server" => progress.server(),
         "config" => call.active.config.version);
 }
--- a/src/mastweir/gateway/resumption.rs
+++ b/src/mastweir/gateway/resumption.rs
@@ -4,7 +4,7 @@
 //! often as its route, the retry budget and the capacity of other servers allow.
 
 use super::{
-    attempt::{ServerAnswer, SlotGuard, attempt, may_retry},
+    attempt::{ServerAnswer, SlotGuard, attempt, may_retry, may_send_again, wait_until_stuck},
     call::{Call, Progress},
     crash_probe::suspect_crash,
     final_answer::refusal_label,
@@ -25,6 +25,7 @@
 };
 use slog::info;
 use std::{pin::pin, rc::Rc, time::Duration};
+use tokio::time;
 
 /// Highest load, as a fraction of its slots, of a server that may resume a stream. Resumed streams
 /// have priority over new requests.
@@ -34,6 +35,9 @@
 /// disconnect two seconds after the last event.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Pause before servers are looked at again after none had capacity.
+pub const CAPACITY_POLL: Duration = Duration::from_millis(100);
+
 /// Why a stream is not continued at another server.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
 pub enum ResumeDenied {
@@ -79,6 +83,8 @@
     End,
     /// The end of the connection, or an error.
     Broken,
+    /// Nothing, as the server has started again.
+    Restarted,
     /// An event that is larger than any accepted.
     Oversized,
     /// Nothing until the request's deadline.
@@ -124,8 +130,6 @@
     /// Reads up to the end of the next whole event. No event is lost if the read is cancelled.
     pub async fn read(&mut self, call: &Call, events: &mut EventSplitter) -> Read {
         loop {
-            // A server that crashes may close its connection before the first event.
-            let has_begun = events.last_id().is_some();
             match call.clock.timeout_at(call.deadline, self.body.frame()).await {
                 Err(_) => return Read::Late,
                 Ok(Some(Ok(frame))) => {
@@ -139,7 +143,8 @@
                         return Read::Oversized;
                     }
                 }
-                Ok(None) if events.is_at_boundary() && (self.is_framed || has_begun) => {
+                // A server that crashes may close its connection before the first event.
+                Ok(None) if events.is_at_boundary() && (self.is_framed || events.last_id().is_some()) => {
                     return Read::End;
                 }
                 Ok(None) | Ok(Some(Err(_))) => return Read::Broken,
@@ -177,16 +182,26 @@
     let mut result = AttemptResult::Broken;
     loop {
         may_resume(call, progress)?;
-        if !may_retry(gateway, call, progress, result) {
-            return Err(ResumeDenied::Retry);
-        }
         let tried = progress.tried();
         let until = gateway.clock.now() + RESUME_TIMEOUT.min(call.time_left());
         let needs = call.requirements(&tried, RESUME_MAX_LOAD);
         let chosen = choose_until(gateway, needs, until).await;
         let server = chosen.map_err(ResumeDenied::NoServer)?;
+        // Only a send is charged to the retry budget.
+        if !may_retry(gateway, call, progress, result) {
+            return Err(ResumeDenied::Retry);
+        }
         let slot = Rc::new(SlotGuard::acquire(gateway, server));
-        match attempt(gateway, call, slot, last, progress).await {
+        let can_try_next = progress.possible_runs() + 1 < call.route().attempts;
+        let answered = tokio::select! {
+            biased;
+            answered = attempt(gateway, call, slot.clone(), last, progress) => answered,
+            _ = wait_until_stuck(gateway, call, &slot, false), if can_try_next => {
+                slot.mark_failed();
+                Err(AttemptResult::Broken)
+            }
+        };
+        match answered {
             Ok(answer) if answer.parts.status == StatusCode::OK => {
                 info!(gateway.log, "stream resumed"; "id" => &call.head.id,
                     "last_event" => last, "server" => &answer.slot.server.id);
@@ -199,7 +214,7 @@
 }
 
 /// Resumes a stream whose server makes no progress at another server, while the first one may still
-/// go on.
+/// go on. Tries again while no other server has capacity.
 pub async fn race(
     gateway: &Rc<Gateway>,
     call: &Call,
@@ -208,7 +223,7 @@
     events: &mut EventSplitter,
 ) -> StallEnd {
     let last = events.last_id().map(str::to_owned);
-    let mut resuming = pin!(resume_to_event(gateway, call, progress, last));
+    let mut resuming = pin!(resume_when_possible(gateway, call, progress, last));
     tokio::select! {
         biased;
         read = stalled.read(call, events) => match read {
@@ -226,6 +241,24 @@
     }
 }
 
+/// Continues a stream at another server as soon as one has capacity and the retry budget allows it.
+async fn resume_when_possible(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    progress: &Progress,
+    last: Option<String>,
+) -> Result<Resumed, ResumeDenied> {
+    loop {
+        match resume_to_event(gateway, call, progress, last.clone()).await {
+            Err(ResumeDenied::NoServer(_)) => time::sleep(CAPACITY_POLL).await,
+            Err(ResumeDenied::Retry) if may_send_again(gateway, call, progress) => {
+                time::sleep(CAPACITY_POLL).await;
+            }
+            ended => return ended,
+        }
+    }
+}
+
 /// Continues a stream at another server, and waits for its first event there.
 async fn resume_to_event(
     gateway: &Rc<Gateway>,
@@ -236,9 +269,20 @@
     loop {
         let mut upstream = resume(gateway, call, progress, last.as_deref()).await?;
         let mut events = EventSplitter::after(last.clone());
-        match upstream.read(call, &mut events).await {
-            read @ (Read::Events(_) | Read::End) => return Ok(Resumed { upstream, events, read }),
-            Read::Broken | Read::Oversized | Read::Late => upstream.slot.mark_failed(),
+        let slot = upstream.slot.clone();
+        let can_try_next = may_resume(call, progress).is_ok();
+        let read = tokio::select! {
+            biased;
+            read = upstream.read(call, &mut events) => read,
+            _ = wait_until_stuck(gateway, call, &slot, true), if can_try_next => Read::Late,
+        };
+        match read {
+            Read::Events(_) | Read::End => return Ok(Resumed { upstream, events, read }),
+            Read::Broken => {
+                slot.mark_failed();
+                suspect_crash(gateway, call, &slot.server).await;
+            }
+            Read::Oversized | Read::Late | Read::Restarted => slot.mark_failed(),
         }
     }
 }
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -10,7 +10,7 @@
 //! event first continues the stream. If no other server may resume it, the first one is awaited.
 
 use super::{
-    attempt::{ServerAnswer, report_age_ms, wait_until_stuck},
+    attempt::{RESTARTED, ServerAnswer, report_age_ms, wait_until_stuck},
     call::{Call, Progress},
     crash_probe::suspect_crash,
     in_flight::InFlight,
@@ -114,7 +114,10 @@
                 biased;
                 read = upstream.read(&self.call, &mut self.events) => read,
                 reason = wait_until_stuck(&self.gateway, &self.call, &slot, true), if can_resume => {
-                    self.resume_or_wait(reason).await
+                    match reason {
+                        RESTARTED => Read::Restarted,
+                        reason => self.resume_or_wait(reason).await,
+                    }
                 }
             };
             match read {
@@ -125,8 +128,9 @@
                 Read::End => return self.finish(),
                 Read::Late => return self.abort("late"),
                 Read::Oversized => return self.abort("oversized event"),
-                Read::Broken => {
-                    if let Err(denied) = self.fail_over().await {
+                Read::Broken | Read::Restarted => {
+                    let reason = if matches!(read, Read::Broken) { BROKEN } else { RESTARTED };
+                    if let Err(denied) = self.fail_over(reason).await {
                         self.log_denied(denied);
                         return self.abort("not resumed");
                     }
@@ -178,7 +182,7 @@
             "first_ms" => first.map(|first| first.as_millis() as u64),
             "pause_ms" => self.timing.longest_gap().as_millis() as u64,
             "pause_at_ms" => self.timing.longest_gap_end().as_millis() as u64,
-            "server" => self.progress.last_tried(),
+            "server" => self.progress.server(),
             "group" => slowest.and_then(|report| report.group.clone()),
             "pass" => slowest.map(|report| report.pass), "pass_ms" => slowest.map(|report| report.pass_ms),
             "running" => slowest.map(|report| report.running),
@@ -216,15 +220,18 @@
         Chunk::Incomplete
     }
 
-    /// Leaves a server whose connection broke, and resumes the stream at another one.
-    async fn fail_over(&mut self) -> Result<(), ResumeDenied> {
-        if let Some(broken) = self.upstream.take() {
-            self.leave(&broken, BROKEN);
-            suspect_crash(&self.gateway, &self.call, &broken.slot.server).await;
+    /// Leaves a server that can't go on, and resumes the stream at another one.
+    async fn fail_over(&mut self, reason: &'static str) -> Result<(), ResumeDenied> {
+        if let Some(left) = self.upstream.take() {
+            self.leave(&left, reason);
+            if reason == BROKEN {
+                suspect_crash(&self.gateway, &self.call, &left.slot.server).await;
+            }
         }
         self.events.discard_partial();
         let last = self.events.last_id();
         let upstream = resume(&self.gateway, &self.call, &self.progress, last).await?;
+        self.progress.record_answered(&upstream.slot.server.id);
         self.resumed += 1;
         self.upstream = Some(upstream);
         Ok(())
@@ -264,9 +271,11 @@
 
     /// Continues with a server that has resumed the stream.
     fn switch(&mut self, resumed: Resumed, reason: &'static str) -> Read {
+        let resumed_server = resumed.upstream.slot.server.id.clone();
         if let Some(stalled) = self.upstream.replace(resumed.upstream) {
             self.leave(&stalled, reason);
         }
+        self.progress.record_answered(&resumed_server);
         self.events = resumed.events;
         self.resumed += 1;
         resumed.read
