Do not take an unframed connection that closes at once for the end of a resumed stream

A caller could get a part of a stream as complete: a server that resumes it sends a head without length or chunks and closes before any event, as one that crashes may. Whether an event had come was asked of the stream, to which its first server had already delivered some, not of the server.

closed_connection_of_a_resuming_server_does_not_end_a_stream failed before, with 4 of 8 events passed on as the whole stream.

--- a/src/mastweir/gateway/resumption.rs
+++ b/src/mastweir/gateway/resumption.rs
@@ -71,6 +71,8 @@
     pub keep_alive: Option<Duration>,
     /// Whether the end of the body can be told from the end of the connection.
     is_framed: bool,
+    /// Whether a whole event was read.
+    has_begun: bool,
     /// When the head of the answer was read.
     pub begun: Uptime,
 }
@@ -119,6 +121,7 @@
             headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
         Self {
             is_framed,
+            has_begun: false,
             begun,
             body: answer.body,
             connection: answer.connection,
@@ -136,6 +139,7 @@
                     let Some(bytes) = frame.data_ref() else { continue };
                     let whole = events.push(bytes);
                     if !whole.is_empty() {
+                        self.has_begun = true;
                         self.slot.record_written();
                         return Read::Events(whole.into());
                     }
@@ -144,7 +148,7 @@
                     }
                 }
                 // A server that crashes may close its connection before the first event.
-                Ok(None) if events.is_at_boundary() && (self.is_framed || events.last_id().is_some()) => {
+                Ok(None) if events.is_at_boundary() && (self.is_framed || self.has_begun) => {
                     return Read::End;
                 }
                 Ok(None) | Ok(Some(Err(_))) => return Read::Broken,
--- a/tests/testsuite/silent_server.rs
+++ b/tests/testsuite/silent_server.rs
@@ -404,3 +404,28 @@
     expect_that!(gateway.metric("mastweir_servers_ended_total").await?, eq(1));
     Ok(())
 }
+
+/// A server that closes an answer without a length before its first event has not ended a stream.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_connection_of_a_resuming_server_does_not_end_a_stream() -> Result<()> {
+    let script = || -> Script {
+        Box::new(|got| match got.header("last-event-id") {
+            Some(_) => {
+                let id = got.header("request-id").unwrap_or_default();
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\n\
+                     Content-Type: text/event-stream\r\n\r\n"
+                );
+                vec![Act::Send(head.into_bytes()), Act::Close]
+            }
+            None => paused_stream(got),
+        })
+    };
+    let site = Reporting::start(vec![script(), script()]).await?;
+    let call = site.call("POST", "/stream/a", "r-1");
+    site.silence_sidecar().await?;
+    let reply = call.await??;
+    expect_that!((reply.whole, reply.body.as_str()), eq((true, whole(8).as_str())));
+    Ok(())
+}
