Watch the store from a gateway that it serves when it turns the watchers away

Callers got answers by an old configuration, and requests were sent to servers that had left, from gateways which the store would have served: the first two gateways of a hall watch the store, for as long as they answer hellos, and the others never ask it. A restart of all processes meanwhile served nothing.

A hello now states how long ago the store last answered its sender's watches, and names the watchers from which its sender heard of a recent answer. While nobody in a hall names one, the others try the store in turn, at a rate that is bounded for a hall of any size, and one that is answered watches until it is no longer answered or two others are. The first two keep their role, so nothing changes while the store serves one of them, and no gateway has to win a role back.

--- a/crates/mastweir-core/src/gateway/mod.rs
+++ b/crates/mastweir-core/src/gateway/mod.rs
@@ -60,6 +60,7 @@
 mod views;
 mod wait_queue;
 mod warmups;
+mod watchers;
 
 pub use accept_limit::{AcceptLimit, LAG_INTERVAL};
 pub use admission::StreamRequest;
@@ -100,3 +101,4 @@
 pub use wait_queue::{
     Enqueued, WaitBounds, WaitQueue, WaitQueueFull, WaitTicket, WaitingRequest, is_shared_refusal,
 };
+pub use watchers::{TRIES_PER_S, WatchState, Watchers};
--- a/src/mastweir/gateway/follow.rs
+++ b/src/mastweir/gateway/follow.rs
@@ -74,6 +74,9 @@
     /// See [`StoreError`].
     fn probe(&self, since: Revision) -> impl Future<Output = Result<bool, StoreError>>;
 
+    /// Called whenever the store has answered a list, a watch or a probe beside one.
+    fn record_answer(&self) {}
+
     /// Completes once the store is known to have been restored from an older copy since a
     /// revision.
     fn later_generation(&self, since: Revision) -> impl Future<Output = ()>;
@@ -184,6 +187,7 @@
             }
         };
         link.record_success();
+        source.record_answer();
         loop {
             let call = StoreCall::new("watch", revision);
             match watch(source, revision, outages, &link).await {
@@ -192,6 +196,7 @@
                     let changed = !changes.changes.is_empty();
                     source.apply(changes, link.time_away());
                     link.record_success();
+                    source.record_answer();
                     if changed {
                         time::sleep(CHANGE_DELAY).await;
                     }
@@ -262,6 +267,7 @@
         }
         if !liveness.is_silent() {
             link.record_answer();
+            source.record_answer();
         }
         time::sleep(liveness.probe_interval(PROBE_INTERVAL)).await;
     }
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -9,6 +9,7 @@
 use mastweir_core::{
     gateway::{
         EvacuationList, LimitUpdate, LoadReport, Model, PartReport, PeerInfo, SuspectReport,
+        WatchState,
     },
     revision::Revision,
     switch::{
@@ -118,6 +119,8 @@
     pub fleet_size: u32,
     /// The first gateways of each hall, as far as it knows them.
     pub known_peers: Vec<PeerInfo>,
+    /// Watches of the platform's store, by it and in its hall.
+    pub watch: WatchState,
 }
 
 /// Announces a relay gateway, to which the sidecar is to send its reports.
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -15,6 +15,7 @@
     suspect_gossip,
 };
 use mastweir_core::gateway::{Lag, PeerInfo, PeerState, Versions};
+use rand::Rng;
 use slog::info;
 use std::{net::IpAddr, rc::Rc, time::Duration};
 use tokio::{net::UdpSocket, task, time};
@@ -84,11 +85,13 @@
         fleet_size,
         known_peers,
         evacuations,
+        watch,
         ..
     } = hello;
     {
         let mut gateways = gateway.gateways.borrow_mut();
         let peer = PeerInfo { ip: from, hall, power };
+        gateway.watchers.borrow_mut().record_hello(&peer, watch, hall_size, now);
         gateways.record_hello(peer, PeerState { leaving, is_follower, hall_size, fleet_size }, now);
         known_peers.into_iter().for_each(|info| gateways.record_mention(info, now));
     }
@@ -131,6 +134,7 @@
         hall_size: gateways.hall_size(now),
         fleet_size: gateways.max_known(),
         known_peers: gateways.known_peers(now),
+        watch: gateway.watchers.borrow().state(now),
     }
 }
 
@@ -140,6 +144,7 @@
     loop {
         let now = gateway.clock.now();
         update_roles(&gateway);
+        try_store_if_due(&gateway);
         log_new_peers(&gateway, &mut known);
         let seeds = gateway.settings.borrow().seeds.clone();
         let targets = gateway.gateways.borrow_mut().hello_targets(round, &seeds, now);
@@ -165,8 +170,8 @@
     };
     gateway.gateways.borrow_mut().update_relays(now);
     let gateways = gateway.gateways.borrow();
-    let (is_relay, is_watcher) =
-        (gateways.is_relay(is_seed, now), gateways.is_watcher(is_seed, now));
+    let is_relay = gateways.is_relay(is_seed, now);
+    let is_watcher = gateway.watchers.borrow_mut().update(gateways.is_watcher(is_seed, now), now);
     let was_relay = gateway.is_relay.replace(is_relay);
     if was_relay != is_relay {
         let mut fleet = gateway.fleet.borrow_mut();
@@ -186,6 +191,31 @@
     }
 }
 
+/// Tries the store if no gateway of the hall is known to reach it.
+fn try_store_if_due(gateway: &Rc<Gateway>) {
+    if *gateway.is_watcher.borrow() || gateway.stopping.get() {
+        return;
+    }
+    let now = gateway.clock.now();
+    let hall_size = gateway.gateways.borrow().hall_size(now);
+    let draw = gateway.rng.borrow_mut().random();
+    if gateway.watchers.borrow_mut().is_try_due(hall_size, draw, now) {
+        task::spawn_local(try_store(gateway.clone()));
+    }
+}
+
+/// Calls the store once, and watches it if it answers.
+async fn try_store(gateway: Rc<Gateway>) {
+    let since = gateway.fleet.borrow().directory().revision;
+    let is_answered = gateway.store.is_reachable(since).await;
+    gateway.metrics.count("store_tries_total", if is_answered { "answered" } else { "failed" });
+    if is_answered {
+        info!(gateway.log, "store reached in place of the hall's watchers");
+        gateway.watchers.borrow_mut().record_try(gateway.clock.now());
+        update_roles(&gateway);
+    }
+}
+
 /// Logs one line for all gateways that were found since the last call.
 fn log_new_peers(gateway: &Gateway, before: &mut u32) {
     let now = gateway.clock.now();
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -18,7 +18,7 @@
         AcceptLimit, Candidate, Config, Directory, EvacuationList, Fingerprint, Fleet,
         OutageTracker, PassLimitChange, PeerInfo, Peers, PoisonPrompts, PoisonRequests, RecentRuns,
         Refusal, Requirements, RetryDetector, RetryWindow, Route, RouteIndex, Urgency,
-        UrgencyLevel, UrgencyLevels, UrgencyShares,
+        UrgencyLevel, UrgencyLevels, UrgencyShares, Watchers,
     },
     time::Uptime,
 };
@@ -112,6 +112,8 @@
     pub is_relay: Cell<bool>,
     /// Whether this gateway watches the store.
     pub is_watcher: watch::Sender<bool>,
+    /// Watches of the store in this gateway's hall.
+    pub watchers: RefCell<Watchers>,
     /// Notifies waiting requests of reports on servers, answers on permits and ended requests.
     pub server_changes: Notify,
     /// Requests under which servers crashed.
@@ -161,6 +163,7 @@
         let seeded_rng = options.seed.map(SmallRng::seed_from_u64);
         let mut rng = seeded_rng.unwrap_or_else(SmallRng::from_os_rng);
         let first_number = rng.random();
+        let own = PeerInfo { ip: settings.ip, hall: settings.hall.clone(), power: settings.power };
         Self {
             clock: options.clock.clone(),
             log: options.log.new(slog::o!("instance" => settings.name.clone())),
@@ -177,14 +180,11 @@
             service_outages: RefCell::default(),
             urgency_shares: RefCell::default(),
             rng: RefCell::new(rng),
-            gateways: RefCell::new(Peers::new(PeerInfo {
-                ip: settings.ip,
-                hall: settings.hall.clone(),
-                power: settings.power,
-            })),
+            gateways: RefCell::new(Peers::new(own.clone())),
             coordinators: RefCell::default(),
             is_relay: Cell::new(false),
             is_watcher: watch::Sender::new(false),
+            watchers: RefCell::new(Watchers::new(own)),
             server_changes: Notify::new(),
             suspects: RefCell::default(),
             prompts: RefCell::new(PoisonPrompts::new(Fingerprint::of_instance(&settings.name))),
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -75,6 +75,10 @@
     }
 }
 
+fn record_answer(gateway: &Gateway) {
+    gateway.watchers.borrow_mut().record_answer(gateway.clock.now());
+}
+
 /// The configuration. An unreadable one leaves the previous one in force.
 struct ConfigSource<'a> {
     gateway: &'a Rc<Gateway>,
@@ -116,6 +120,10 @@
         self.gateway.store.probe_config(since).await
     }
 
+    fn record_answer(&self) {
+        record_answer(self.gateway);
+    }
+
     async fn later_generation(&self, since: Revision) {
         self.gateway.store.later_generation(since.generation).await;
     }
@@ -184,6 +192,10 @@
         self.gateway.store.probe_servers(since).await
     }
 
+    fn record_answer(&self) {
+        record_answer(self.gateway);
+    }
+
     async fn later_generation(&self, since: Revision) {
         self.gateway.store.later_generation(since.generation).await;
     }
@@ -237,6 +249,10 @@
         self.gateway.store.probe_evacuations(since).await
     }
 
+    fn record_answer(&self) {
+        record_answer(self.gateway);
+    }
+
     async fn later_generation(&self, since: Revision) {
         self.gateway.store.later_generation(since.generation).await;
     }
--- a/src/mastweir/platform/store.rs
+++ b/src/mastweir/platform/store.rs
@@ -248,6 +248,17 @@
         self.probe(servers::KIND, since).await
     }
 
+    /// Returns whether the store answers. Reads from a replica, with the servers' changes since a
+    /// revision, which are few.
+    pub async fn is_reachable(&self, since: Revision) -> bool {
+        let path =
+            format!("/objects/{}?watch={}&wait_ms=0&stale_ok=1", servers::KIND, since.number);
+        match self.call(Method::GET, &path, None, PROBE_TIMEOUT).await {
+            Ok(_) | Err(StoreError::HistoryGone | StoreError::StaleGeneration { .. }) => true,
+            Err(_) => false,
+        }
+    }
+
     async fn probe(&self, kind: &str, since: Revision) -> Result<bool, StoreError> {
         if since.generation != self.generation() {
             return Ok(true);
--- a/tests/testsuite/gossip_loops.rs
+++ b/tests/testsuite/gossip_loops.rs
@@ -3,7 +3,10 @@
 use eyre::Result;
 use googletest::prelude::*;
 use mastweir::gateway::message::{Hello, Message, PassForecast};
-use mastweir_core::{gateway::EvacuationList, revision::Revision};
+use mastweir_core::{
+    gateway::{EvacuationList, WatchState},
+    revision::Revision,
+};
 use mastweir_test_support::site::{Running, Site, route};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
@@ -54,6 +57,7 @@
         hall_size: 1,
         fleet_size: 1,
         known_peers: Vec::new(),
+        watch: WatchState::default(),
     })
 }
 
--- a/tests/testsuite/messages.rs
+++ b/tests/testsuite/messages.rs
@@ -8,7 +8,7 @@
     RankStatus, RequestPermits, ServerGrant, ServerLoad, SubtreeReport,
 };
 use mastweir_core::{
-    gateway::{EvacuationList, LimitUpdate, LoadReport, PeerInfo, Rate},
+    gateway::{EvacuationList, LimitUpdate, LoadReport, PeerInfo, Rate, WatchState},
     revision::Revision,
     switch::{
         map_change::RankState,
@@ -152,6 +152,7 @@
         hall_size: 59,
         fleet_size: 410,
         known_peers: (0..42).map(named).collect(),
+        watch: WatchState { answer_age_ms: Some(u32::MAX), watchers: vec![ip(1), ip(2)] },
     });
     let id = |at: usize| format!("i-{:020}", u64::MAX - at as u64);
     let limits = Message::Limits(
