Replace a watch that fell silent while stale reads go on

Callers' requests were handled by an old configuration, and sent to servers that had left, for as long as the store's replicas lagged: a watch whose connection falls silent looks like one without changes, and the probes beside it were stale reads, which prove that the store answers but not that the watch hears.

One watcher of the fleet now probes with reads that are not stale, and the others fetch from it what it finds. It is the first by rank of those that the store answers, so an outage is not probed at ten times the price, and the calls do not grow with the fleet or its halls.

--- a/crates/mastweir-core/src/gateway/watchers.rs
+++ b/crates/mastweir-core/src/gateway/watchers.rs
@@ -9,6 +9,12 @@
 //! answered becomes a substitute watcher. It stands down when the store no longer answers it, or
 //! when two others of the hall watch with answers.
 //!
+//! A watch whose connection fell silent looks like one without changes, and stale reads show what it
+//! missed only seconds later. So one watcher, the checker, probes the store with reads that are not
+//! stale, and the others hear of what it finds. It is the first by rank among the watchers of all
+//! halls that are known to have been answered lately. Gateways that do not hear each other have a
+//! checker each.
+//!
 //! Followers send hellos only to relays, so a hello also names the watchers from which its sender
 //! itself heard of a recent answer. Such names are not passed on; otherwise gateways would confirm
 //! each other's outdated news.
@@ -49,9 +55,14 @@
     (Reverse(peer.power), peer.ip)
 }
 
-/// What a gateway of the hall stated last.
+fn is_recent(answer: Option<Uptime>, now: Uptime) -> bool {
+    answer.is_some_and(|at| now.since(at) < RECENT)
+}
+
+/// What a gateway stated last.
 #[derive(Clone, Debug)]
 struct Heard {
+    is_own_hall: bool,
     last_answer: Option<Uptime>,
     watchers: Vec<IpAddr>,
     hall_size: u32,
@@ -75,8 +86,8 @@
         Self { own, last_answer: None, heard: BTreeMap::new(), substitute: None, next_try: None }
     }
 
-    /// Records what a gateway's hello states; only gateways of the own hall count. `hall_size` is
-    /// the number of gateways of the hall that the sender knows.
+    /// Records what a gateway's hello states. `hall_size` is the number of gateways of the sender's
+    /// hall that it knows.
     pub fn record_hello(
         &mut self,
         sender: &PeerInfo,
@@ -84,12 +95,14 @@
         hall_size: u32,
         now: Uptime,
     ) {
-        if sender.hall != self.own.hall || sender.ip == self.own.ip {
+        if sender.ip == self.own.ip {
             return;
         }
         let age = state.answer_age_ms.map(|age| Duration::from_millis(age.into()));
         let last_answer = age.filter(|age| *age < RECENT).map(|age| now - age);
-        let heard = Heard { last_answer, watchers: state.watchers, hall_size, at: now };
+        let is_own_hall = sender.hall == self.own.hall;
+        let watchers = state.watchers;
+        let heard = Heard { is_own_hall, last_answer, watchers, hall_size, at: now };
         self.heard.insert(rank(sender), heard);
     }
 
@@ -115,26 +128,42 @@
 
     /// Returns the first gateways whose watches were answered lately, by their own hellos.
     fn answered(&self, now: Uptime) -> Vec<IpAddr> {
-        let is_recent = |at: Option<Uptime>| at.is_some_and(|at| now.since(at) < RECENT);
-        let others = self.heard.iter().filter(|(_, heard)| is_recent(heard.last_answer));
-        let own = Some(rank(&self.own)).filter(|_| is_recent(self.last_answer));
+        let others = self.local().filter(|(_, heard)| is_recent(heard.last_answer, now));
+        let own = Some(rank(&self.own)).filter(|_| is_recent(self.last_answer, now));
         let mut ranks: Vec<Rank> = others.map(|(rank, _)| *rank).chain(own).collect();
         ranks.sort_unstable();
         ranks.into_iter().map(|(_, ip)| ip).take(WATCHERS).collect()
     }
 
+    /// Returns the other gateways of the own hall.
+    fn local(&self) -> impl Iterator<Item = (&Rank, &Heard)> {
+        self.heard.iter().filter(|(_, heard)| heard.is_own_hall)
+    }
+
+    /// Returns whether this gateway, which watches the store, is the checker. While the store does
+    /// not answer anyone, nobody is: refused calls are billed, too.
+    pub fn is_checker(&self, now: Uptime) -> bool {
+        let better = self.heard.range(..rank(&self.own)).map(|(_, other)| other);
+        let is_watching = |other: &Heard| {
+            now.since(other.at) < HELLO_TIMEOUT && is_recent(other.last_answer, now)
+        };
+        let has_better = better.into_iter().any(is_watching);
+        // Followers hear of each other from relays.
+        let is_later = |list: Vec<IpAddr>| list.iter().skip(1).any(|ip| *ip == self.own.ip);
+        is_recent(self.last_answer, now) && !has_better && !self.lists(now).any(is_later)
+    }
+
     /// Returns the lists of watchers: the own one, and those that others stated lately.
     fn lists(&self, now: Uptime) -> impl Iterator<Item = Vec<IpAddr>> {
-        let told = self.heard.values().filter(move |heard| now.since(heard.at) < HELLO_TIMEOUT);
-        [self.answered(now)].into_iter().chain(told.map(|heard| heard.watchers.clone()))
+        let told = self.local().filter(move |(_, heard)| now.since(heard.at) < HELLO_TIMEOUT);
+        [self.answered(now)].into_iter().chain(told.map(|(_, heard)| heard.watchers.clone()))
     }
 
     /// Returns whether this gateway watches the store. `is_first` says whether it is one of the
     /// first of its hall, which always watch. Called at intervals.
     pub fn update(&mut self, is_first: bool, now: Uptime) -> bool {
         self.heard.retain(|_, heard| now.since(heard.at) < RECENT);
-        let is_answered = self.last_answer.is_some_and(|at| now.since(at) < RECENT);
-        if is_first || !is_answered || self.is_surplus(now) {
+        if is_first || !is_recent(self.last_answer, now) || self.is_surplus(now) {
             self.substitute = None;
         }
         let is_watcher = is_first || self.substitute.is_some();
@@ -162,7 +191,7 @@
             return false;
         }
         // A follower hears only relays, which know the others.
-        let told = self.heard.values().map(|heard| heard.hall_size);
+        let told = self.local().map(|(_, heard)| heard.hall_size);
         let hall_size = told.fold(hall_size, u32::max);
         let interval = Duration::from_secs_f64(f64::from(hall_size) / TRIES_PER_S);
         let Some(at) = self.next_try else {
--- a/crates/mastweir-test-support/src/doors.rs
+++ b/crates/mastweir-test-support/src/doors.rs
@@ -25,6 +25,8 @@
 const ERA: &str = "Store-Era";
 /// Items on a page of a list: few, so that lists have several.
 const PAGE: usize = 3;
+/// How much longer than it was to wait a lost watch stays open; longer than clients do.
+const LOST: Duration = Duration::from_secs(10);
 
 /// A way to the store.
 #[derive(Debug)]
@@ -114,13 +116,14 @@
     })
 }
 
-#[rocket::get("/<kind>?<watch>&<wait_ms>&<after_rev>")]
+#[rocket::get("/<kind>?<watch>&<wait_ms>&<after_rev>&<stale_ok>")]
 async fn list(
     door: &State<Arc<Door>>,
     kind: &str,
     watch: Option<u64>,
     wait_ms: Option<u64>,
     after_rev: Option<&str>,
+    stale_ok: Option<u8>,
     shutdown: Shutdown,
 ) -> Reply {
     let wait = watch.map(|_| Duration::from_millis(wait_ms.unwrap_or_default()));
@@ -129,6 +132,9 @@
         return no(status);
     }
     match watch {
+        Some(since) if stale_ok == Some(1) => {
+            told_changes(door.platform.replica_since(kind, since))
+        }
         Some(since) => changes(door, kind, since, wait.unwrap_or_default(), shutdown).await,
         None => page(door, kind, after_rev),
     }
@@ -158,30 +164,38 @@
 ) -> Reply {
     let end = time::Instant::now() + wait;
     let mut changed = door.platform.changes();
+    let opened = door.platform.faults.lost_watches.load(Ordering::SeqCst);
     loop {
-        let Some((events, revision)) = door.platform.since(kind, since) else {
-            return no(Status::Gone);
-        };
+        let found = door.platform.since(kind, since);
         let late = time::Instant::now() >= end;
-        if !events.is_empty() || late {
-            let told = |event: &Value| {
-                let gone = event["type"] == "DELETED";
-                json!({ "deleted": gone, "object": told(&event["object"]) })
-            };
-            let events: Vec<Value> = events.iter().map(told).collect();
-            return reply(Status::Ok, &json!({ "events": events, "timestamp": revision }));
+        if late || found.as_ref().is_none_or(|(events, _)| !events.is_empty()) {
+            return told_changes(found);
         }
         tokio::select! {
             _ = changed.changed() => (),
             () = time::sleep_until(end) => (),
             () = &mut shutdown => return no(Status::ServiceUnavailable),
         }
+        if door.platform.faults.lost_watches.load(Ordering::SeqCst) != opened {
+            time::sleep_until(end + LOST).await;
+        }
         if door.shut.load(Ordering::SeqCst) {
             return no(Status::ServiceUnavailable);
         }
     }
 }
 
+/// Changes as the store answers them; an error if it no longer has them.
+fn told_changes(found: Option<(Vec<Value>, u64)>) -> Reply {
+    let Some((events, revision)) = found else { return no(Status::Gone) };
+    let told = |event: &Value| {
+        let gone = event["type"] == "DELETED";
+        json!({ "deleted": gone, "object": told(&event["object"]) })
+    };
+    let events: Vec<Value> = events.iter().map(told).collect();
+    reply(Status::Ok, &json!({ "events": events, "timestamp": revision }))
+}
+
 #[rocket::get("/<kind>/<name>")]
 async fn get(door: &State<Arc<Door>>, kind: &str, name: &str) -> Reply {
     door.hear(kind, None);
--- a/crates/mastweir-test-support/src/platform.rs
+++ b/crates/mastweir-test-support/src/platform.rs
@@ -40,11 +40,14 @@
     pub lost_watches: AtomicU64,
     /// Time that each call takes, in milliseconds.
     pub slow_ms: AtomicU64,
+    /// How old the answers to reads are that may be stale, in milliseconds.
+    pub replica_lag_ms: AtomicU64,
 }
 
 #[derive(Clone, Debug)]
 struct Change {
     version: u64,
+    at: time::Instant,
     collection: String,
     event: Value,
 }
@@ -266,11 +269,32 @@
     }
 }
 
+impl Platform {
+    /// The same as a replica has them that lags.
+    pub(crate) fn replica_since(
+        &self,
+        collection: &str,
+        version: u64,
+    ) -> Option<(Vec<Value>, u64)> {
+        let lag = Duration::from_millis(self.faults.replica_lag_ms.load(Ordering::SeqCst));
+        let (_, newest) = self.since(collection, version)?;
+        let store = lock(&self.store);
+        let is_there = |change: &&Change| change.at.elapsed() >= lag;
+        let missing = store.history.iter().find(|change| !is_there(change));
+        let last = missing.map_or(newest, |change| change.version - 1);
+        let there = store.history.iter().filter(is_there);
+        let newer =
+            there.filter(|change| change.version > version && change.collection == collection);
+        Some((newer.map(|change| change.event.clone()).collect(), last.max(version)))
+    }
+}
+
 impl Store {
     fn note(&mut self, version: u64, collection: &str, kind: &str, object: &Value) {
         let event = json!({"type": kind, "object": object});
         let collection = collection.to_owned();
-        self.history.push_back(Change { version, collection, event });
+        let at = time::Instant::now();
+        self.history.push_back(Change { version, at, collection, event });
         if self.history.len() > HISTORY {
             self.history.pop_front();
         }
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -75,6 +75,12 @@
     }
 }
 
+/// Returns whether probes may read what is seconds old, since another gateway checks for changes
+/// that watches missed.
+fn may_lag(gateway: &Gateway) -> bool {
+    !gateway.watchers.borrow().is_checker(gateway.clock.now())
+}
+
 fn record_answer(gateway: &Gateway) {
     gateway.watchers.borrow_mut().record_answer(gateway.clock.now());
 }
@@ -117,7 +123,7 @@
     }
 
     async fn probe(&self, since: Revision) -> Result<bool, StoreError> {
-        self.gateway.store.probe_config(since).await
+        self.gateway.store.probe_config(since, may_lag(self.gateway)).await
     }
 
     fn record_answer(&self) {
@@ -189,7 +195,7 @@
     }
 
     async fn probe(&self, since: Revision) -> Result<bool, StoreError> {
-        self.gateway.store.probe_servers(since).await
+        self.gateway.store.probe_servers(since, may_lag(self.gateway)).await
     }
 
     fn record_answer(&self) {
@@ -246,7 +252,7 @@
     }
 
     async fn probe(&self, since: Revision) -> Result<bool, StoreError> {
-        self.gateway.store.probe_evacuations(since).await
+        self.gateway.store.probe_evacuations(since, may_lag(self.gateway)).await
     }
 
     fn record_answer(&self) {
--- a/src/mastweir/platform/store.rs
+++ b/src/mastweir/platform/store.rs
@@ -165,14 +165,18 @@
         self.watch(evacuations::KIND, since, wait, evacuations::read).await
     }
 
-    /// Returns whether an evacuation has changed since a revision. Reads from a replica that may
-    /// lag by seconds.
+    /// Returns whether an evacuation has changed since a revision. If it
+    /// `may_lag`, a cheaper read is used that may be seconds old.
     ///
     /// # Errors
     ///
     /// See [`StoreError`].
-    pub async fn probe_evacuations(&self, since: Revision) -> Result<bool, StoreError> {
-        self.probe(evacuations::KIND, since).await
+    pub async fn probe_evacuations(
+        &self,
+        since: Revision,
+        may_lag: bool,
+    ) -> Result<bool, StoreError> {
+        self.probe(evacuations::KIND, since, may_lag).await
     }
 
     /// Lists the quarantines.
@@ -228,24 +232,24 @@
         self.call(Method::DELETE, &path, None, CALL_TIMEOUT).await.map(drop)
     }
 
-    /// Returns whether the configuration has changed since a revision. Reads from a replica
-    /// that may lag by seconds.
+    /// Returns whether the configuration has changed since a revision. If it
+    /// `may_lag`, a cheaper read is used that may be seconds old.
     ///
     /// # Errors
     ///
     /// See [`StoreError`].
-    pub async fn probe_config(&self, since: Revision) -> Result<bool, StoreError> {
-        self.probe(config::KIND, since).await
+    pub async fn probe_config(&self, since: Revision, may_lag: bool) -> Result<bool, StoreError> {
+        self.probe(config::KIND, since, may_lag).await
     }
 
-    /// Returns whether a server has changed since a revision. Reads from a replica that may
-    /// lag by seconds.
+    /// Returns whether a server has changed since a revision. If it
+    /// `may_lag`, a cheaper read is used that may be seconds old.
     ///
     /// # Errors
     ///
     /// See [`StoreError`].
-    pub async fn probe_servers(&self, since: Revision) -> Result<bool, StoreError> {
-        self.probe(servers::KIND, since).await
+    pub async fn probe_servers(&self, since: Revision, may_lag: bool) -> Result<bool, StoreError> {
+        self.probe(servers::KIND, since, may_lag).await
     }
 
     /// Returns whether the store answers. Reads from a replica, with the servers' changes since a
@@ -259,11 +263,12 @@
         }
     }
 
-    async fn probe(&self, kind: &str, since: Revision) -> Result<bool, StoreError> {
+    async fn probe(&self, kind: &str, since: Revision, may_lag: bool) -> Result<bool, StoreError> {
         if since.generation != self.generation() {
             return Ok(true);
         }
-        let path = format!("/objects/{kind}?watch={}&wait_ms=0&stale_ok=1", since.number);
+        let stale = if may_lag { "&stale_ok=1" } else { "" };
+        let path = format!("/objects/{kind}?watch={}&wait_ms=0{stale}", since.number);
         let StoreAnswer { generation, body } =
             self.call(Method::GET, &path, None, PROBE_TIMEOUT).await?;
         let ignore_spec: ReadSpec<()> = |_, _, _| Ok(());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -59,6 +59,7 @@
 mod server_notices;
 mod sidecar_group;
 mod silent_server;
+mod silent_watches;
 mod slow_readers;
 mod soak;
 mod soak_silence;
--- a/tests/testsuite/watchers.rs
+++ b/tests/testsuite/watchers.rs
@@ -101,6 +101,11 @@
         (0..self.gateways.len()).filter(|at| self.is_watcher[*at] && self.is_served[*at]).collect()
     }
 
+    fn checkers(&self) -> Vec<usize> {
+        let checks = |at: &usize| self.is_watcher[*at] && self.gateways[*at].is_checker(self.now);
+        (0..self.gateways.len()).filter(checks).collect()
+    }
+
     fn substitutes(&self) -> usize {
         self.is_watcher.iter().skip(FIRST).filter(|is_watcher| **is_watcher).count()
     }
@@ -187,6 +192,26 @@
     }
 }
 
+/// The checker's probes cost ten times as much.
+#[googletest::test]
+fn one_of_the_watchers_that_are_answered_checks_for_missed_changes() {
+    for gateways in [2, 3, 62] {
+        let mut hall = Hall::new(gateways, 11);
+        hall.run(secs(10));
+        expect_that!(hall.checkers(), eq(&vec![0]), "{gateways} gateways");
+        hall.is_served[0] = false;
+        hall.run(secs(4));
+        expect_that!(hall.checkers(), eq(&vec![1]), "{gateways} gateways");
+        hall.is_served[1] = false;
+        hall.run(secs(30));
+        let substitute = hall.served_watchers().first().copied();
+        expect_that!(hall.checkers(), eq(&Vec::from_iter(substitute)), "{gateways} gateways");
+        hall.is_served.fill(false);
+        hall.run(secs(4));
+        expect_that!(hall.checkers().is_empty(), eq(true), "{gateways} gateways");
+    }
+}
+
 /// Guards against a store that gets calls in proportion to the fleet while it is down: 432
 /// gateways in 7 halls are 62 in each.
 #[googletest::test]
