Tell requests of another method or query apart when servers crash

All GETs of a customer on a path counted as one request, so that two crashes during requests for different things refused all of them at all gateways.

Cause: the fingerprint left out method and query, the query since callers may put a value there that differs with each attempt. Now it covers both. A query parameter whose value is the attempt's own id is left out, so that a request that crashes servers is known again with other ids. A POST without a query keeps its fingerprint, as quarantines in the store are named after it. A caller that puts another changing value into the query is not known again any more.

Evidence: coincident_crashes::requests_with_another_method_or_query_are_served failed before (two of the four crashes took place, then 503 in place of 200 for each query). crashing_request and poison_requests pass.

--- a/crates/mastweir-core/src/gateway/fingerprint.rs
+++ b/crates/mastweir-core/src/gateway/fingerprint.rs
@@ -1,9 +1,10 @@
 //! Fingerprints that identify repeated attempts of the same request, servers, and parts of prompts.
 //!
 //! Gateways and entries compute them. Each attempt has another id, so a repeated request is
-//! recognized by a hash of its customer, host, path and body. The query is left out, since
-//! callers put values there that differ with each attempt, such as a time or a trace id. All
-//! gateways compute the same fingerprint.
+//! recognized by a hash of its customer, method, host, path, query and body. Requests that differ
+//! in any of these may do different things at a server. A caller may repeat the attempt's id in
+//! the query, so parameters with that value are left out. All gateways compute the same
+//! fingerprint.
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -18,6 +19,10 @@
 )]
 pub struct Fingerprint(pub u64);
 
+/// Method that the fingerprint leaves out if there is no query, as the fingerprints in the store
+/// that were written before it was covered.
+const DEFAULT_METHOD: &str = "POST";
+
 /// The parts of a request that its fingerprint covers.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestParts<'a> {
@@ -30,7 +35,24 @@
 }
 
 impl Fingerprint {
-    /// Returns the fingerprint of a request.
+    /// Returns the fingerprint of a request with this method and query, sent as attempt `id`.
+    pub fn of_attempt(method: &str, query: &str, id: &str, parts: RequestParts<'_>) -> Self {
+        // Digits alone are as likely the number of a thing.
+        let is_distinct = id.bytes().any(|byte| !byte.is_ascii_digit());
+        let is_own = |parameter: &&str| {
+            is_distinct && parameter.split_once('=').is_some_and(|(_, value)| value == id)
+        };
+        let kept: Vec<&str> = query.split('&').filter(|parameter| !is_own(parameter)).collect();
+        let query = kept.join("&");
+        if method == DEFAULT_METHOD && query.is_empty() {
+            return Self::of(parts);
+        }
+        // Paths begin with a slash, so that no other path is the same.
+        let target = format!("{method} {}?{query}", parts.path);
+        Self::of(RequestParts { path: &target, ..parts })
+    }
+
+    /// Returns the fingerprint of a POST without a query.
     pub fn of(parts: RequestParts<'_>) -> Self {
         let mut hasher = blake3::Hasher::new();
         for part in [parts.customer, parts.host, parts.path] {
--- a/src/mastweir/entry/parsed_request.rs
+++ b/src/mastweir/entry/parsed_request.rs
@@ -36,12 +36,14 @@
 impl ParsedRequest {
     /// Returns the fingerprint, which all submissions of the same request share.
     pub fn fingerprint(&self) -> Fingerprint {
-        Fingerprint::of(RequestParts {
+        let (path, query) = self.path.split_once('?').unwrap_or((&self.path, ""));
+        let parts = RequestParts {
             customer: &self.customer,
             host: &self.service_name,
-            path: self.path.split('?').next().unwrap_or_default(),
+            path,
             body: &self.body,
-        })
+        };
+        Fingerprint::of_attempt(&self.method, query, &self.id, parts)
     }
 
     /// Returns the properties that the router uses.
--- a/src/mastweir/gateway/call.rs
+++ b/src/mastweir/gateway/call.rs
@@ -81,12 +81,14 @@
     pub fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
             let host = self.headers.get(HOST).map_or(&b""[..], HeaderValue::as_bytes);
-            Fingerprint::of(RequestParts {
+            let parts = RequestParts {
                 customer: self.customer.as_deref().unwrap_or_default(),
                 host: &String::from_utf8_lossy(host),
                 path: self.uri.path(),
                 body: &self.body,
-            })
+            };
+            let query = self.uri.query().unwrap_or_default();
+            Fingerprint::of_attempt(self.method.as_str(), query, &self.head.id, parts)
         })
     }
 
--- /dev/null
+++ b/tests/testsuite/coincident_crashes.rs
@@ -0,0 +1,82 @@
+//! Guards against lasting refusals of sound requests during which servers crashed for other
+//! reasons.
+
+use crate::{
+    crash_world::{Behavior, CrashWorld},
+    gateway::answer,
+};
+use eyre::Result;
+use googletest::prelude::*;
+use mastweir_test_support::{
+    scripted::{Act, Got},
+    site::{Answer, exchange, request},
+};
+use std::time::Duration;
+use tokio::time;
+
+/// Time in which gateways confirm a crash and report it.
+const REPORT_DELAY: Duration = Duration::from_millis(900);
+
+/// Headers are no part of a request's identity, so they decide whether a server crashes under it.
+fn crashes(got: &Got) -> bool {
+    got.header("crash").is_some()
+}
+
+fn script(got: &Got, _kind: &str) -> Vec<Act> {
+    if crashes(got) { vec![Act::End] } else { vec![answer(got, "200 OK", "whole")] }
+}
+
+async fn start(gateways: u8) -> Result<CrashWorld> {
+    let behavior = Behavior { kind: "unsafe", objective_ms: 400, script, crashes };
+    CrashWorld::start(gateways, behavior).await
+}
+
+/// A request of a caller.
+struct Sent<'a> {
+    method: &'a str,
+    query: &'a str,
+    body: &'a str,
+}
+
+async fn call(
+    world: &CrashWorld,
+    gateway: usize,
+    sent: &Sent<'_>,
+    crashes: bool,
+) -> Result<Answer> {
+    let path = format!("/draft/status{}", sent.query);
+    let more = if crashes { "Request-Deadline: 4000\r\nCrash: 1\r\n" } else { "" };
+    let bytes = request(sent.method, &path, "c-1", more, sent.body);
+    exchange(world.gateways[gateway].callers, &bytes).await
+}
+
+/// Sends a request during which a server crashes, and replaces the server.
+async fn crash(world: &mut CrashWorld, gateway: usize, sent: &Sent<'_>) -> Result<()> {
+    call(world, gateway, sent, true).await?;
+    world.restart_crashed().await?;
+    time::sleep(REPORT_DELAY).await;
+    Ok(())
+}
+
+/// Servers crashed during requests for other things, with the same path and no body.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_with_another_method_or_query_are_served() -> Result<()> {
+    let mut world = start(2).await?;
+    for (gateway, query) in ["?thing=1", "?thing=2"].into_iter().enumerate() {
+        crash(&mut world, gateway, &Sent { method: "GET", query, body: "" }).await?;
+    }
+    for method in ["PUT", "POST"] {
+        crash(&mut world, 0, &Sent { method, query: "?thing=3", body: "" }).await?;
+    }
+    expect_that!(world.crashes, eq(4));
+    for gateway in 0..2 {
+        for query in ["?thing=1", "?thing=2", "?thing=3", ""] {
+            let sent = Sent { method: "GET", query, body: "" };
+            expect_that!(call(&world, gateway, &sent, false).await?.status, eq(200), "{query}");
+        }
+        let sent = Sent { method: "PUT", query: "?thing=3", body: "" };
+        expect_that!(call(&world, gateway, &sent, false).await?.status, eq(200), "{gateway}");
+    }
+    Ok(())
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod busy_server;
 mod callers;
 mod cli;
+mod coincident_crashes;
 mod concentrated_connections;
 mod connections;
 mod crash_world;
--- a/tests/testsuite/poison_requests.rs
+++ b/tests/testsuite/poison_requests.rs
@@ -41,6 +41,30 @@
     expect_that!(fingerprint("north", "/a", "x"), eq(all[0]));
 }
 
+/// A caller may repeat the attempt's id in the query, but asks for other things by other queries.
+#[googletest::test]
+fn fingerprint_covers_method_and_query_without_the_id() {
+    let of = |method, query, id| {
+        let parts = RequestParts { customer: "north", host: "a.example", path: "/a", body: b"" };
+        Fingerprint::of_attempt(method, query, id, parts)
+    };
+    let all = [
+        of("GET", "", "q-1"),
+        of("GET", "thing=1", "q-1"),
+        of("GET", "thing=2", "q-1"),
+        of("GET", "thing=1&page=2", "q-1"),
+        of("POST", "thing=1", "q-1"),
+        of("POST", "", "q-1"),
+        of("PUT", "", "q-1"),
+    ];
+    expect_that!(all.iter().collect::<HashSet<_>>().len(), eq(all.len()));
+    expect_that!(of("GET", "thing=1", "q-2"), eq(all[1]));
+    expect_that!(of("GET", "try=q-2&thing=1", "q-2"), eq(all[1]));
+    expect_that!(of("POST", "try=q-2", "q-2"), eq(fingerprint("north", "/a", "")));
+    // Digits alone may be the number of a thing.
+    expect_that!(of("GET", "thing=1", "1"), eq(all[1]));
+}
+
 #[googletest::test]
 fn two_crashes_quarantine_a_request() {
     let mut suspects = PoisonRequests::default();
