Don't extend quarantines by what they refuse

A quarantined request that callers went on sending was refused for good: each refusal at any gateway began the hour anew, and so did a restart of all processes.

Cause: a refusal set the time that the record's age is counted from. A gateway that read a quarantine from the store could not represent a time before its own start, and the object held the time of the write, which is repeated when the store lacks it. A report counted as new evidence however long it had been under way. Records of prompt parts were kept by refusals in the same way.

Now the age is that of the last crash. Once the hour is over, gateways try one request, one gateway after the other within half an hour, and a crash in it begins the hour anew: a request that still crashes servers ends one in an hour. Quarantined parts are kept for as long as gateways take turns, three hours, also in the store, so that an operator can lift them to the end.

Evidence: these failed before. poison_requests::refusals_do_not_extend_a_quarantine (age 0 after the hour in place of a trial), restarts_and_late_reports_do_not_extend_a_quarantine (still recorded), poison_prompts::refusals_do_not_extend_the_quarantine_of_a_part (still recorded after three hours), coincident_crashes::stored_quarantine_keeps_the_age_of_its_last_crash (0 s in place of 1,800 s).

--- a/crates/mastweir-core/src/gateway/poison_prompts.rs
+++ b/crates/mastweir-core/src/gateway/poison_prompts.rs
@@ -75,6 +75,9 @@
 const GOSSIP_DURATION: Duration = Duration::from_millis(1_200);
 /// Time for which a cleared part is kept, for reports that are under way.
 const CLEARED_DURATION: Duration = Duration::from_secs(10);
+/// Time since the last crash for which a quarantined part is kept: the last gateway tries it after
+/// three times [`QUARANTINE_DURATION`].
+const MEMORY_DURATION: Duration = Duration::from_secs(3 * 3_600 + 60);
 /// Crashes that are kept of a part, the last ones, which decide on the next trial.
 const CRASHES_MAX: usize = 8;
 /// Added to the times of this process, so that times before its start can be represented.
@@ -102,14 +105,15 @@
     /// its quarantine.
     pub passed_ms: Option<u32>,
     pub is_quarantined: bool,
-    /// Milliseconds since the last crash, or since a request was last refused because of it.
+    /// Milliseconds since the last crash.
     pub age_ms: u32,
 }
 
 impl PartReport {
     /// Returns whether the report is too old to count.
     pub const fn is_expired(&self) -> bool {
-        self.age_ms as u128 >= QUARANTINE_DURATION.as_millis()
+        let memory = if self.is_quarantined { MEMORY_DURATION } else { QUARANTINE_DURATION };
+        self.age_ms as u128 >= memory.as_millis()
     }
 }
 
@@ -151,7 +155,8 @@
     crashes: Vec<Crash>,
     passed: Option<Uptime>,
     is_quarantined: bool,
-    last_seen: Uptime,
+    /// When a server last crashed.
+    last_crash: Uptime,
     changed: Uptime,
     /// When this gateway last sent a request with the part after its crashes.
     trial: Option<Uptime>,
@@ -186,6 +191,11 @@
         if self.is_trusted() { total.saturating_sub(TRUST) } else { total }
     }
 
+    /// Returns the time since the last crash after which the crashes no longer count.
+    fn memory(&self) -> Duration {
+        if self.is_quarantined { MEMORY_DURATION } else { QUARANTINE_DURATION }
+    }
+
     fn has_crashed(&self, incarnation: Fingerprint) -> bool {
         self.crashes.iter().any(|crash| crash.incarnation == incarnation)
     }
@@ -319,7 +329,7 @@
             let suspect = self.entry(*part, at);
             if suspect.add(Crash { incarnation, at, begun: *begun, confirmed: true }) {
                 suspect.changed = now;
-                suspect.last_seen = suspect.last_seen.max(at);
+                suspect.last_crash = suspect.last_crash.max(at);
             }
         }
     }
@@ -333,7 +343,6 @@
         }
         let since = |age_ms: u32| now - Duration::from_millis(age_ms.into());
         let suspect = self.entry(report.part, since(report.age_ms));
-        suspect.last_seen = suspect.last_seen.max(since(report.age_ms));
         let mut is_changed = false;
         if let Some(passed) = report.passed_ms.map(since) {
             is_changed |= suspect.pass(passed);
@@ -344,6 +353,7 @@
             let crash = Crash { incarnation: *incarnation, at, begun: *begun, confirmed: true };
             if suspect.add(crash) {
                 is_changed = true;
+                suspect.last_crash = suspect.last_crash.max(at);
                 merged.crashes.extend((!is_known).then_some((*incarnation, at - PAST)));
             }
         }
@@ -425,14 +435,13 @@
         self.suspects.iter().any(covers)
     }
 
-    /// Returns why a request with these parts is not sent now, if so. Extends a quarantine.
-    pub fn hold(&mut self, parts: &[Fingerprint], now: Uptime) -> Option<PromptHold> {
+    /// Returns why a request with these parts is not sent now, if so.
+    pub fn hold(&self, parts: &[Fingerprint], now: Uptime) -> Option<PromptHold> {
         if self.suspects.is_empty() {
             return None;
         }
         let now = now + PAST;
-        let holds = self.holds(parts, now);
-        self.longest(&holds, now)
+        Self::longest(&self.holds(parts, now))
     }
 
     /// Like [`Self::hold`], right before a request is sent; what is sent counts as a trial.
@@ -442,7 +451,7 @@
         }
         let now = now + PAST;
         let holds = self.holds(parts, now);
-        let hold = self.longest(&holds, now);
+        let hold = Self::longest(&holds);
         if hold.is_none() {
             for hold in &holds {
                 if let Some(suspect) = self.suspects.get_mut(&hold.part) {
@@ -453,14 +462,9 @@
         hold
     }
 
-    /// Returns the hold that decides, unless all are over. Extends a quarantine.
-    fn longest(&mut self, holds: &[PromptHold], now: Uptime) -> Option<PromptHold> {
+    /// Returns the hold that decides, unless all are over.
+    fn longest(holds: &[PromptHold]) -> Option<PromptHold> {
         let hold = *holds.iter().max_by_key(|hold| (hold.is_quarantined, hold.remaining))?;
-        if hold.is_quarantined
-            && let Some(suspect) = self.suspects.get_mut(&hold.part)
-        {
-            suspect.last_seen = now;
-        }
         (!hold.remaining.is_zero()).then_some(hold)
     }
 
@@ -482,7 +486,7 @@
         let explained = self.explained();
         let suspected = parts.iter().filter_map(|part| {
             let suspect = self.suspects.get(part)?;
-            let is_fresh = now.since(suspect.last_seen) < QUARANTINE_DURATION;
+            let is_fresh = now.since(suspect.last_crash) < suspect.memory();
             let is_held = suspect.is_quarantined || suspect.weight(&explained) >= SUSPICION;
             (is_fresh && is_held).then_some((*part, suspect))
         });
@@ -533,7 +537,7 @@
         let passed = self.passed.get(part);
         self.suspects.entry(part).or_insert_with(|| SuspectPart {
             passed,
-            last_seen: now,
+            last_crash: now,
             changed: now,
             ..SuspectPart::default()
         })
@@ -542,7 +546,7 @@
     /// Removes half of the records: those not in quarantine, and of these the oldest.
     fn evict(&mut self) {
         let rank = |part: &Fingerprint, suspect: &SuspectPart| {
-            (suspect.is_quarantined, suspect.last_seen, *part)
+            (suspect.is_quarantined, suspect.last_crash, *part)
         };
         let mut ranks: Vec<_> =
             self.suspects.iter().map(|(part, suspect)| rank(part, suspect)).collect();
@@ -556,8 +560,8 @@
         let now = now + PAST;
         self.suspects.retain(|_, suspect| {
             let is_cleared = suspect.crashes.is_empty();
-            let age = now.since(suspect.last_seen.max(suspect.changed));
-            age < if is_cleared { CLEARED_DURATION } else { QUARANTINE_DURATION }
+            let age = now.since(suspect.last_crash.max(suspect.changed));
+            age < if is_cleared { CLEARED_DURATION } else { suspect.memory() }
         });
     }
 
@@ -582,7 +586,7 @@
         let now = now + PAST;
         let quarantined = self.suspects.iter().filter(|(_, suspect)| suspect.is_quarantined);
         let reports = quarantined.map(|(part, suspect)| report(*part, suspect, now));
-        let mut reports: Vec<PartReport> = reports.collect();
+        let mut reports: Vec<PartReport> = reports.filter(|report| !report.is_expired()).collect();
         reports.sort_by_key(|report| report.age_ms);
         reports.truncate(count);
         reports
@@ -603,6 +607,6 @@
             .collect(),
         passed_ms: suspect.passed.map(age_ms),
         is_quarantined: suspect.is_quarantined,
-        age_ms: age_ms(suspect.last_seen),
+        age_ms: age_ms(suspect.last_crash),
     }
 }
--- a/crates/mastweir-core/src/gateway/poison_requests.rs
+++ b/crates/mastweir-core/src/gateway/poison_requests.rs
@@ -12,8 +12,11 @@
 //! [`MAX_CRASHES_COMPLETED`] crashes.
 //!
 //! Crashes are only added to a record, up to a maximum, so gateways can merge records in any
-//! order and any number of times. A record expires when the request has not been sent for a
-//! long time.
+//! order and any number of times.
+//!
+//! A quarantine lasts for [`QUARANTINE_DURATION`] from the last crash, however often the request is
+//! refused meanwhile. Then one gateway after the other sends one request; a crash of its server
+//! begins the time anew.
 
 use super::fingerprint::Fingerprint;
 use crate::time::Uptime;
@@ -31,9 +34,20 @@
 /// The same for a request that was ever completed, since several servers of one hall may crash
 /// together for other reasons.
 pub const MAX_CRASHES_COMPLETED: usize = 8;
-/// Time since the last crash or refusal of a quarantined request after which it may run again. What
-/// servers run changes within hours.
+/// Time since the last crash after which a quarantined request may run again. What servers run
+/// changes within hours.
 pub const QUARANTINE_DURATION: Duration = Duration::from_secs(3_600);
+/// Time since the last crash after which it no longer counts. Within the time between, gateways
+/// try a quarantined request one after the other.
+const MEMORY_DURATION: Duration = Duration::from_secs(5_400);
+/// Time after the beginning of a trial for which this gateway begins no other: within it the
+/// server crashes, or answers.
+const TRIAL_DURATION: Duration = Duration::from_millis(2_500);
+/// Time after the beginning of a trial in which its request is sent. It is checked more than once
+/// until then.
+const TRIAL_SEND: Duration = Duration::from_millis(50);
+/// Added to the times of this process, so that times before its start can be represented.
+const PAST: Duration = Duration::from_secs(4 * 3_600);
 /// Time after a change for which the record is sent to other gateways again and again, since
 /// datagrams may be lost. One datagram in a hundred is lost; gateways send the record eight times
 /// in this time.
@@ -53,19 +67,19 @@
     pub crashes: Vec<Fingerprint>,
     /// Whether a server has ever completed the request.
     pub completed: bool,
-    /// Milliseconds since the last of those crashes, or since the request was last refused.
+    /// Milliseconds since the last of those crashes.
     pub age_ms: u32,
 }
 
 impl SuspectReport {
-    /// Returns the time since the last crash, or since the request was last refused.
+    /// Returns the time since the last crash.
     pub const fn age(&self) -> Duration {
         Duration::from_millis(self.age_ms as u64)
     }
 
     /// Returns whether the report is too old to count.
     pub fn is_expired(&self) -> bool {
-        self.age() >= QUARANTINE_DURATION
+        self.age() >= MEMORY_DURATION
     }
 }
 
@@ -74,7 +88,7 @@
 pub struct Quarantine {
     /// Known and suspected crashes while running the request.
     pub crashes: usize,
-    /// Time since the last known crash, or since the request was last refused.
+    /// Time since the last known or suspected crash.
     pub age: Duration,
     /// Whether the known crashes alone suffice; otherwise some of the servers may be alive.
     pub confirmed: bool,
@@ -84,13 +98,15 @@
 struct SuspectRequest {
     /// Incarnations that crashed, sorted; at most [`MAX_CRASHES_COMPLETED`].
     crashes: Vec<Fingerprint>,
-    /// Incarnations that may have crashed and are being probed.
-    suspected: Vec<Fingerprint>,
+    /// Incarnations that may have crashed and are being probed, and since when.
+    suspected: Vec<(Fingerprint, Uptime)>,
     completed: bool,
-    /// When a server last crashed, or when the request was last refused, at any gateway.
-    last_seen: Uptime,
+    /// When a server last crashed.
+    last_crash: Uptime,
     /// When this record last changed.
     changed: Uptime,
+    /// When this gateway last began a trial.
+    trial: Option<Uptime>,
 }
 
 impl SuspectRequest {
@@ -112,14 +128,33 @@
                 self.crashes.insert(at, *crash);
             }
         }
-        self.suspected.retain(|incarnation| self.crashes.binary_search(incarnation).is_err());
+        self.suspected.retain(|(incarnation, _)| self.crashes.binary_search(incarnation).is_err());
         self.crashes.len() > before
     }
+
+    /// Returns when a server last crashed, or was last suspected of it.
+    fn last_event(&self) -> Uptime {
+        let suspected = self.suspected.iter().map(|(_, at)| *at).max();
+        self.last_crash.max(suspected.unwrap_or_default())
+    }
+
+    /// Returns whether a request may be sent as a trial, beginning one if none is under way.
+    fn may_try(&mut self, now: Uptime) -> bool {
+        match self.trial.map(|trial| now.since(trial)) {
+            Some(age) if age < TRIAL_DURATION => age < TRIAL_SEND,
+            _ => {
+                self.trial = Some(now);
+                true
+            }
+        }
+    }
 }
 
 /// Suspect requests that this gateway knows.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonRequests {
+    /// Tells this gateway from others, so that they try a request at different times.
+    own: Fingerprint,
     suspects: HashMap<Fingerprint, SuspectRequest>,
     completed: Completed,
 }
@@ -145,21 +180,27 @@
 }
 
 impl PoisonRequests {
+    /// Returns the state at the start of the gateway or entry with the given fingerprint.
+    pub fn new(own: Fingerprint) -> Self {
+        Self { own, ..Self::default() }
+    }
+
     /// Records that a server may have crashed while running a request. Other gateways do not
     /// get this suspicion; [`Self::clear`] or [`Self::record_crash`] ends it.
     pub fn add_suspect(&mut self, request: Fingerprint, incarnation: Fingerprint, now: Uptime) {
+        let now = now + PAST;
         let suspect = self.entry(request, now);
         let known = suspect.crashes.binary_search(&incarnation).is_ok()
-            || suspect.suspected.contains(&incarnation);
+            || suspect.suspected.iter().any(|(other, _)| *other == incarnation);
         if !known {
-            suspect.suspected.push(incarnation);
+            suspect.suspected.push((incarnation, now));
         }
     }
 
     /// Records that a server suspected of a crash is alive.
     pub fn clear(&mut self, request: Fingerprint, incarnation: Fingerprint) {
         let Some(suspect) = self.suspects.get_mut(&request) else { return };
-        suspect.suspected.retain(|other| *other != incarnation);
+        suspect.suspected.retain(|(other, _)| *other != incarnation);
         if suspect.suspected.is_empty() && suspect.crashes.is_empty() {
             self.suspects.remove(&request);
         }
@@ -173,8 +214,11 @@
         incarnation: Fingerprint,
         now: Uptime,
     ) -> bool {
+        let now = now + PAST;
         let suspect = self.entry(request, now);
-        suspect.last_seen = now;
+        if suspect.crashes.binary_search(&incarnation).is_err() {
+            suspect.last_crash = now;
+        }
         Self::update(suspect, &[incarnation], false, now)
     }
 
@@ -182,7 +226,7 @@
     pub fn record_completed(&mut self, request: Fingerprint, now: Uptime) {
         self.completed.insert(request);
         if let Some(suspect) = self.suspects.get_mut(&request) {
-            Self::update(suspect, &[], true, now);
+            Self::update(suspect, &[], true, now + PAST);
         }
     }
 
@@ -191,9 +235,14 @@
         if report.crashes.is_empty() || report.is_expired() {
             return false;
         }
+        let now = now + PAST;
         let suspect = self.entry(report.request, now);
-        suspect.last_seen = suspect.last_seen.max(now - report.age());
+        let known = suspect.crashes.len();
         let is_quarantined = Self::update(suspect, &report.crashes, report.completed, now);
+        // Only a further crash may extend a quarantine: a report may have been under way for long.
+        if suspect.crashes.len() > known {
+            suspect.last_crash = suspect.last_crash.max(now - report.age());
+        }
         // The sender may lack crashes or the completion known here, so the record is sent again.
         if suspect.crashes.len() > report.crashes.len() || suspect.completed != report.completed {
             suspect.changed = now;
@@ -224,7 +273,6 @@
         let completed = &self.completed;
         self.suspects.entry(request).or_insert_with(|| SuspectRequest {
             completed: completed.contains(request),
-            last_seen: now,
             changed: now,
             ..SuspectRequest::default()
         })
@@ -233,7 +281,7 @@
     /// Removes half of the records: those with the fewest crashes, and of these the oldest.
     fn evict(&mut self) {
         let rank = |request: &Fingerprint, suspect: &SuspectRequest| {
-            (suspect.crashes.len(), suspect.last_seen, *request)
+            (suspect.crashes.len(), suspect.last_crash, *request)
         };
         let mut ranks: Vec<_> =
             self.suspects.iter().map(|(request, suspect)| rank(request, suspect)).collect();
@@ -242,35 +290,49 @@
         self.suspects.retain(|request, suspect| rank(request, suspect) > middle);
     }
 
-    /// Returns why a request is quarantined now, if so. Each call extends the quarantine.
+    /// Returns why a request is quarantined now, if so. To be called right before the request is
+    /// sent: after a quarantine, what is sent is a trial.
     pub fn quarantine(&mut self, request: Fingerprint, now: Uptime) -> Option<Quarantine> {
+        let (turn, now) = (self.turn(request), now + PAST);
         let suspect = self.suspects.get_mut(&request)?;
         let crashes = suspect.crashes.len() + suspect.suspected.len();
-        if crashes < suspect.limit() || now.since(suspect.last_seen) >= QUARANTINE_DURATION {
+        let age = now.since(suspect.last_event());
+        if crashes < suspect.limit() || age >= MEMORY_DURATION {
+            return None;
+        }
+        let spread = MEMORY_DURATION - QUARANTINE_DURATION;
+        if age >= QUARANTINE_DURATION + spread.mul_f64(turn) && suspect.may_try(now) {
             return None;
         }
-        let age = now.since(std::mem::replace(&mut suspect.last_seen, now));
         Some(Quarantine { crashes, age, confirmed: suspect.is_quarantined() })
     }
 
+    /// Returns this gateway's place in the order in which gateways try a request, from 0 to 1.
+    fn turn(&self, request: Fingerprint) -> f64 {
+        let drawn = (self.own.0 ^ request.0).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+        drawn as f64 / f64::from(u32::MAX)
+    }
+
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
 
     /// Removes expired records.
     pub fn expire(&mut self, now: Uptime) {
-        self.suspects.retain(|_, suspect| now.since(suspect.last_seen) < QUARANTINE_DURATION);
+        let now = now + PAST;
+        self.suspects.retain(|_, suspect| now.since(suspect.last_event()) < MEMORY_DURATION);
     }
 
     /// Returns the report on a request; `None` without a known crash.
     pub fn report(&self, request: Fingerprint, now: Uptime) -> Option<SuspectReport> {
         let suspect = self.suspects.get(&request).filter(|suspect| !suspect.crashes.is_empty())?;
-        Some(report(request, suspect, now))
+        Some(report(request, suspect, now + PAST))
     }
 
     /// Returns the reports that changed recently, to be sent to other gateways.
     pub fn recent_reports(&self, now: Uptime) -> Vec<SuspectReport> {
-        let is_new = |suspect: &SuspectRequest| now.since(suspect.changed) < GOSSIP_DURATION;
+        let is_new =
+            |suspect: &SuspectRequest| (now + PAST).since(suspect.changed) < GOSSIP_DURATION;
         self.reports(now, is_new).collect()
     }
 
@@ -291,7 +353,7 @@
     ) -> impl Iterator<Item = SuspectReport> {
         let crashed = self.suspects.iter().filter(|(_, suspect)| !suspect.crashes.is_empty());
         let matching = crashed.filter(move |(_, suspect)| filter(suspect));
-        matching.map(move |(request, suspect)| report(*request, suspect, now))
+        matching.map(move |(request, suspect)| report(*request, suspect, now + PAST))
     }
 }
 
@@ -300,6 +362,6 @@
         request,
         crashes: suspect.crashes.clone(),
         completed: suspect.completed,
-        age_ms: u32::try_from(now.since(suspect.last_seen).as_millis()).unwrap_or(u32::MAX),
+        age_ms: u32::try_from(now.since(suspect.last_crash).as_millis()).unwrap_or(u32::MAX),
     }
 }
--- a/src/mastweir/entry/mod.rs
+++ b/src/mastweir/entry/mod.rs
@@ -38,7 +38,11 @@
     net::{ChannelPool, Socket, Traffic},
 };
 use mastweir_core::{
-    gateway::PoisonRequests, member::Members, route::RetryBudget, switch::MapVersion, table::Table,
+    gateway::{Fingerprint, PoisonRequests},
+    member::Members,
+    route::RetryBudget,
+    switch::MapVersion,
+    table::Table,
 };
 use rand::{SeedableRng, rngs::StdRng};
 use rocket::Shutdown;
@@ -210,7 +214,9 @@
             limits: Mutex::default(),
             usage: Mutex::default(),
             budget: Mutex::default(),
-            poison_requests: Mutex::default(),
+            poison_requests: Mutex::new(PoisonRequests::new(Fingerprint::of_instance(
+                &context.name,
+            ))),
             rng: Mutex::new(rng),
             decisions: decisions::Decisions::default(),
             target_maps: Mutex::default(),
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -164,6 +164,7 @@
         let mut rng = seeded_rng.unwrap_or_else(SmallRng::from_os_rng);
         let first_number = rng.random();
         let own = PeerInfo { ip: settings.ip, hall: settings.hall.clone(), power: settings.power };
+        let name = Fingerprint::of_instance(&settings.name);
         Self {
             clock: options.clock.clone(),
             log: options.log.new(slog::o!("instance" => settings.name.clone())),
@@ -186,8 +187,8 @@
             is_watcher: watch::Sender::new(false),
             watchers: RefCell::new(Watchers::new(own)),
             server_changes: Notify::new(),
-            suspects: RefCell::default(),
-            prompts: RefCell::new(PoisonPrompts::new(Fingerprint::of_instance(&settings.name))),
+            suspects: RefCell::new(PoisonRequests::new(name)),
+            prompts: RefCell::new(PoisonPrompts::new(name)),
             runs: RefCell::default(),
             prompt_changes: Notify::new(),
             malformed_prompt: Cell::new(false),
--- a/src/mastweir/platform/quarantine.rs
+++ b/src/mastweir/platform/quarantine.rs
@@ -26,10 +26,11 @@
     /// Whether a server completed the request.
     #[serde(default)]
     finished: bool,
-    /// Unix time of the write in seconds. The quarantine lasts an hour, so clocks that differ
-    /// by seconds do no harm.
+    /// Unix time of the last crash in seconds, which is shortly before the first write; a later
+    /// write does not extend a quarantine. It lasts an hour, so clocks that differ by seconds do
+    /// no harm.
     written_s: u64,
-    /// Unix time of the last crash under a part, in seconds.
+    /// The same, in objects of parts.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     crashed_s: Option<u64>,
     /// Unix time at which an operator lifted the quarantine of a part, in seconds.
@@ -112,11 +113,12 @@
 /// The report can't be encoded as JSON.
 pub fn body(report: &QuarantineReport) -> serde_json::Result<Value> {
     let now_s = now_s();
+    let since = |age_ms: u32| now_s.saturating_sub(u64::from(age_ms) / 1_000);
     serde_json::to_value(match report {
         QuarantineReport::Request(report) => QuarantineSpec {
             ends: report.crashes.iter().map(Fingerprint::to_string).collect(),
             finished: report.completed,
-            written_s: now_s,
+            written_s: since(report.age_ms),
             crashed_s: None,
             lifted_s: None,
         },
@@ -126,8 +128,8 @@
             QuarantineSpec {
                 ends: crashes.map(|crash| crash.incarnation.to_string()).collect(),
                 finished: false,
-                written_s: now_s,
-                crashed_s: last_ms.map(|age_ms| now_s.saturating_sub(u64::from(age_ms) / 1_000)),
+                written_s: since(report.age_ms),
+                crashed_s: last_ms.map(since),
                 lifted_s: report.passed_ms.map(|_| now_s),
             }
         }
--- a/tests/testsuite/coincident_crashes.rs
+++ b/tests/testsuite/coincident_crashes.rs
@@ -7,6 +7,11 @@
 };
 use eyre::Result;
 use googletest::prelude::*;
+use mastweir::platform::quarantine::{self, QuarantineReport};
+use mastweir_core::{
+    gateway::{Fingerprint, SuspectReport},
+    revision::Revision,
+};
 use mastweir_test_support::{
     scripted::{Act, Got},
     site::{Answer, exchange, request},
@@ -80,3 +85,20 @@
     }
     Ok(())
 }
+
+/// Gateways write a quarantine again that the store lacks.
+#[googletest::test]
+fn stored_quarantine_keeps_the_age_of_its_last_crash() -> Result<()> {
+    let crashes = vec![Fingerprint(1), Fingerprint(2)];
+    let age_ms = 1_800_000;
+    let report = SuspectReport { request: Fingerprint(3), crashes, completed: false, age_ms };
+    let spec = quarantine::body(&QuarantineReport::Request(report))?.to_string();
+    let name = Fingerprint(3).to_string();
+    let read = quarantine::read(&name, Revision::default(), &spec)?.report;
+    let read_ms = match read {
+        QuarantineReport::Request(report) => Some(report.age_ms),
+        QuarantineReport::Part(_) => None,
+    };
+    expect_that!(read_ms, some(ge(age_ms - 1_000)));
+    Ok(())
+}
--- a/tests/testsuite/poison_prompts.rs
+++ b/tests/testsuite/poison_prompts.rs
@@ -162,6 +162,21 @@
     expect_that!(is_held(&mut tried, HARMFUL, trial + 3_000), eq(false));
 }
 
+/// A part that is asked for again and again is forgotten at the same time as one that is not.
+#[googletest::test]
+fn refusals_do_not_extend_the_quarantine_of_a_part() {
+    let mut prompts = gateway(0);
+    crash(&mut prompts, &[HARMFUL], 1, 0);
+    crash(&mut prompts, &[HARMFUL], 2, 1_000);
+    expect_that!(prompts.quarantine_proven(at(2_000)), len(eq(1)));
+    let end = u64::try_from((QUARANTINE_DURATION * 3).as_millis()).unwrap_or_default() + 120_000;
+    (2_000..end).step_by(60_000).for_each(|now| {
+        is_held(&mut prompts, HARMFUL, now);
+    });
+    prompts.expire(at(end));
+    expect_that!(prompts.is_empty(), eq(true));
+}
+
 /// Trials crash one server an hour, however many crashed before.
 #[googletest::test]
 fn trials_of_a_harmful_part_are_an_hour_apart() {
--- a/tests/testsuite/poison_requests.rs
+++ b/tests/testsuite/poison_requests.rs
@@ -142,6 +142,50 @@
     expect_that!(late.is_empty(), eq(true));
 }
 
+/// A caller asks again and again. After the time of the quarantine one request is tried, whatever
+/// was refused before, and a crash of its server begins the time anew.
+#[googletest::test]
+fn refusals_do_not_extend_a_quarantine() {
+    let mut suspects = PoisonRequests::default();
+    suspects.record_crash(SUSPECT, incarnation(1), at(0));
+    suspects.record_crash(SUSPECT, incarnation(2), at(0));
+    let mut last = at(0);
+    for server in 3..6 {
+        let asked = (0..180).map(|minute| last + Duration::from_secs(minute * 60));
+        let trial = asked.clone().find(|now| suspects.quarantine(SUSPECT, *now).is_none());
+        let trial = trial.unwrap_or_default();
+        expect_that!(
+            trial.since(last),
+            all!(ge(QUARANTINE_DURATION), lt(QUARANTINE_DURATION * 3 / 2))
+        );
+        // One at a time.
+        expect_that!(suspects.quarantine(SUSPECT, trial + Duration::from_millis(1)), none());
+        expect_that!(
+            suspects.quarantine(SUSPECT, trial + Duration::from_secs(1)),
+            some(anything())
+        );
+        last = trial + Duration::from_secs(2);
+        suspects.add_suspect(SUSPECT, incarnation(server), last);
+        expect_that!(suspects.quarantine(SUSPECT, last), some(anything()));
+        suspects.record_crash(SUSPECT, incarnation(server), last);
+    }
+}
+
+/// A process that starts anew keeps the age of a quarantine, and reports that were under way for
+/// long tell of no later crash.
+#[googletest::test]
+fn restarts_and_late_reports_do_not_extend_a_quarantine() {
+    let mut suspects = PoisonRequests::default();
+    let crashes = vec![incarnation(1), incarnation(2)];
+    let age_ms = u32::try_from((QUARANTINE_DURATION * 3 / 4).as_millis()).unwrap_or_default();
+    let report = SuspectReport { request: SUSPECT, crashes, completed: false, age_ms };
+    suspects.merge(&report, at(5));
+    expect_that!(suspects.quarantine(SUSPECT, at(6)), some(anything()));
+    suspects.merge(&report, at(0) + QUARANTINE_DURATION / 2);
+    suspects.expire(at(5) + QUARANTINE_DURATION * 3 / 4);
+    expect_that!(suspects.is_empty(), eq(true));
+}
+
 #[googletest::test]
 fn memory_is_bounded_and_quarantined_requests_are_kept() {
     let mut suspects = PoisonRequests::default();
