Let completed answers refute crashes of servers

Servers that crashed for other reasons put requests that were answered all the time into quarantine: after eight crashes, however many answers came between, all gateways refused them. Nothing but time ended it, also after all processes had started anew.

Cause: crashes were only ever added to a record; an answer only raised the limit from two to eight.

Now each whole answer refutes the oldest crash, at all gateways: refuted crashes are kept and exchanged, so that records still merge in any order and any number of times. Eight crashes without an answer between still quarantine such a request, for twice as long as they went on, three seconds at least, an hour at most; then one gateway after the other tries one request, and an answer ends it. If servers crash under the trials, these are further and further apart. A request that was never answered is quarantined after two crashes for an hour, as before.

A quarantine in the store that was refuted is deleted. Reports may be longer, so a datagram takes fewer of them.

Evidence: these failed before. poison_requests::completions_refute_crashes (quarantined at the eighth crash), trial_lifts_the_quarantine_of_a_request_that_was_completed_before (refused after 30 s), trials_of_a_request_that_crashes_servers_are_further_and_further_apart (none in an hour), coincident_crashes::request_is_served_again_by_servers_that_complete_it (not within 30 s of a restart of all gateways).

--- a/crates/mastweir-core/src/gateway/peers.rs
+++ b/crates/mastweir-core/src/gateway/peers.rs
@@ -370,6 +370,12 @@
         u32::try_from(others.count()).unwrap_or(u32::MAX).saturating_add(1)
     }
 
+    /// Returns the number of live gateways if all halls are as large as this one.
+    pub fn estimated_count(&self, now: Uptime) -> u32 {
+        let halls = u32::try_from(self.halls().len()).unwrap_or(u32::MAX);
+        self.hall_size(now).saturating_mul(halls)
+    }
+
     /// Returns the largest number of gateways known at once since this one started, including
     /// itself. Gateways that fell silent still count, since they may only be cut off.
     pub const fn max_known(&self) -> u32 {
--- a/crates/mastweir-core/src/gateway/poison_requests.rs
+++ b/crates/mastweir-core/src/gateway/poison_requests.rs
@@ -9,14 +9,17 @@
 //! A crash makes a suspect of every request that the server was running, most of them harmless,
 //! but two crashes while running the same request are rarely a coincidence. For a request that
 //! is sent often they may be one, so a request that was ever completed is quarantined only after
-//! [`MAX_CRASHES_COMPLETED`] crashes.
+//! [`MAX_CRASHES_COMPLETED`] crashes. Each time that a server completes it refutes one crash, the
+//! oldest: a sound request that runs wherever servers crash is completed far more often.
 //!
-//! Crashes are only added to a record, up to a maximum, so gateways can merge records in any
-//! order and any number of times.
+//! Crashes are only added to a record, and refuted ones stay refuted, so gateways can merge records
+//! in any order and any number of times.
 //!
 //! A quarantine lasts for [`QUARANTINE_DURATION`] from the last crash, however often the request is
-//! refused meanwhile. Then one gateway after the other sends one request; a crash of its server
-//! begins the time anew.
+//! refused meanwhile; for a request that was completed before, twice as long as its crashes went
+//! on, since all servers may have crashed for another reason. Then one gateway after the other
+//! sends one request. If the server completes it, a crash is refuted; if it crashes, the time
+//! begins anew.
 
 use super::fingerprint::Fingerprint;
 use crate::time::Uptime;
@@ -40,6 +43,22 @@
 /// Time since the last crash after which it no longer counts. Within the time between, gateways
 /// try a quarantined request one after the other.
 const MEMORY_DURATION: Duration = Duration::from_secs(5_400);
+/// Shortest quarantine of a request that was completed before. Groups open again within it.
+const QUARANTINE_MIN: Duration = Duration::from_secs(3);
+/// Quarantine of such a request, in multiples of the time for which its crashes went on.
+const QUARANTINE_FACTOR: u32 = 2;
+/// Time for each gateway in which they try a request one after the other. Within it, the others
+/// learn of a crash.
+const TURN_DURATION: Duration = Duration::from_secs(1);
+/// Crashes closer together add nothing to [`MAX_CRASHES_COMPLETED`] of them.
+const BURST_DURATION: Duration = Duration::from_secs(1);
+/// Bounds the crashes that are kept of a request, and the refuted ones. The first
+/// [`MAX_CRASHES_COMPLETED`] decide on the quarantine, the last ones on its length.
+const CRASHES_KEPT: usize = 12;
+/// Time for which refuted crashes are kept, for reports that are under way.
+const REFUTED_DURATION: Duration = Duration::from_secs(10);
+/// Age in a report whose crashes are refuted.
+const REFUTED_AGE: u32 = u32::MAX;
 /// Time after the beginning of a trial for which this gateway begins no other: within it the
 /// server crashes, or answers.
 const TRIAL_DURATION: Duration = Duration::from_millis(2_500);
@@ -67,7 +86,7 @@
     pub crashes: Vec<Fingerprint>,
     /// Whether a server has ever completed the request.
     pub completed: bool,
-    /// Milliseconds since the last of those crashes.
+    /// Milliseconds since the last of those crashes; the maximum if they are refuted.
     pub age_ms: u32,
 }
 
@@ -86,18 +105,28 @@
 /// Why a request is quarantined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantine {
-    /// Known and suspected crashes while running the request.
+    /// Known and suspected crashes while running the request, up to [`MAX_CRASHES_COMPLETED`].
     pub crashes: usize,
     /// Time since the last known or suspected crash.
     pub age: Duration,
     /// Whether the known crashes alone suffice; otherwise some of the servers may be alive.
     pub confirmed: bool,
+    /// Time from the last crash to the first trial.
+    pub duration: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    incarnation: Fingerprint,
+    at: Uptime,
 }
 
 #[derive(Clone, Debug, Default)]
 struct SuspectRequest {
-    /// Incarnations that crashed, sorted; at most [`MAX_CRASHES_COMPLETED`].
-    crashes: Vec<Fingerprint>,
+    /// Crashes that count, by incarnation; at most [`CRASHES_KEPT`].
+    crashes: Vec<Crash>,
+    /// Incarnations whose crashes were refuted, the last [`CRASHES_KEPT`].
+    refuted: Vec<Fingerprint>,
     /// Incarnations that may have crashed and are being probed, and since when.
     suspected: Vec<(Fingerprint, Uptime)>,
     completed: bool,
@@ -118,18 +147,59 @@
         self.crashes.len() >= self.limit()
     }
 
-    /// Adds crashes. Returns whether any of them is new.
-    fn add_crashes(&mut self, crashes: &[Fingerprint]) -> bool {
-        let before = self.crashes.len();
-        for crash in crashes {
-            if let Err(at) = self.crashes.binary_search(crash)
-                && self.crashes.len() < MAX_CRASHES_COMPLETED
-            {
-                self.crashes.insert(at, *crash);
-            }
+    fn has_crashed(&self, incarnation: Fingerprint) -> bool {
+        self.crashes.binary_search_by_key(&incarnation, |crash| crash.incarnation).is_ok()
+    }
+
+    /// Adds a crash. Returns whether it tells anything new.
+    fn add(&mut self, crash: Crash) -> bool {
+        self.suspected.retain(|(incarnation, _)| *incarnation != crash.incarnation);
+        let found =
+            self.crashes.binary_search_by_key(&crash.incarnation, |known| known.incarnation);
+        let is_burst = crash.at.since(self.last_crash) < BURST_DURATION;
+        let is_needless = is_burst && self.crashes.len() >= MAX_CRASHES_COMPLETED;
+        if found.is_ok() || is_needless || self.refuted.contains(&crash.incarnation) {
+            return false;
+        }
+        if self.crashes.len() >= CRASHES_KEPT {
+            self.crashes.sort_unstable_by_key(|known| known.at);
+            self.crashes.remove(MAX_CRASHES_COMPLETED);
         }
-        self.suspected.retain(|(incarnation, _)| self.crashes.binary_search(incarnation).is_err());
-        self.crashes.len() > before
+        self.crashes.push(crash);
+        self.crashes.sort_unstable_by_key(|known| known.incarnation);
+        // A report of a known crash may have been under way for long.
+        self.last_crash = self.last_crash.max(crash.at);
+        true
+    }
+
+    /// Records that a crash is refuted. Returns whether this is new.
+    fn refute(&mut self, incarnation: Fingerprint) -> bool {
+        self.crashes.retain(|crash| crash.incarnation != incarnation);
+        self.suspected.retain(|(suspected, _)| *suspected != incarnation);
+        if self.refuted.contains(&incarnation) {
+            return false;
+        }
+        if self.refuted.len() >= CRASHES_KEPT {
+            self.refuted.remove(0);
+        }
+        self.refuted.push(incarnation);
+        true
+    }
+
+    /// Returns the crash that a completion refutes.
+    fn oldest(&self) -> Option<Fingerprint> {
+        let oldest = self.crashes.iter().min_by_key(|crash| (crash.at, crash.incarnation));
+        oldest.map(|crash| crash.incarnation)
+    }
+
+    /// Returns the time from the last crash to the first trial.
+    fn duration(&self) -> Duration {
+        if !self.completed {
+            return QUARANTINE_DURATION;
+        }
+        let first = self.crashes.iter().map(|crash| crash.at).min().unwrap_or_default();
+        let span = self.last_crash.since(first);
+        (span * QUARANTINE_FACTOR).clamp(QUARANTINE_MIN, QUARANTINE_DURATION)
     }
 
     /// Returns when a server last crashed, or was last suspected of it.
@@ -155,6 +225,8 @@
 pub struct PoisonRequests {
     /// Tells this gateway from others, so that they try a request at different times.
     own: Fingerprint,
+    /// Number of gateways that take turns in trying a request.
+    gateways: u32,
     suspects: HashMap<Fingerprint, SuspectRequest>,
     completed: Completed,
 }
@@ -185,12 +257,17 @@
         Self { own, ..Self::default() }
     }
 
+    /// Sets the number of gateways, which take turns in trying requests.
+    pub const fn set_gateways(&mut self, gateways: u32) {
+        self.gateways = gateways;
+    }
+
     /// Records that a server may have crashed while running a request. Other gateways do not
     /// get this suspicion; [`Self::clear`] or [`Self::record_crash`] ends it.
     pub fn add_suspect(&mut self, request: Fingerprint, incarnation: Fingerprint, now: Uptime) {
         let now = now + PAST;
         let suspect = self.entry(request, now);
-        let known = suspect.crashes.binary_search(&incarnation).is_ok()
+        let known = suspect.has_crashed(incarnation)
             || suspect.suspected.iter().any(|(other, _)| *other == incarnation);
         if !known {
             suspect.suspected.push((incarnation, now));
@@ -201,7 +278,8 @@
     pub fn clear(&mut self, request: Fingerprint, incarnation: Fingerprint) {
         let Some(suspect) = self.suspects.get_mut(&request) else { return };
         suspect.suspected.retain(|(other, _)| *other != incarnation);
-        if suspect.suspected.is_empty() && suspect.crashes.is_empty() {
+        let is_unsuspected = suspect.suspected.is_empty() && suspect.crashes.is_empty();
+        if is_unsuspected && suspect.refuted.is_empty() {
             self.suspects.remove(&request);
         }
     }
@@ -216,53 +294,63 @@
     ) -> bool {
         let now = now + PAST;
         let suspect = self.entry(request, now);
-        if suspect.crashes.binary_search(&incarnation).is_err() {
-            suspect.last_crash = now;
+        let was_quarantined = suspect.is_quarantined();
+        if suspect.add(Crash { incarnation, at: now }) {
+            suspect.changed = now;
         }
-        Self::update(suspect, &[incarnation], false, now)
+        !was_quarantined && suspect.is_quarantined()
     }
 
-    /// Records that a server completed a request.
+    /// Records that a server completed a request, which refutes a crash.
     pub fn record_completed(&mut self, request: Fingerprint, now: Uptime) {
         self.completed.insert(request);
-        if let Some(suspect) = self.suspects.get_mut(&request) {
-            Self::update(suspect, &[], true, now + PAST);
+        let Some(suspect) = self.suspects.get_mut(&request) else { return };
+        let is_refuted = suspect.oldest().is_some_and(|oldest| suspect.refute(oldest));
+        if is_refuted || !suspect.completed {
+            suspect.changed = now + PAST;
         }
+        suspect.completed = true;
     }
 
     /// Merges another gateway's report. Returns whether this put the request into quarantine.
     pub fn merge(&mut self, report: &SuspectReport, now: Uptime) -> bool {
+        let now = now + PAST;
+        if report.age_ms == REFUTED_AGE {
+            self.merge_refuted(report, now);
+            return false;
+        }
         if report.crashes.is_empty() || report.is_expired() {
             return false;
         }
-        let now = now + PAST;
+        let at = now - report.age();
         let suspect = self.entry(report.request, now);
-        let known = suspect.crashes.len();
-        let is_quarantined = Self::update(suspect, &report.crashes, report.completed, now);
-        // Only a further crash may extend a quarantine: a report may have been under way for long.
-        if suspect.crashes.len() > known {
-            suspect.last_crash = suspect.last_crash.max(now - report.age());
+        let was_quarantined = suspect.is_quarantined();
+        let mut is_changed = report.completed && !suspect.completed;
+        suspect.completed |= report.completed;
+        for incarnation in &report.crashes {
+            is_changed |= suspect.add(Crash { incarnation: *incarnation, at });
         }
-        // The sender may lack crashes or the completion known here, so the record is sent again.
-        if suspect.crashes.len() > report.crashes.len() || suspect.completed != report.completed {
+        // The sender may lack what is known here, so the record is sent again.
+        let lacks = suspect.crashes.len() > report.crashes.len()
+            || suspect.completed != report.completed
+            || report.crashes.iter().any(|crash| suspect.refuted.contains(crash));
+        if is_changed || lacks {
             suspect.changed = now;
         }
-        is_quarantined
+        !was_quarantined && suspect.is_quarantined()
     }
 
-    fn update(
-        suspect: &mut SuspectRequest,
-        crashes: &[Fingerprint],
-        completed: bool,
-        now: Uptime,
-    ) -> bool {
-        let was_quarantined = suspect.is_quarantined();
-        let is_new_completion = completed && !suspect.completed;
-        suspect.completed |= completed;
-        if suspect.add_crashes(crashes) || is_new_completion {
+    fn merge_refuted(&mut self, report: &SuspectReport, now: Uptime) {
+        self.completed.insert(report.request);
+        let Some(suspect) = self.suspects.get_mut(&report.request) else { return };
+        let mut is_changed = !suspect.completed;
+        suspect.completed = true;
+        for incarnation in &report.crashes {
+            is_changed |= suspect.refute(*incarnation);
+        }
+        if is_changed {
             suspect.changed = now;
         }
-        !was_quarantined && suspect.is_quarantined()
     }
 
     /// Returns the record of a request, creating it if needed.
@@ -293,18 +381,26 @@
     /// Returns why a request is quarantined now, if so. To be called right before the request is
     /// sent: after a quarantine, what is sent is a trial.
     pub fn quarantine(&mut self, request: Fingerprint, now: Uptime) -> Option<Quarantine> {
-        let (turn, now) = (self.turn(request), now + PAST);
+        let (turn, gateways, now) = (self.turn(request), self.gateways, now + PAST);
         let suspect = self.suspects.get_mut(&request)?;
         let crashes = suspect.crashes.len() + suspect.suspected.len();
         let age = now.since(suspect.last_event());
         if crashes < suspect.limit() || age >= MEMORY_DURATION {
             return None;
         }
-        let spread = MEMORY_DURATION - QUARANTINE_DURATION;
-        if age >= QUARANTINE_DURATION + spread.mul_f64(turn) && suspect.may_try(now) {
+        let duration = suspect.duration();
+        let turns = TURN_DURATION.saturating_mul(gateways);
+        let spread = (duration / 2).max(turns).min(MEMORY_DURATION - duration);
+        if age >= duration + spread.mul_f64(turn) && suspect.may_try(now) {
             return None;
         }
-        Some(Quarantine { crashes, age, confirmed: suspect.is_quarantined() })
+        let crashes = crashes.min(MAX_CRASHES_COMPLETED);
+        Some(Quarantine { crashes, age, confirmed: suspect.is_quarantined(), duration })
+    }
+
+    /// Returns whether enough crashes are known, also if the request may be tried now.
+    pub fn is_quarantined(&self, request: Fingerprint) -> bool {
+        self.suspects.get(&request).is_some_and(SuspectRequest::is_quarantined)
     }
 
     /// Returns this gateway's place in the order in which gateways try a request, from 0 to 1.
@@ -320,7 +416,13 @@
     /// Removes expired records.
     pub fn expire(&mut self, now: Uptime) {
         let now = now + PAST;
-        self.suspects.retain(|_, suspect| now.since(suspect.last_event()) < MEMORY_DURATION);
+        self.suspects.retain(|_, suspect| {
+            if suspect.crashes.is_empty() && suspect.suspected.is_empty() {
+                now.since(suspect.changed) < REFUTED_DURATION
+            } else {
+                now.since(suspect.last_event()) < MEMORY_DURATION
+            }
+        });
     }
 
     /// Returns the report on a request; `None` without a known crash.
@@ -333,7 +435,15 @@
     pub fn recent_reports(&self, now: Uptime) -> Vec<SuspectReport> {
         let is_new =
             |suspect: &SuspectRequest| (now + PAST).since(suspect.changed) < GOSSIP_DURATION;
-        self.reports(now, is_new).collect()
+        let refuted = self.suspects.iter().filter(|(_, suspect)| !suspect.refuted.is_empty());
+        let refuted = refuted.filter(|(_, suspect)| is_new(suspect));
+        let refuted = refuted.map(|(request, suspect)| SuspectReport {
+            request: *request,
+            crashes: suspect.refuted.clone(),
+            completed: true,
+            age_ms: REFUTED_AGE,
+        });
+        self.reports(now, is_new).chain(refuted).collect()
     }
 
     /// Returns the reports on at most `count` quarantined requests, the most recent ones, for
@@ -360,7 +470,7 @@
 fn report(request: Fingerprint, suspect: &SuspectRequest, now: Uptime) -> SuspectReport {
     SuspectReport {
         request,
-        crashes: suspect.crashes.clone(),
+        crashes: suspect.crashes.iter().map(|crash| crash.incarnation).collect(),
         completed: suspect.completed,
         age_ms: u32::try_from(now.since(suspect.last_crash).as_millis()).unwrap_or(u32::MAX),
     }
--- a/src/mastweir/entry/heartbeat.rs
+++ b/src/mastweir/entry/heartbeat.rs
@@ -12,7 +12,7 @@
 /// Number of peers in the hall that get a heartbeat.
 const FANOUT: usize = 3;
 /// Maximum suspect requests reported with a heartbeat.
-const SUSPECTS_MAX: usize = 13;
+const SUSPECTS_MAX: usize = 8;
 /// Maximum heartbeats of other entries in a heartbeat.
 const MEMBERS_MAX: usize = 6;
 
--- a/src/mastweir/gateway/final_answer.rs
+++ b/src/mastweir/gateway/final_answer.rs
@@ -14,7 +14,7 @@
 use crate::platform::headers;
 use http_body_util::{Either, Full};
 use hyper::{Response, StatusCode};
-use mastweir_core::gateway::{NextAction, QUARANTINE_DURATION, Refusal};
+use mastweir_core::gateway::{NextAction, Refusal};
 use slog::info;
 use std::time::Duration;
 
@@ -67,7 +67,7 @@
             info!(gateway.log, "quarantined request refused"; "id" => &call.head.id, "ends" => quarantine.crashes, "proved" => quarantine.confirmed,
                 "fingerprint" => %call.fingerprint(), "age_ms" => quarantine.age.as_millis() as u64,
                 "tried" => progress.tried().join(","));
-            if quarantine.confirmed { QUARANTINE_DURATION } else { RETRY_AFTER_PROBES }
+            if quarantine.confirmed { quarantine.duration } else { RETRY_AFTER_PROBES }
         }
         Held::Prompt(hold) => {
             let reason = if hold.is_quarantined { "quarantined_part" } else { "suspected_part" };
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -30,8 +30,8 @@
 pub const LOADS_PER_DATAGRAM: usize = 31;
 /// Some 30 bytes each, next to long server ids.
 pub const LIMITS_PER_DATAGRAM: usize = 24;
-/// At most some 80 bytes each.
-pub const SUSPECTS_PER_DATAGRAM: usize = 16;
+/// At most some 140 bytes each.
+pub const SUSPECTS_PER_DATAGRAM: usize = 8;
 /// At most some 150 bytes each.
 pub const PARTS_PER_DATAGRAM: usize = 8;
 /// Some 50 bytes each.
--- a/src/mastweir/gateway/quarantine.rs
+++ b/src/mastweir/gateway/quarantine.rs
@@ -171,9 +171,9 @@
         }
     }
     gateway.has_quarantines.set(true);
-    // An answer that went on after the quarantine has refuted it.
+    // Answers may have refuted the crashes.
     let is_in_force = |stored: &&StoredQuarantine| match stored.report.subject() {
-        Subject::Request(_) => true,
+        Subject::Request(request) => gateway.suspects.borrow().is_quarantined(request),
         Subject::Part(part) => gateway.prompts.borrow().count_quarantined(&[part]) > 0,
     };
     let (active, refuted): (Vec<&StoredQuarantine>, Vec<&StoredQuarantine>) =
--- a/src/mastweir/gateway/suspect_gossip.rs
+++ b/src/mastweir/gateway/suspect_gossip.rs
@@ -27,6 +27,10 @@
     loop {
         round = round.wrapping_add(1);
         let repeats = round.is_multiple_of(REPEAT_ROUNDS);
+        if repeats {
+            let count = gateway.gateways.borrow().estimated_count(gateway.clock.now());
+            gateway.suspects.borrow_mut().set_gateways(count);
+        }
         if !gateway.suspects.borrow().is_empty() {
             send_reports(&gateway, &socket, repeats);
         }
--- a/tests/testsuite/coincident_crashes.rs
+++ b/tests/testsuite/coincident_crashes.rs
@@ -9,19 +9,24 @@
 use googletest::prelude::*;
 use mastweir::platform::quarantine::{self, QuarantineReport};
 use mastweir_core::{
-    gateway::{Fingerprint, SuspectReport},
+    gateway::{Fingerprint, RequestParts, SuspectReport},
     revision::Revision,
 };
 use mastweir_test_support::{
     scripted::{Act, Got},
-    site::{Answer, exchange, request},
+    site::{Answer, HOST, exchange, request, wait_for},
 };
 use std::time::Duration;
 use tokio::time;
 
+/// Kind of the store's objects for quarantines.
+const KIND: &str = "mastweir-quarantine";
 /// Time in which gateways confirm a crash and report it.
 const REPORT_DELAY: Duration = Duration::from_millis(900);
 
+/// Time in which gateways learn of a server that has started.
+const LIST_DELAY: Duration = Duration::from_millis(100);
+
 /// Headers are no part of a request's identity, so they decide whether a server crashes under it.
 fn crashes(got: &Got) -> bool {
     got.header("crash").is_some()
@@ -86,6 +91,47 @@
     Ok(())
 }
 
+/// All servers crash during a request that many callers send, for another reason. All gateways lose
+/// their state, and read the quarantine from the store.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_served_again_by_servers_that_complete_it() -> Result<()> {
+    let mut world = start(2).await?;
+    let sent = Sent { method: "POST", query: "", body: "popular" };
+    expect_that!(call(&world, 0, &sent, false).await?.status, eq(200));
+    let (path, body) = ("/draft/status", sent.body.as_bytes());
+    let name = Fingerprint::of(RequestParts { customer: "north", host: HOST, path, body });
+    while world.crashes < 8 {
+        call(&world, 0, &sent, true).await?;
+        world.restart_crashed().await?;
+        time::sleep(LIST_DELAY).await;
+    }
+    wait_for(async || world.site.platform.has(KIND, &name.to_string())).await?;
+    for gateway in &mut world.gateways {
+        gateway.kill().await?;
+    }
+    let (_, served) = world.site.door().await?;
+    for number in 0..world.gateways.len() {
+        world.gateways[number] = world.site.gateway(number, served.addr)?;
+    }
+    for gateway in &world.gateways {
+        gateway.wait_ready().await?;
+    }
+    let is_served = async |gateway| {
+        call(&world, gateway, &sent, false).await.is_ok_and(|answer| answer.status == 200)
+    };
+    for gateway in 0..2 {
+        wait_for(async || is_served(gateway).await).await?;
+    }
+    // Not only as a trial.
+    for gateway in 0..2 {
+        for _ in 0..5 {
+            expect_that!(is_served(gateway).await, eq(true));
+        }
+    }
+    Ok(())
+}
+
 /// Gateways write a quarantine again that the store lacks.
 #[googletest::test]
 fn stored_quarantine_keeps_the_age_of_its_last_crash() -> Result<()> {
--- a/tests/testsuite/poison_requests.rs
+++ b/tests/testsuite/poison_requests.rs
@@ -22,6 +22,12 @@
     Uptime::from_millis(millis)
 }
 
+fn merge_all(suspects: &mut PoisonRequests, reports: &[SuspectReport], now: Uptime) {
+    for report in reports {
+        suspects.merge(report, now);
+    }
+}
+
 fn fingerprint<'a>(customer: &'a str, path: &'a str, body: &'a str) -> Fingerprint {
     Fingerprint::of(RequestParts { customer, host: "a.example", path, body: body.as_bytes() })
 }
@@ -186,6 +192,80 @@
     expect_that!(suspects.is_empty(), eq(true));
 }
 
+/// A frequent request runs wherever servers crash, and is completed by others all the time.
+#[googletest::test]
+fn completions_refute_crashes() {
+    let mut suspects = PoisonRequests::default();
+    let mut other = PoisonRequests::default();
+    suspects.record_completed(SUSPECT, at(0));
+    for number in 0..40 {
+        let now = at(2_000 * (number + 1));
+        suspects.record_crash(SUSPECT, incarnation(number), now);
+        merge_all(&mut other, &suspects.recent_reports(now), now);
+        expect_that!(suspects.quarantine(SUSPECT, now), none(), "{number}");
+        expect_that!(other.quarantine(SUSPECT, now), none(), "{number}");
+        suspects.record_completed(SUSPECT, now);
+        merge_all(&mut other, &suspects.recent_reports(now), now);
+    }
+    expect_that!(suspects.quarantined_reports(9, at(90_000)), is_empty());
+    suspects.expire(at(95_000));
+    expect_that!(suspects.is_empty(), eq(true));
+}
+
+/// Returns a gateway at which a request was completed once and then ran at eight servers that
+/// crashed within a second.
+fn after_burst() -> PoisonRequests {
+    let mut suspects = PoisonRequests::default();
+    suspects.record_completed(SUSPECT, at(0));
+    for number in 0..8 {
+        suspects.record_crash(SUSPECT, incarnation(number), at(10_000 + number * 100));
+    }
+    suspects
+}
+
+/// All servers crashed for a reason that is no request. A sound one lifts the quarantine at all
+/// gateways, also if another one still reports the crashes.
+#[googletest::test]
+fn trial_lifts_the_quarantine_of_a_request_that_was_completed_before() {
+    let mut suspects = after_burst();
+    expect_that!(suspects.quarantine(SUSPECT, at(11_000)), some(anything()));
+    let mut others = [suspects.clone(), PoisonRequests::default()];
+    let reports = suspects.quarantined_reports(9, at(11_000));
+    merge_all(&mut others[1], &reports, at(11_000));
+    expect_that!(others[1].quarantine(SUSPECT, at(11_000)), some(anything()));
+    let mut asked = (11_000..30_000).step_by(100);
+    let trial = asked.find(|now| suspects.quarantine(SUSPECT, at(*now)).is_none());
+    let trial = trial.unwrap_or_default();
+    expect_that!(trial, all!(ge(13_000), le(18_000)));
+    suspects.record_completed(SUSPECT, at(trial));
+    for other in &mut others {
+        merge_all(other, &suspects.recent_reports(at(trial)), at(trial));
+        merge_all(other, &reports, at(trial));
+        expect_that!(other.quarantine(SUSPECT, at(trial)), none());
+    }
+    merge_all(&mut suspects, &reports, at(trial));
+    for now in (trial..trial + 100).step_by(10) {
+        expect_that!(suspects.quarantine(SUSPECT, at(now)), none());
+    }
+}
+
+/// A request that was completed before, and crashes servers since, is tried more and more seldom.
+#[googletest::test]
+fn trials_of_a_request_that_crashes_servers_are_further_and_further_apart() {
+    let mut suspects = after_burst();
+    let mut trials = Vec::new();
+    for second in 12..3_612 {
+        let now = at(second * 1_000);
+        if suspects.quarantine(SUSPECT, now).is_none() {
+            suspects.record_crash(SUSPECT, incarnation(second), now + Duration::from_millis(300));
+            trials.push(second);
+        }
+    }
+    expect_that!(trials.len(), all!(ge(2), le(8)));
+    let pauses: Vec<u64> = trials.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    expect_that!(pauses.is_sorted(), eq(true));
+}
+
 #[googletest::test]
 fn memory_is_bounded_and_quarantined_requests_are_kept() {
     let mut suspects = PoisonRequests::default();
