Let operators lift quarantines of requests

Lifted parts were noticed up to an hour late if nothing was quarantined when a watcher last read the list, as it set the time of its next read then.

Now it takes the fingerprint of either. A lifted request is marked in its object, watchers refute its crashes, and other gateways learn this as they do of answers. Watchers read the list every 20 s while they know of anything quarantined, whenever that began.

Evidence: coincident_crashes::operator_lifts_the_quarantine_of_a_request failed before ("no prompt part ... is quarantined"). crashing_prompt passes.

--- a/crates/mastweir-core/src/gateway/poison_requests.rs
+++ b/crates/mastweir-core/src/gateway/poison_requests.rs
@@ -96,6 +96,17 @@
         Duration::from_millis(self.age_ms as u64)
     }
 
+    /// Returns whether the crashes are refuted, by answers or by an operator.
+    pub const fn is_refuted(&self) -> bool {
+        self.age_ms == REFUTED_AGE
+    }
+
+    /// Returns a report that refutes these crashes.
+    #[must_use]
+    pub fn refuted(&self) -> Self {
+        Self { completed: true, age_ms: REFUTED_AGE, ..self.clone() }
+    }
+
     /// Returns whether the report is too old to count.
     pub fn is_expired(&self) -> bool {
         self.age() >= MEMORY_DURATION
@@ -315,7 +326,7 @@
     /// Merges another gateway's report. Returns whether this put the request into quarantine.
     pub fn merge(&mut self, report: &SuspectReport, now: Uptime) -> bool {
         let now = now + PAST;
-        if report.age_ms == REFUTED_AGE {
+        if report.is_refuted() {
             self.merge_refuted(report, now);
             return false;
         }
@@ -409,6 +420,10 @@
         drawn as f64 / f64::from(u32::MAX)
     }
 
+    pub fn has_quarantined(&self) -> bool {
+        self.suspects.values().any(SuspectRequest::is_quarantined)
+    }
+
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
--- a/src/mastweir/gateway/quarantine.rs
+++ b/src/mastweir/gateway/quarantine.rs
@@ -16,7 +16,10 @@
 use rand::Rng;
 use slog::{info, warn};
 use std::{rc::Rc, slice, time::Duration};
-use tokio::{task, time};
+use tokio::{
+    task,
+    time::{self, Instant},
+};
 
 /// Source of a quarantine: this gateway's own probes of servers.
 pub const FROM_PROBES: &str = "own";
@@ -30,7 +33,7 @@
 const REREAD_SPREAD: Duration = Duration::from_secs(1);
 /// Maximum number of requests that are written again in one round; each takes a call.
 const REWRITES_MAX: usize = 256;
-/// Interval of reads while parts of prompts are quarantined, which operators may lift.
+/// Interval of reads while anything is quarantined, which operators may lift.
 const LIFT_INTERVAL: Duration = Duration::from_secs(20);
 /// With the pauses between them, the attempts take about three minutes.
 const WRITE_ATTEMPTS: u32 = 15;
@@ -102,8 +105,8 @@
 }
 
 /// Reads the quarantines in the store, deletes expired ones, and writes missing ones again:
-/// once per [`QUARANTINE_DURATION`], or [`LIFT_INTERVAL`], and whenever the store was restored from
-/// an older copy. Does not return.
+/// once per [`QUARANTINE_DURATION`], or [`LIFT_INTERVAL`] while anything is quarantined, and whenever
+/// the store was restored from an older copy. Does not return.
 pub async fn sync(gateway: &Rc<Gateway>) {
     let unreadable = UnreadableLog::default();
     let mut pause = RETRY_FIRST;
@@ -113,8 +116,7 @@
             Ok(listed) => {
                 let stored = merge_stored(gateway, listed, &unreadable).await;
                 write_missing(gateway, &stored).await;
-                let has_parts = gateway.prompts.borrow().has_quarantined();
-                pause = if has_parts { LIFT_INTERVAL } else { QUARANTINE_DURATION };
+                pause = QUARANTINE_DURATION;
             }
             Err(error) => {
                 gateway.metrics.count("store_errors_total", "quarantine");
@@ -123,7 +125,7 @@
             }
         }
         tokio::select! {
-            () = time::sleep(pause) => (),
+            () = wait_until_due(gateway, pause) => (),
             () = gateway.store.later_generation(generation) => {
                 let spread = gateway.rng.borrow_mut().random_range(Duration::ZERO..REREAD_SPREAD);
                 time::sleep(spread).await;
@@ -132,6 +134,20 @@
     }
 }
 
+/// Waits for so long, but no longer than [`LIFT_INTERVAL`] while anything is quarantined.
+async fn wait_until_due(gateway: &Gateway, pause: Duration) {
+    let end = Instant::now() + pause;
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        time::sleep(left.min(LIFT_INTERVAL)).await;
+        let has_quarantined = gateway.suspects.borrow().has_quarantined()
+            || gateway.prompts.borrow().has_quarantined();
+        if has_quarantined || Instant::now() >= end {
+            return;
+        }
+    }
+}
+
 /// Writes the quarantines that the store lacks.
 async fn write_missing(gateway: &Rc<Gateway>, stored: &[Subject]) {
     let now = gateway.clock.now();
@@ -152,10 +168,10 @@
     unreadable: &UnreadableLog,
 ) -> Vec<Subject> {
     listed.unreadable.iter().for_each(|obj| unreadable.log(gateway, "quarantine", obj));
-    let (expired, active): (Vec<StoredQuarantine>, Vec<StoredQuarantine>) =
-        listed.items.into_iter().partition(|stored| stored.report.is_expired());
     let (lifted, active): (Vec<StoredQuarantine>, Vec<StoredQuarantine>) =
-        active.into_iter().partition(|stored| stored.report.is_lifted());
+        listed.items.into_iter().partition(|stored| stored.report.is_lifted());
+    let (expired, active): (Vec<StoredQuarantine>, Vec<StoredQuarantine>) =
+        active.into_iter().partition(|stored| stored.report.is_expired());
     if !active.is_empty() {
         info!(gateway.log, "quarantine read"; "requests" => active.len(), "lapsed" => expired.len(),
             "revision" => %listed.revision);
--- a/src/mastweir/ops/quarantine.rs
+++ b/src/mastweir/ops/quarantine.rs
@@ -1,4 +1,4 @@
-//! Lists the quarantines in the platform's store, and lifts those of prompt parts.
+//! Lists the quarantines in the platform's store, and lifts them.
 
 use crate::{
     net::http::Pool,
@@ -22,7 +22,7 @@
 pub enum LiftError {
     #[error("{0:?} is no fingerprint; give the 16 digits that `mastweir quarantine` shows")]
     Malformed(String),
-    #[error("no prompt part {0} is quarantined; see `mastweir quarantine`")]
+    #[error("no prompt part or request {0} is quarantined; see `mastweir quarantine`")]
     Unknown(Fingerprint),
 }
 
@@ -58,20 +58,21 @@
     Ok(all)
 }
 
-/// Lifts the quarantine of a prompt part. Gateways send its requests again, until further servers
+/// Lifts the quarantine of a prompt part or request. Gateways send it again, until further servers
 /// crash.
 ///
 /// # Errors
 ///
 /// [`LiftError`], or the store does not answer or was changed meanwhile.
-pub async fn lift(options: &QuarantineOptions, part: &str) -> eyre::Result<()> {
-    let malformed = || LiftError::Malformed(part.to_owned());
-    let part = u64::from_str_radix(part, 16).map_err(|_| malformed())?;
-    let subject = Subject::Part(Fingerprint(part));
+pub async fn lift(options: &QuarantineOptions, fingerprint: &str) -> eyre::Result<()> {
+    let malformed = || LiftError::Malformed(fingerprint.to_owned());
+    let fingerprint = u64::from_str_radix(fingerprint, 16).map(Fingerprint);
+    let fingerprint = fingerprint.map_err(|_| malformed())?;
+    let subjects = [Subject::Part(fingerprint), Subject::Request(fingerprint)];
     with_store(options, async |store| {
         let stored = store.quarantines().await?.items;
-        let quarantined = stored.iter().find(|stored| stored.report.subject() == subject);
-        let quarantined = quarantined.ok_or(LiftError::Unknown(Fingerprint(part)))?;
+        let quarantined = stored.iter().find(|stored| subjects.contains(&stored.report.subject()));
+        let quarantined = quarantined.ok_or(LiftError::Unknown(fingerprint))?;
         Ok(store.lift_quarantine(quarantined).await?)
     })
     .await
--- a/src/mastweir/platform/quarantine.rs
+++ b/src/mastweir/platform/quarantine.rs
@@ -33,7 +33,7 @@
     /// The same, in objects of parts.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     crashed_s: Option<u64>,
-    /// Unix time at which an operator lifted the quarantine of a part, in seconds.
+    /// Unix time at which an operator lifted the quarantine, in seconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     lifted_s: Option<u64>,
 }
@@ -71,7 +71,10 @@
 
     /// Returns whether an operator lifted the quarantine.
     pub const fn is_lifted(&self) -> bool {
-        matches!(self, Self::Part(report) if report.passed_ms.is_some())
+        match self {
+            Self::Request(report) => report.is_refuted(),
+            Self::Part(report) => report.passed_ms.is_some(),
+        }
     }
 }
 
@@ -102,7 +105,7 @@
             let lifted = PartReport { passed_ms: Some(0), ..report.clone() };
             body(&QuarantineReport::Part(lifted))
         }
-        QuarantineReport::Request(_) => body(report),
+        QuarantineReport::Request(report) => body(&QuarantineReport::Request(report.refuted())),
     }
 }
 
@@ -120,7 +123,7 @@
             finished: report.completed,
             written_s: since(report.age_ms),
             crashed_s: None,
-            lifted_s: None,
+            lifted_s: report.is_refuted().then_some(now_s),
         },
         QuarantineReport::Part(report) => {
             let crashes = report.crashes.iter();
@@ -146,12 +149,16 @@
     let ends: serde_json::Result<Vec<_>> = spec.ends.iter().map(|end| fingerprint(end)).collect();
     let ends = ends?;
     let report = match name.strip_prefix(PART_PREFIX) {
-        None => QuarantineReport::Request(SuspectReport {
-            request: fingerprint(name)?,
-            crashes: ends,
-            completed: spec.finished,
-            age_ms: age_ms(spec.written_s),
-        }),
+        None => {
+            let stored = SuspectReport {
+                request: fingerprint(name)?,
+                crashes: ends,
+                completed: spec.finished,
+                age_ms: age_ms(spec.written_s),
+            };
+            let is_lifted = spec.lifted_s.is_some();
+            QuarantineReport::Request(if is_lifted { stored.refuted() } else { stored })
+        }
         Some(part) => {
             let age_of_crash = age_ms(spec.crashed_s.unwrap_or(spec.written_s));
             let crash = |incarnation| PartCrash { incarnation, age_ms: age_of_crash, begun: true };
--- a/src/mastweir/platform/store.rs
+++ b/src/mastweir/platform/store.rs
@@ -200,7 +200,7 @@
         self.call(Method::POST, &path, Some(&body), CALL_TIMEOUT).await.map(drop)
     }
 
-    /// Marks the quarantine of a prompt part as lifted if its revision is unchanged.
+    /// Marks a quarantine as lifted if its revision is unchanged.
     ///
     /// # Errors
     ///
--- a/tests/testsuite/coincident_crashes.rs
+++ b/tests/testsuite/coincident_crashes.rs
@@ -7,14 +7,17 @@
 };
 use eyre::Result;
 use googletest::prelude::*;
-use mastweir::platform::quarantine::{self, QuarantineReport};
+use mastweir::{
+    ops::quarantine::{QuarantineOptions, lift, list},
+    platform::quarantine::{self, QuarantineReport, Subject},
+};
 use mastweir_core::{
     gateway::{Fingerprint, RequestParts, SuspectReport},
     revision::Revision,
 };
 use mastweir_test_support::{
     scripted::{Act, Got},
-    site::{Answer, HOST, exchange, request, wait_for},
+    site::{Answer, HOST, exchange, request, wait_for, wait_within},
 };
 use std::time::Duration;
 use tokio::time;
@@ -24,6 +27,8 @@
 /// Time in which gateways confirm a crash and report it.
 const REPORT_DELAY: Duration = Duration::from_millis(900);
 
+/// Generous bound of the 20 s in which gateways learn that a quarantine was lifted.
+const LIFT_MAX: Duration = Duration::from_secs(60);
 /// Time in which gateways learn of a server that has started.
 const LIST_DELAY: Duration = Duration::from_millis(100);
 
@@ -132,6 +137,37 @@
     Ok(())
 }
 
+/// An operator lifts the quarantine of a request that was never answered. Gateways go on.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_lifts_the_quarantine_of_a_request() -> Result<()> {
+    let mut world = start(2).await?;
+    let sent = Sent { method: "POST", query: "", body: "order" };
+    for gateway in 0..2 {
+        crash(&mut world, gateway, &sent).await?;
+    }
+    expect_that!(call(&world, 0, &sent, false).await?.status, eq(503));
+    let (path, body) = ("/draft/status", sent.body.as_bytes());
+    let name = Fingerprint::of(RequestParts { customer: "north", host: HOST, path, body });
+    wait_for(async || world.site.platform.has(KIND, &name.to_string())).await?;
+    let (_, served) = world.site.door().await?;
+    let options = QuarantineOptions { store: served.addr };
+    let is_listed = async || {
+        let listed = list(&options).await.unwrap_or_default();
+        listed.iter().any(|known| known.subject == Subject::Request(name))
+    };
+    expect_that!(is_listed().await, eq(true));
+    lift(&options, &name.to_string()).await?;
+    expect_that!(is_listed().await, eq(false));
+    for gateway in 0..2 {
+        wait_within(LIFT_MAX, async || {
+            call(&world, gateway, &sent, false).await.is_ok_and(|answer| answer.status == 200)
+        })
+        .await?;
+    }
+    Ok(())
+}
+
 /// Gateways write a quarantine again that the store lacks.
 #[googletest::test]
 fn stored_quarantine_keeps_the_age_of_its_last_crash() -> Result<()> {
