Delete quarantines that a watcher wrote again after a lift

A watcher that has not yet heard that a quarantine was lifted or refuted finds the object missing, and writes it again. Nothing was quarantined any more soon after, so the list was read again an hour later, and until then a restart of all gateways brought the quarantine back.

Now a watcher reads again after 20 s if the list held anything or was added to, and refuted crashes are remembered for longer than that.

Evidence: coincident_crashes::operator_lifts_the_quarantine_of_a_request writes the object again; it stayed for 60 s before.

--- a/crates/mastweir-core/src/gateway/poison_requests.rs
+++ b/crates/mastweir-core/src/gateway/poison_requests.rs
@@ -55,8 +55,9 @@
 /// Bounds the crashes that are kept of a request, and the refuted ones. The first
 /// [`MAX_CRASHES_COMPLETED`] decide on the quarantine, the last ones on its length.
 const CRASHES_KEPT: usize = 12;
-/// Time for which refuted crashes are kept, for reports that are under way.
-const REFUTED_DURATION: Duration = Duration::from_secs(10);
+/// Time for which refuted crashes are kept, for reports that are under way and quarantines in the
+/// store.
+const REFUTED_DURATION: Duration = Duration::from_secs(60);
 /// Age in a report whose crashes are refuted.
 const REFUTED_AGE: u32 = u32::MAX;
 /// Time after the beginning of a trial for which this gateway begins no other: within it the
--- a/src/mastweir/gateway/quarantine.rs
+++ b/src/mastweir/gateway/quarantine.rs
@@ -105,8 +105,8 @@
 }
 
 /// Reads the quarantines in the store, deletes expired ones, and writes missing ones again:
-/// once per [`QUARANTINE_DURATION`], or [`LIFT_INTERVAL`] while anything is quarantined, and whenever
-/// the store was restored from an older copy. Does not return.
+/// once per [`QUARANTINE_DURATION`], or [`LIFT_INTERVAL`] while anything is quarantined
+/// or the list changes, and whenever the store was restored from an older copy. Does not return.
 pub async fn sync(gateway: &Rc<Gateway>) {
     let unreadable = UnreadableLog::default();
     let mut pause = RETRY_FIRST;
@@ -114,9 +114,12 @@
         let generation = gateway.store.generation();
         match gateway.store.quarantines().await {
             Ok(listed) => {
+                let is_empty = listed.items.is_empty();
                 let stored = merge_stored(gateway, listed, &unreadable).await;
-                write_missing(gateway, &stored).await;
-                pause = QUARANTINE_DURATION;
+                let written = write_missing(gateway, &stored).await;
+                // What was deleted or written may cross a write or a lift of another watcher.
+                let is_settled = is_empty && written == 0;
+                pause = if is_settled { QUARANTINE_DURATION } else { LIFT_INTERVAL };
             }
             Err(error) => {
                 gateway.metrics.count("store_errors_total", "quarantine");
@@ -148,16 +151,19 @@
     }
 }
 
-/// Writes the quarantines that the store lacks.
-async fn write_missing(gateway: &Rc<Gateway>, stored: &[Subject]) {
+/// Writes the quarantines that the store lacks. Returns their number.
+async fn write_missing(gateway: &Rc<Gateway>, stored: &[Subject]) -> usize {
     let now = gateway.clock.now();
     let requests = gateway.suspects.borrow().quarantined_reports(REWRITES_MAX, now);
     let requests = requests.into_iter().map(|report| Subject::Request(report.request));
     let parts = gateway.prompts.borrow().quarantined_reports(REWRITES_MAX, now);
     let parts = parts.into_iter().map(|report| Subject::Part(report.part));
-    for subject in requests.chain(parts).filter(|known| !stored.contains(known)) {
-        write(gateway.clone(), subject).await;
+    let missing: Vec<Subject> =
+        requests.chain(parts).filter(|known| !stored.contains(known)).collect();
+    for subject in &missing {
+        write(gateway.clone(), *subject).await;
     }
+    missing.len()
 }
 
 /// Merges the quarantines of the store and deletes expired and lifted ones. Returns those that
--- a/tests/testsuite/coincident_crashes.rs
+++ b/tests/testsuite/coincident_crashes.rs
@@ -19,7 +19,8 @@
     scripted::{Act, Got},
     site::{Answer, HOST, exchange, request, wait_for, wait_within},
 };
-use std::time::Duration;
+use serde_json::json;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time;
 
 /// Kind of the store's objects for quarantines.
@@ -165,9 +166,18 @@
         })
         .await?;
     }
+    // A watcher that has not heard of it may write the quarantine again.
+    let spec = json!({ "ends": ["1", "2"], "finished": false, "written_s": now_s()? });
+    world.site.platform.put(KIND, &name.to_string(), json!({ "spec": spec }));
+    wait_within(LIFT_MAX, async || !world.site.platform.has(KIND, &name.to_string())).await?;
+    expect_that!(call(&world, 0, &sent, false).await?.status, eq(200));
     Ok(())
 }
 
+fn now_s() -> Result<u64> {
+    Ok(SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs())
+}
+
 /// Gateways write a quarantine again that the store lacks.
 #[googletest::test]
 fn stored_quarantine_keeps_the_age_of_its_last_crash() -> Result<()> {
