Do not wait for capacity after a silent server's connection broke

From reading: while a server is silent, other servers are asked again and again for capacity or a retry, since the first may still go on. That went on after the first one's connection had broken, so that a request which no server could take was held until its deadline in place of its final answer. Now the try under way ends the wait.

The log of a stall that ends with the deadline or an oversized event no longer says that the server continued. 69 tests of these parts passed; the two that are listed as known to fail failed.

--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -227,9 +227,7 @@
             }
             return Err(AttemptResult::Broken);
         }
-        Err(_) => {
-            return Err(AttemptResult::Broken);
-        }
+        Err(_) => return Err(AttemptResult::Broken),
     };
     let (parts, body) = response.into_parts();
     let head = headers::read_answer(parts.status, &parts.headers);
@@ -286,7 +284,8 @@
         gateway.metrics.count("attempts_failed_total", reason);
         return Err(AttemptResult::Broken);
     }
-    let mut backup = pin!(back_up(gateway, call, progress));
+    let may_wait = Cell::new(true);
+    let mut backup = pin!(back_up(gateway, call, progress, &may_wait));
     tokio::select! {
         biased;
         result = &mut first => match result {
@@ -294,7 +293,10 @@
                 progress.record_answered(&answer.slot.server.id);
                 Ok(answer)
             }
-            Err(result) => backup.await.ok_or(result),
+            Err(result) => {
+                may_wait.set(false);
+                backup.await.ok_or(result)
+            }
         },
         answer = &mut backup => match answer {
             Some(answer) => {
@@ -307,12 +309,13 @@
     }
 }
 
-/// Makes attempts at other servers until one succeeds, as soon as they have capacity and as often as
-/// the route and the retry budget allow.
+/// Makes attempts at other servers until one succeeds, as often as the route allows. While `may_wait`
+/// holds, waits for their capacity and for the retry budget.
 async fn back_up(
     gateway: &Rc<Gateway>,
     call: &Rc<Call>,
     progress: &Progress,
+    may_wait: &Cell<bool>,
 ) -> Option<ServerAnswer> {
     let mut result = AttemptResult::Broken;
     loop {
@@ -320,15 +323,14 @@
         if next != NextAction::Retry || !may_send_again(gateway, call, progress) {
             return None;
         }
-        let slot = wait_for_server(gateway, call, progress).await;
-        let Ok(slot) = slot else {
+        let slot = wait_for_server(gateway, call, progress).await.ok();
+        let Some(slot) = slot.filter(|_| may_retry(gateway, call, progress, result)) else {
+            if !may_wait.get() {
+                return None;
+            }
             time::sleep(CAPACITY_POLL).await;
             continue;
         };
-        if !may_retry(gateway, call, progress, result) {
-            time::sleep(CAPACITY_POLL).await;
-            continue;
-        }
         match attempt(gateway, call, Rc::new(slot), None, progress).await {
             // The first server may still succeed.
             Ok(answer) if !answer.parts.status.is_success() => result = AttemptResult::Failed,
--- a/src/mastweir/gateway/resumption.rs
+++ b/src/mastweir/gateway/resumption.rs
@@ -24,7 +24,7 @@
     time::Uptime,
 };
 use slog::info;
-use std::{pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 use tokio::time;
 
 /// Highest load, as a fraction of its slots, of a server that may resume a stream. Resumed streams
@@ -227,11 +227,13 @@
     events: &mut EventSplitter,
 ) -> StallEnd {
     let last = events.last_id().map(str::to_owned);
-    let mut resuming = pin!(resume_when_possible(gateway, call, progress, last));
+    let may_wait = Cell::new(true);
+    let mut resuming = pin!(resume_when_possible(gateway, call, progress, last, &may_wait));
     tokio::select! {
         biased;
         read = stalled.read(call, events) => match read {
             Read::Broken => {
+                may_wait.set(false);
                 let server = &stalled.slot.server;
                 let (resumed, ()) = tokio::join!(resuming, suspect_crash(gateway, call, server));
                 StallEnd::Broken(resumed.ok().map(Box::new))
@@ -245,21 +247,26 @@
     }
 }
 
-/// Continues a stream at another server as soon as one has capacity and the retry budget allows it.
+/// Continues a stream at another server. While `may_wait` holds, waits until one has capacity and the
+/// retry budget allows it.
 async fn resume_when_possible(
     gateway: &Rc<Gateway>,
     call: &Call,
     progress: &Progress,
     last: Option<String>,
+    may_wait: &Cell<bool>,
 ) -> Result<Resumed, ResumeDenied> {
     loop {
-        match resume_to_event(gateway, call, progress, last.clone()).await {
-            Err(ResumeDenied::NoServer(_)) => time::sleep(CAPACITY_POLL).await,
-            Err(ResumeDenied::Retry) if may_send_again(gateway, call, progress) => {
-                time::sleep(CAPACITY_POLL).await;
-            }
-            ended => return ended,
+        let resumed = resume_to_event(gateway, call, progress, last.clone()).await;
+        let is_temporary = match &resumed {
+            Err(ResumeDenied::NoServer(_)) => true,
+            Err(ResumeDenied::Retry) => may_send_again(gateway, call, progress),
+            _ => false,
+        };
+        if !is_temporary || !may_wait.get() {
+            return resumed;
         }
+        time::sleep(CAPACITY_POLL).await;
     }
 }
 
--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -245,7 +245,8 @@
         let race = race(&self.gateway, &self.call, &self.progress, stalled, &mut self.events);
         match race.await {
             StallEnd::Continued(read) => {
-                self.log_stall_end("continued");
+                let is_continued = matches!(read, Read::Events(_) | Read::End);
+                self.log_stall_end(if is_continued { "continued" } else { "failed" });
                 read
             }
             StallEnd::Resumed(resumed) => {
