--- /dev/null
+++ b/review/standins-2/src/cases/mod.rs
@@ -0,0 +1,7 @@
+//! The cases.
+
+pub mod extra_bytes;
+pub mod header_limit;
+pub mod moved_store;
+pub mod new_bound;
+pub mod planned_stop;
