--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+pub mod extra_answer;
 pub mod extra_bytes;
 pub mod header_limit;
 pub mod moved_store;
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 //! could not run. With `TROUBLE=0` in its variables it leaves out the disruption.
 
 mod cases;
+mod group;
 mod http;
 mod store;
 mod world;
@@ -23,6 +24,7 @@
         "planned_stop" => cases::planned_stop::run(&record, trouble),
         "moved_store" => cases::moved_store::run(&record, trouble),
         "new_bound" => cases::new_bound::run(&record, trouble),
+        "extra_answer" => cases::extra_answer::run(&record, trouble),
         "extra_bytes" => cases::extra_bytes::run(&record, trouble),
         "header_limit" => cases::header_limit::run(&record, trouble),
         _ => world::cannot_run("there is no such case"),
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -8,7 +8,7 @@
     fs::{self, File},
     io::{self, BufReader, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
@@ -53,7 +53,8 @@
 }
 
 /// What an application server does on its connections: `number` counts the requests of one
-/// connection from 0. Returns the bytes to write; empty ones are not written.
+/// connection from 0. Returns the bytes to write; it closes the connection instead of writing
+/// empty ones.
 pub type Behaviour = dyn Fn(&Request, usize) -> Vec<Vec<u8>> + Send + Sync;
 
 /// An application server of the service `desk`.
@@ -108,13 +109,13 @@
             continue;
         }
         let answers = act(&request, number);
-        let status =
-            answers.last().map(|bytes| String::from_utf8_lossy(bytes).chars().take(12).collect());
+        let status = answers.iter().rfind(|bytes| !bytes.is_empty());
+        let status = status.map(|bytes| String::from_utf8_lossy(bytes).chars().take(12).collect());
         let status: String = status.unwrap_or_default();
         record.line(&format!("server {own} runs {id} (tenant {tenant:?}, request {number} of its connection) and answers {status:?}"));
         runs.lock().unwrap().push(id);
         for bytes in answers {
-            if reader.get_mut().write_all(&bytes).is_err() {
+            if bytes.is_empty() || reader.get_mut().write_all(&bytes).is_err() {
                 return;
             }
         }
@@ -180,13 +181,30 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let id = self.child.id();
-        STARTED.lock().unwrap().retain(|started| *started != id);
+        end(&mut self.child);
     }
 }
 
+/// Ends a process that was started.
+fn end(child: &mut Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    let id = child.id();
+    STARTED.lock().unwrap().retain(|started| *started != id);
+}
+
+/// Starts one with the arguments of the deploy file.
+fn start(args: &[&str], settings: &Path) -> Child {
+    let log = File::create(settings.with_extension("log")).unwrap();
+    let mut command = Command::new("target/release/mastweird");
+    command.args(args).env_clear().env("MASTWEIR_SETTINGS", settings).env("LANG", "C");
+    let child = command.stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log).spawn();
+    let child =
+        child.unwrap_or_else(|error| cannot_run(&format!("target/release/mastweird: {error}")));
+    STARTED.lock().unwrap().push(child.id());
+    child
+}
+
 /// The deployment.
 pub struct World {
     pub record: Arc<Record>,
@@ -195,11 +213,28 @@
     pub gateways: Vec<Gateway>,
     folder: PathBuf,
     ips: Vec<IpAddr>,
+    /// Addresses of the `side` machines.
+    pub sides: Vec<IpAddr>,
+    sidecars: Vec<Sidecar>,
+}
+
+/// A sidecar's process; it ends with this.
+struct Sidecar {
+    child: Child,
+    log: PathBuf,
+    name: String,
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        end(&mut self.child);
+    }
 }
 
 impl Drop for World {
     fn drop(&mut self) {
         self.gateways.clear();
+        self.sidecars.clear();
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
@@ -207,6 +242,11 @@
 impl World {
     /// A deployment without servers and gateways.
     pub fn new(record: &Arc<Record>, gateways: u8) -> Self {
+        Self::with_sides(record, gateways, 0)
+    }
+
+    /// The same with some `side` machines.
+    pub fn with_sides(record: &Arc<Record>, gateways: u8, sides: u8) -> Self {
         let store = Arc::new(Store::default());
         let door = store.open();
         let own = process::id();
@@ -217,7 +257,44 @@
         let folder = std::env::temp_dir().join(format!("review-2-{own}"));
         fs::create_dir_all(&folder).unwrap();
         let ips = (1..=gateways).map(ip).collect();
-        Self { record: record.clone(), store, door, gateways: Vec::new(), folder, ips }
+        let sides = (101..=100 + sides).map(ip).collect();
+        let (gateways, sidecars) = (Vec::new(), Vec::new());
+        Self { record: record.clone(), store, door, gateways, folder, ips, sides, sidecars }
+    }
+
+    /// Draws ports that are free on all machines: internal, front, ready, control, and the model
+    /// servers' one. They are alike on all of them, and drawn once.
+    pub fn ports(&self) -> [u16; 5] {
+        let all: Vec<IpAddr> = self.ips.iter().chain(&self.sides).copied().collect();
+        free_ports(&all)
+    }
+
+    /// Starts the sidecars of all `side` machines.
+    pub fn start_sidecars(&mut self) {
+        let [internal, .., control, app] = self.ports();
+        for (number, ip) in self.sides.iter().enumerate() {
+            let name = format!("side-hall-a-{}", number + 1);
+            let listen = SocketAddr::new(*ip, control);
+            let text = settings(&name, *ip, internal, &self.seeds(), [listen; 3], self.door.addr);
+            let text = text
+                .replace("role = \"gateway\"", "role = \"sidecar\"")
+                .replace("machine_class = \"front\"", "machine_class = \"side\"")
+                .replace("serves = [\"front\",\"control\"]", "serves = [\"side\"]")
+                .replace(
+                    "[zones]",
+                    &format!("app = \"{ip}:{app}\"\nservice = \"assist\"\n[zones]"),
+                );
+            let path = self.folder.join(format!("{name}.toml"));
+            fs::write(&path, &text).unwrap();
+            let child = start(&["sidecar"], &path);
+            self.sidecars.push(Sidecar { child, log: path.with_extension("log"), name });
+        }
+    }
+
+    fn seeds(&self) -> String {
+        let control = self.ports()[3];
+        let seeds = self.ips.iter().map(|ip| format!("\"{}\"", SocketAddr::new(*ip, control)));
+        seeds.collect::<Vec<_>>().join(",")
     }
 
     /// Starts the gateways with the command of the deploy file, and waits until they are ready.
@@ -240,34 +317,15 @@
 
     fn gateway(&self, number: usize) -> Gateway {
         let ip = self.ips[number];
-        let ports = free_ports(&self.ips);
-        let seeds: Vec<String> = self
-            .ips
-            .iter()
-            .map(|seed| format!("\"{}\"", SocketAddr::new(*seed, ports[3])))
-            .collect();
+        let ports = self.ports();
         let at = |port| SocketAddr::new(ip, port);
         let (front, ready, control) = (at(ports[1]), at(ports[2]), at(ports[3]));
         let name = format!("front-hall-a-{}", number + 1);
-        let text = settings(
-            &name,
-            ip,
-            ports[0],
-            &seeds.join(","),
-            [front, ready, control],
-            self.door.addr,
-        );
+        let text =
+            settings(&name, ip, ports[0], &self.seeds(), [front, ready, control], self.door.addr);
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, &text).unwrap();
-        let log = File::create(self.folder.join(format!("{name}.log"))).unwrap();
-        let mut command = Command::new("target/release/mastweird");
-        command.args(["gateway", "--metrics-port", "9464"]).env_clear();
-        command.env("MASTWEIR_SETTINGS", &path).env("LANG", "C");
-        let child =
-            command.stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log).spawn();
-        let child =
-            child.unwrap_or_else(|error| cannot_run(&format!("target/release/mastweird: {error}")));
-        STARTED.lock().unwrap().push(child.id());
+        let child = start(&["gateway", "--metrics-port", "9464"], &path);
         Gateway { child, settings: path, text, front, ready, name }
     }
 
@@ -286,20 +344,28 @@
                 self.record.line(&format!("log of {}: {line}", gateway.name));
             }
         }
+        for Sidecar { log, name, .. } in &self.sidecars {
+            let text = fs::read_to_string(log).unwrap_or_default();
+            let of_change = ["became coordinator", "delegate", "map in force"];
+            let lines =
+                text.lines().filter(|line| of_change.iter().any(|word| line.contains(word)));
+            let lines: Vec<&str> = lines.collect();
+            for line in lines.iter().rev().take(8).rev() {
+                self.record.line(&format!("log of {name}: {line}"));
+            }
+        }
     }
 }
 
-/// Draws ports that are free on all addresses: internal, front, ready and control. All gateways of
-/// a deployment have the same ports, which are drawn once.
-fn free_ports(ips: &[IpAddr]) -> [u16; 4] {
-    static DRAWN: Mutex<Option<[u16; 4]>> = Mutex::new(None);
+fn free_ports(ips: &[IpAddr]) -> [u16; 5] {
+    static DRAWN: Mutex<Option<[u16; 5]>> = Mutex::new(None);
     let mut drawn = DRAWN.lock().unwrap();
     if let Some(ports) = *drawn {
         return ports;
     }
     let mut held: Vec<TcpListener> = Vec::new();
     let mut ports = Vec::new();
-    while ports.len() < 4 {
+    while ports.len() < 5 {
         let first = TcpListener::bind(SocketAddr::new(ips[0], 0)).unwrap();
         let port = first.local_addr().unwrap().port();
         let others: io::Result<Vec<TcpListener>> =
@@ -310,7 +376,7 @@
             ports.push(port);
         }
     }
-    let ports = [ports[0], ports[1], ports[2], ports[3]];
+    let ports = [ports[0], ports[1], ports[2], ports[3], ports[4]];
     *drawn = Some(ports);
     ports
 }
@@ -405,7 +471,8 @@
     let route = |route: &Route| {
         let Route { name, prefix, kind, timeout_ms, max_attempts } = route;
         format!(
-            r#"{{"name":"{name}","host":"{HOST}","path_prefix":"{prefix}","kind":"{kind}","timeout_ms":{timeout_ms},"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":{max_attempts},"public":false,"session_affinity":false,"stream_resume":false}}"#
+            r#"{{"name":"{name}","host":"{HOST}","path_prefix":"{prefix}","kind":"{kind}","timeout_ms":{timeout_ms},"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":{max_attempts},"public":false,"session_affinity":false,"stream_resume":{}}}"#,
+            *kind == "streaming"
         )
     };
     let routes: Vec<String> = routes.iter().map(route).collect();
