--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -24,6 +24,7 @@
         "planned_stop" => cases::planned_stop::run(&record, trouble),
         "moved_store" => cases::moved_store::run(&record, trouble),
         "new_bound" => cases::new_bound::run(&record, trouble),
+        "gone_server" => cases::gone_server::run(&record, trouble),
         "extra_answer" => cases::extra_answer::run(&record, trouble),
         "extra_bytes" => cases::extra_bytes::run(&record, trouble),
         "header_limit" => cases::header_limit::run(&record, trouble),
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -46,6 +46,11 @@
         self.write(kind, name, Some(spec.to_owned()));
     }
 
+    /// Removes an object. Its return is the acknowledgement.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.write(kind, name, None);
+    }
+
     fn write(&self, kind: &str, name: &str, spec: Option<String>) -> u64 {
         let mut state = self.state.lock().unwrap();
         state.revision += 1;
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -7,10 +7,13 @@
 use std::{
     fs::{self, File},
     io::{self, BufReader, Write},
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -61,8 +64,10 @@
 pub struct Server {
     pub id: String,
     pub addr: SocketAddr,
-    /// Ids of the requests that it ran.
-    pub runs: Arc<Mutex<Vec<String>>>,
+    /// Ids of the requests that it ran, and when it began to.
+    pub runs: Arc<Mutex<Vec<(String, Instant)>>>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+    listening: Arc<AtomicBool>,
 }
 
 impl Server {
@@ -71,13 +76,29 @@
         let addr = listener.local_addr().unwrap();
         let runs = Arc::new(Mutex::new(Vec::new()));
         let (own, log, ran) = (id.to_owned(), record.clone(), runs.clone());
+        let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let listening = Arc::new(AtomicBool::new(true));
+        let (streams, is_listening) = (open.clone(), listening.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if !is_listening.load(Ordering::SeqCst) {
+                    return;
+                }
+                streams.lock().unwrap().extend(stream.try_clone());
                 let (own, log, ran, act) = (own.clone(), log.clone(), ran.clone(), act.clone());
                 thread::spawn(move || serve(stream, &own, &log, &ran, &*act));
             }
         });
-        Self { id: id.to_owned(), addr, runs }
+        Self { id: id.to_owned(), addr, runs, open, listening }
+    }
+
+    /// Ends it: its connections are closed, and new ones refused.
+    pub fn end(&self) {
+        self.listening.store(false, Ordering::SeqCst);
+        // Wakes the listener, which ends.
+        drop(TcpStream::connect(self.addr));
+        let open = std::mem::take(&mut *self.open.lock().unwrap());
+        open.into_iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
     }
 
     /// Its entry in the store.
@@ -93,7 +114,7 @@
     stream: TcpStream,
     own: &str,
     record: &Record,
-    runs: &Mutex<Vec<String>>,
+    runs: &Mutex<Vec<(String, Instant)>>,
     act: &Behaviour,
 ) {
     let _ = stream.set_nodelay(true);
@@ -108,12 +129,13 @@
             let _ = reader.get_mut().write_all(&bytes);
             continue;
         }
+        runs.lock().unwrap().push((id.clone(), Instant::now()));
         let answers = act(&request, number);
         let status = answers.iter().rfind(|bytes| !bytes.is_empty());
         let status = status.map(|bytes| String::from_utf8_lossy(bytes).chars().take(12).collect());
         let status: String = status.unwrap_or_default();
         record.line(&format!("server {own} runs {id} (tenant {tenant:?}, request {number} of its connection) and answers {status:?}"));
-        runs.lock().unwrap().push(id);
+
         for bytes in answers {
             if bytes.is_empty() || reader.get_mut().write_all(&bytes).is_err() {
                 return;
@@ -329,6 +351,16 @@
         Gateway { child, settings: path, text, front, ready, name }
     }
 
+    /// Kills the process of a gateway.
+    pub fn kill(&mut self, number: usize) {
+        end(&mut self.gateways[number].child);
+    }
+
+    /// Starts the process of a gateway that was killed again.
+    pub fn restart(&mut self, number: usize) {
+        self.gateways[number] = self.gateway(number);
+    }
+
     /// The name of a gateway's machine.
     pub fn name(&self, number: usize) -> &str {
         &self.gateways[number].name
