--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -86,7 +86,12 @@
                 }
                 streams.lock().unwrap().extend(stream.try_clone());
                 let (own, log, ran, act) = (own.clone(), log.clone(), ran.clone(), act.clone());
-                thread::spawn(move || serve(stream, &own, &log, &ran, &*act));
+                thread::spawn(move || {
+                    let end = stream.try_clone();
+                    serve(stream, &own, &log, &ran, &*act);
+                    // Another handle of it is kept for the end of the server.
+                    end.into_iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+                });
             }
         });
         Self { id: id.to_owned(), addr, runs, open, listening }
@@ -135,7 +140,6 @@
         let status = status.map(|bytes| String::from_utf8_lossy(bytes).chars().take(12).collect());
         let status: String = status.unwrap_or_default();
         record.line(&format!("server {own} runs {id} (tenant {tenant:?}, request {number} of its connection) and answers {status:?}"));
-
         for bytes in answers {
             if bytes.is_empty() || reader.get_mut().write_all(&bytes).is_err() {
                 return;
