--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -45,12 +45,17 @@
 /// The processes that were started and not yet waited for.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Sends a signal to a process, with the command that every shell has.
+fn kill(signal: &str, id: u32) -> io::Result<process::ExitStatus> {
+    Command::new("sh").arg("-c").arg(format!("kill -{signal} {id}")).status()
+}
+
 /// Ends the driver, and what it started, with the code for a case that could not run.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
     let started = STARTED.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
     for id in started {
-        let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+        let _ = kill("KILL", id);
     }
     process::exit(2)
 }
@@ -170,8 +175,7 @@
 impl Gateway {
     /// Sends it a signal.
     pub fn signal(&self, name: &str) {
-        let sent =
-            Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        let sent = kill(name, self.child.id());
         if !sent.is_ok_and(|status| status.success()) {
             cannot_run(&format!("SIG{name} was not sent"));
         }
