--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,6 +1,6 @@
-//! Drives the cases of the second review that are scripts: `review-standins-2 CASE RECORD`, from the
-//! root of the repository. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case
-//! could not run. With `TROUBLE=0` in its variables it leaves out the disruption.
+//! Drives the cases of the second review that are scripts, from the root of the repository:
+//! `review-standins-2 CASE RECORD with`, or `without` to leave out the disruption. Exits with 1 if the
+//! rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod cases;
 mod group;
@@ -13,10 +13,14 @@
 fn main() {
     panic::set_hook(Box::new(|info| world::cannot_run(&info.to_string())));
     let args: Vec<String> = env::args().collect();
-    let [_, case, record] = &args[..] else {
-        world::cannot_run("give the case, and the file for its record");
+    let [_, case, record, disruption] = &args[..] else {
+        world::cannot_run("give the case, the file for its record, and `with` or `without`");
+    };
+    let trouble = match disruption.as_str() {
+        "with" => true,
+        "without" => false,
+        _ => world::cannot_run("the disruption is `with` or `without`"),
     };
-    let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = world::Record::new(record);
     record
         .line(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
