End the last use of a server within its drain time

Cause: a server that is missing from the list is a last resort for 1.5 s from when a gateway hears of its departure. News takes up to 1.7 s while the watchers of a hall are replaced. Each gateway now keeps when its list was last known to be current, from the store or from the hellos of gateways with the same list, and counts three quarters of the drain time from there.

The two tests that use a last resort now set the drain time and when the list was confirmed, which were implied; the one of an evacuated hall also shows that the server is used before the evacuation.

--- a/crates/mastweir-core/src/gateway/fleet.rs
+++ b/crates/mastweir-core/src/gateway/fleet.rs
@@ -149,6 +149,22 @@
         true
     }
 
+    /// Sets the time after which a server that left gets no more requests.
+    pub const fn set_drain_time(&mut self, drain_time: Duration) {
+        self.registry.set_drain_time(drain_time);
+    }
+
+    /// Records that the list of servers was known to be current at a time: the store or a gateway
+    /// that had heard from the store had no later change.
+    pub fn confirm_list(&mut self, at: Uptime) {
+        self.registry.confirm(at);
+    }
+
+    /// Returns when the list of servers was last known to be current.
+    pub const fn list_confirmed(&self) -> Uptime {
+        self.registry.confirmed()
+    }
+
     /// Makes peers with an older list get the complete list. Called after a full read of the
     /// list, which does not show servers that were added and removed since the previous read.
     pub fn forget_removals(&mut self) {
--- a/crates/mastweir-core/src/gateway/registry.rs
+++ b/crates/mastweir-core/src/gateway/registry.rs
@@ -2,7 +2,8 @@
 //! are missing from it but may still run.
 //!
 //! - A server that leaves the list in normal operation is *missing*. For a moment it is still
-//!   used as a last resort, when no other server is left.
+//!   used as a last resort, when no other server is left. That time counts from when the list
+//!   was last known to be current, since the server may have left right afterwards.
 //! - A server whose entry is absent after an outage of the store, or from an older copy from
 //!   which the store was restored, is *expired*. It stays in the list for a grace period, in
 //!   which its entry may reappear.
@@ -20,8 +21,9 @@
     time::Duration,
 };
 
-/// Time for which a missing server is used as a last resort.
-const MISSING_RETENTION: Duration = Duration::from_millis(1_500);
+/// Part of the drain time for which a missing server is used as a last resort. The rest is for
+/// requests that are still on their way to it.
+const LAST_RESORT_SHARE: f64 = 0.75;
 /// Grace period of expired servers; running servers write their entries again within two seconds.
 /// Dropping all expired servers at once would overload the first ones that reappear. When they were
 /// dropped at once, 55 of 160 requests in the two seconds after an outage of 6.2 s were late; with
@@ -52,7 +54,11 @@
     removed: VecDeque<(Revision, String)>,
     /// Revision since which all removed servers are remembered.
     removed_since: Revision,
-    /// Missing servers that took requests, and since when they are missing.
+    /// When the list was last known to be current.
+    confirmed: Uptime,
+    /// Time after which a server that left gets no more requests.
+    drain_time: Duration,
+    /// Missing servers that took requests, and until when they are a last resort.
     missing: HashMap<String, (Server, Uptime)>,
     /// End of each expired server's grace period.
     expired: HashMap<String, Uptime>,
@@ -86,6 +92,21 @@
         self.view_keys.get(id).copied().unwrap_or_default()
     }
 
+    /// Sets the time after which a server that left gets no more requests.
+    pub(super) const fn set_drain_time(&mut self, drain_time: Duration) {
+        self.drain_time = drain_time;
+    }
+
+    /// Records that the list was known to be current at a time.
+    pub(super) fn confirm(&mut self, at: Uptime) {
+        self.confirmed = self.confirmed.max(at);
+    }
+
+    /// Returns when the list was last known to be current.
+    pub(super) const fn confirmed(&self) -> Uptime {
+        self.confirmed
+    }
+
     /// Replaces the list; returns false if it is not newer. After an outage, unlisted servers
     /// are kept as expired.
     pub(super) fn replace(
@@ -200,8 +221,8 @@
         may_serve: impl Fn(&Server) -> bool,
         now: Uptime,
     ) -> Option<&Server> {
-        let is_match = |(server, since): &&(Server, Uptime)| {
-            server.service == service && may_serve(server) && now.since(*since) < MISSING_RETENTION
+        let is_match = |(server, until): &&(Server, Uptime)| {
+            server.service == service && may_serve(server) && now < *until
         };
         self.missing.values().find(is_match).map(|(server, _)| server)
     }
@@ -243,7 +264,8 @@
                 self.directory.servers.insert(id, server);
             }
             None => {
-                self.missing.insert(id, (server, now));
+                let last_use = self.confirmed.min(now) + self.drain_time.mul_f64(LAST_RESORT_SHARE);
+                self.missing.insert(id, (server, last_use));
             }
         }
     }
--- a/src/mastweir/gateway/fetch.rs
+++ b/src/mastweir/gateway/fetch.rs
@@ -2,7 +2,7 @@
 //! of gateways and sidecars.
 
 use super::{
-    message::{CoordinatorSeen, GroupView},
+    message::{CoordinatorSeen, GroupView, saturating_millis},
     prompt_suspects, quarantine,
     state::Gateway,
 };
@@ -118,6 +118,6 @@
 pub fn coordinator(gateway: &Gateway, group: &str) -> Option<CoordinatorSeen> {
     let coordinators = gateway.coordinators.borrow();
     let (seen, at) = coordinators.get(group)?;
-    let age = gateway.clock.now().since(*at).as_millis();
-    Some(CoordinatorSeen { age_ms: u32::try_from(age).unwrap_or(u32::MAX), ..seen.clone() })
+    let age_ms = saturating_millis(gateway.clock.now().since(*at));
+    Some(CoordinatorSeen { age_ms, ..seen.clone() })
 }
--- a/src/mastweir/gateway/message.rs
+++ b/src/mastweir/gateway/message.rs
@@ -20,7 +20,10 @@
     time::Uptime,
 };
 use serde::{Deserialize, Serialize};
-use std::net::{IpAddr, SocketAddr};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 /// Largest datagram sent, in bytes: below the usual path MTU.
 pub const DATAGRAM_MAX: usize = 1_400;
@@ -68,6 +71,11 @@
     PromptParts(Vec<PartReport>),
 }
 
+/// Returns a duration as messages state it.
+pub fn saturating_millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Asks for permits to send requests to servers that name a rate limit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestPermits {
@@ -121,6 +129,8 @@
     pub known_peers: Vec<PeerInfo>,
     /// Watches of the platform's store, by it and in its hall.
     pub watch: WatchState,
+    /// Milliseconds since its list of servers was last known to be current.
+    pub directory_age_ms: u32,
 }
 
 /// Announces a relay gateway, to which the sidecar is to send its reports.
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -9,7 +9,7 @@
     datagrams::send,
     fetch::fetch,
     limit_gossip,
-    message::{DATAGRAM_MAX, Hello, Message},
+    message::{DATAGRAM_MAX, Hello, Message, saturating_millis},
     permits, prompt_suspects, quarantine, relay,
     state::Gateway,
     suspect_gossip,
@@ -25,6 +25,10 @@
 /// Interval of hellos while the gateway has no configuration and refuses all requests.
 const STARTUP_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Allowance for a hello's way, added to the ages in it. Without it, gateways that hear each other
+/// would make news that they pass back and forth younger.
+const HELLO_DELAY: Duration = Duration::from_millis(50);
+
 /// Exchanges messages with sidecars and other gateways. Does not return.
 pub async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
     let socket = Rc::new(socket);
@@ -86,6 +90,7 @@
         known_peers,
         evacuations,
         watch,
+        directory_age_ms,
         ..
     } = hello;
     {
@@ -106,6 +111,10 @@
         }
         limit_gossip::send_all_to(gateway, socket, from);
     }
+    if hello.directory == gateway.fleet.borrow().directory().revision {
+        let age = Duration::from_millis(directory_age_ms.into()) + HELLO_DELAY;
+        gateway.fleet.borrow_mut().confirm_list(now - age);
+    }
     let own = Versions {
         config: gateway.version(),
         directory: gateway.fleet.borrow().directory().revision,
@@ -135,6 +144,7 @@
         fleet_size: gateways.max_known(),
         known_peers: gateways.known_peers(now),
         watch: gateway.watchers.borrow().state(now),
+        directory_age_ms: saturating_millis(now.since(gateway.fleet.borrow().list_confirmed())),
     }
 }
 
--- a/src/mastweir/gateway/permits.rs
+++ b/src/mastweir/gateway/permits.rs
@@ -8,7 +8,7 @@
 
 use super::{
     datagrams::send,
-    message::{GrantPermits, Message, RequestPermits, ServerGrant},
+    message::{GrantPermits, Message, RequestPermits, ServerGrant, saturating_millis},
     state::Gateway,
 };
 use mastweir_core::{
@@ -115,7 +115,7 @@
     } else {
         gateway.metrics.count("tokens_total", "none");
     }
-    ServerGrant { server, count, wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX) }
+    ServerGrant { server, count, wait_ms: saturating_millis(wait) }
 }
 
 /// Grants permits to another gateway and sends them.
--- a/src/mastweir/gateway/relay.rs
+++ b/src/mastweir/gateway/relay.rs
@@ -14,7 +14,7 @@
     fetch,
     message::{
         CoordinatorSeen, LOADS_PER_DATAGRAM, Loads, Message, PassForecast, RelayHello, ServerLoad,
-        ServerReport,
+        ServerReport, saturating_millis,
     },
     server_notices::{log_leaving, log_limit_change},
     state::Gateway,
@@ -148,7 +148,7 @@
             });
             u8::try_from(at).ok()
         });
-        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        let age_ms = saturating_millis(*age);
         let load = LoadReport { group: None, ..(*report).clone() };
         ServerLoad { server: *server, age_ms, group, load }
     };
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -300,13 +300,17 @@
     }
 
     fn adopt(&self, directory: Directory, after_outage: bool, from: &str) -> bool {
+        let now = self.clock.now();
         let before = self.fleet.borrow().directory().revision;
-        let is_newer = self.fleet.borrow_mut().replace(directory, after_outage, self.clock.now());
+        let drain_time = self.settings.borrow().bounds.drain;
+        self.fleet.borrow_mut().set_drain_time(drain_time);
+        let is_newer = self.fleet.borrow_mut().replace(directory, after_outage, now);
         if is_newer {
             let fleet = self.fleet.borrow();
             let Directory { revision, servers, expired } = fleet.directory();
             info!(self.log, "servers adopted"; "revision" => %revision, "before" => %before,
-                "servers" => servers.len(), "lapsed" => expired.len(), "from" => from);
+                "servers" => servers.len(), "lapsed" => expired.len(), "from" => from,
+                "confirmed_ms" => now.since(fleet.list_confirmed()).as_millis() as u64);
         }
         is_newer
     }
--- a/src/mastweir/gateway/watch.rs
+++ b/src/mastweir/gateway/watch.rs
@@ -14,8 +14,14 @@
 use mastweir_core::{
     gateway::{Config, Directory, EvacuationList, Server},
     revision::Revision,
+    time::Uptime,
+};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    rc::Rc,
+    time::Duration,
 };
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
 /// Shortest outage of the store, in heartbeat intervals, in which entries of live servers may
 /// expire: three heartbeats are missing then, and the first may fall before the outage.
@@ -36,6 +42,7 @@
         let source = ServerSource {
             gateway: &gateway,
             listed: RefCell::default(),
+            watch_started: Cell::default(),
             unreadable: UnreadableLog::default(),
         };
         follow(&source, &gateway.outages, &gateway.log, &gateway.metrics).await;
@@ -140,6 +147,8 @@
     gateway: &'a Rc<Gateway>,
     /// The servers as the store lists them, without the expired ones that the gateway keeps.
     listed: RefCell<Directory>,
+    /// When the last watch was sent. Its answer may have been on its way for long.
+    watch_started: Cell<Uptime>,
     unreadable: UnreadableLog,
 }
 
@@ -157,16 +166,19 @@
     const KIND: &'static str = "servers";
 
     async fn list(&self, away: Duration) -> Result<Revision, StoreError> {
+        let started = self.gateway.clock.now();
         let ObjectList { items, unreadable, revision } = self.gateway.store.servers().await?;
         unreadable.iter().for_each(|obj| self.unreadable.log(self.gateway, Self::KIND, obj));
         let servers = items.into_iter().map(|server| (server.id.clone(), server)).collect();
         let directory = Directory { revision, servers, ..Directory::default() };
         *self.listed.borrow_mut() = directory.clone();
         self.gateway.adopt_complete(directory, self.may_have_expired(away), "store");
+        self.gateway.fleet.borrow_mut().confirm_list(started);
         Ok(revision)
     }
 
     async fn watch(&self, since: Revision, wait: Duration) -> Result<Changes<Server>, StoreError> {
+        self.watch_started.set(self.gateway.clock.now());
         self.gateway.store.watch_servers(since, wait).await
     }
 
@@ -174,6 +186,7 @@
         let mut listed = self.listed.borrow_mut();
         listed.revision = changes.revision;
         if changes.changes.is_empty() {
+            self.gateway.fleet.borrow_mut().confirm_list(self.watch_started.get());
             return;
         }
         let mut removed = Vec::new();
@@ -192,10 +205,16 @@
             };
         }
         self.gateway.adopt_changes(listed.clone(), &removed, self.may_have_expired(away), "store");
+        self.gateway.fleet.borrow_mut().confirm_list(self.watch_started.get());
     }
 
     async fn probe(&self, since: Revision) -> Result<bool, StoreError> {
-        self.gateway.store.probe_servers(since, may_lag(self.gateway)).await
+        let (started, may_lag) = (self.gateway.clock.now(), may_lag(self.gateway));
+        let has_changed = self.gateway.store.probe_servers(since, may_lag).await?;
+        if !may_lag && !has_changed {
+            self.gateway.fleet.borrow_mut().confirm_list(started);
+        }
+        Ok(has_changed)
     }
 
     fn record_answer(&self) {
--- a/tests/testsuite/evacuations.rs
+++ b/tests/testsuite/evacuations.rs
@@ -85,8 +85,11 @@
 #[googletest::test]
 fn unlisted_server_of_an_evacuated_hall_is_no_last_resort() {
     let mut fleet = fleet(&["north"]);
-    fleet.replace_evacuations(list(9, &["north"]), at(0));
+    fleet.set_drain_time(Duration::from_secs(2));
+    fleet.confirm_list(at(100));
     fleet.replace(listed(6, [].into()), false, at(100));
+    expect_that!(choose(&fleet, at(200)), ok(eq("north")));
+    fleet.replace_evacuations(list(9, &["north"]), at(200));
     expect_that!(choose(&fleet, at(200)), err(anything()));
 }
 
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -10,6 +10,9 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use std::{collections::BTreeMap, time::Duration};
 
+/// After this time, a server that left may get no request.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 pub fn server(id: &str, state: ServerState) -> (String, Server) {
     let server = Server {
         id: id.to_owned(),
@@ -36,6 +39,7 @@
 
 fn fleet(ids: &[&str]) -> Fleet {
     let mut fleet = Fleet::new("here");
+    fleet.set_drain_time(DRAIN_TIME);
     let servers = ids.iter().map(|id| server(id, ServerState::Ready)).collect();
     fleet.replace(listed(5, servers), false, Uptime::default());
     // Sidecars report to this gateway.
@@ -76,6 +80,7 @@
 fn a_server_missing_from_the_list_is_a_last_resort_for_a_moment() {
     let mut fleet = fleet(&["a"]);
     let gone = listed(6, BTreeMap::new());
+    fleet.confirm_list(Uptime::from_secs(1));
     fleet.replace(gone, false, Uptime::from_secs(1));
     expect_that!(choose(&fleet, Uptime::from_millis(1_500)), ok(eq("a")));
     expect_that!(choose(&fleet, Uptime::from_secs(3)), err(eq(&Refusal::NoServer)));
@@ -86,6 +91,33 @@
     expect_that!(choose(&fleet, Uptime::default()), err(eq(&Refusal::NoServer)));
 }
 
+/// Guards against requests that reach a server after its drain time, when the gateways that watch
+/// the store were killed as its entry went, so that the others hear of it late.
+#[googletest::test]
+fn last_resort_ends_in_the_drain_time_when_news_is_late() {
+    let confirmed = Uptime::from_secs(1);
+    let gone = || listed(6, BTreeMap::new());
+    for delay_ms in [0, 300, 1_300, 1_900, 5_000] {
+        let mut fleet = fleet(&["a"]);
+        fleet.confirm_list(confirmed);
+        let arrival = confirmed + Duration::from_millis(delay_ms);
+        fleet.replace(gone(), false, arrival);
+        // Older news does not make the list more recent.
+        fleet.confirm_list(Uptime::from_millis(500));
+        let last = confirmed + DRAIN_TIME;
+        for ms in (0..3_000).step_by(100) {
+            let at = arrival + Duration::from_millis(ms);
+            let is_used = choose(&fleet, at).is_ok();
+            expect_that!(is_used && at >= last, eq(false), "news after {delay_ms} ms, at {at:?}");
+        }
+    }
+    // Prompt news leaves most of the drain time.
+    let mut fleet = fleet(&["a"]);
+    fleet.confirm_list(confirmed);
+    fleet.replace(gone(), false, confirmed + Duration::from_millis(200));
+    expect_that!(choose(&fleet, confirmed + Duration::from_millis(1_400)), ok(eq("a")));
+}
+
 /// Guards against overloading the first servers whose expired entries reappear after an outage.
 #[googletest::test]
 fn servers_that_expire_in_an_outage_are_used_until_they_reappear_or_time_out() {
--- a/tests/testsuite/gossip_loops.rs
+++ b/tests/testsuite/gossip_loops.rs
@@ -58,6 +58,7 @@
         fleet_size: 1,
         known_peers: Vec::new(),
         watch: WatchState::default(),
+        directory_age_ms: u32::MAX,
     })
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod homes;
 mod incarnations;
 mod limited_server;
+mod list_age;
 mod log_analysis;
 mod lost_answers;
 mod lost_watch;
--- a/tests/testsuite/messages.rs
+++ b/tests/testsuite/messages.rs
@@ -153,6 +153,7 @@
         fleet_size: 410,
         known_peers: (0..42).map(named).collect(),
         watch: WatchState { answer_age_ms: Some(u32::MAX), watchers: vec![ip(1), ip(2)] },
+        directory_age_ms: u32::MAX,
     });
     let id = |at: usize| format!("i-{:020}", u64::MAX - at as u64);
     let limits = Message::Limits(
