Pause after a failed accept

A gateway or sidecar without free file descriptors took a whole core for as long as a connection waited at its internal, readiness or metrics port: 3.0 s of processor time in 3 s for both (release build, 64 descriptors, 120 connections at the readiness or the internal port). Callers got their share of what was left.

Cause: accept fails at once without descriptors, and these three loops tried it again without a pause. The loops of callers, entries and agents had one each. All but that of callers, which logs the failure, now share one function.

--- a/src/mastweir/agent/serve.rs
+++ b/src/mastweir/agent/serve.rs
@@ -11,7 +11,7 @@
     jobs::Job,
     runner,
 };
-use crate::net::{Channel, ChannelError, Receiver, Sender};
+use crate::net::{Channel, ChannelError, Receiver, Sender, listener};
 use mastweir_core::wire::{BODY_MAX, FromAgent, Start, ToAgent};
 use std::{sync::Arc, time::Duration};
 use tokio::{
@@ -29,11 +29,7 @@
 pub async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     let permits = Arc::new(Semaphore::new(CHANNELS_MAX));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // The process may be out of file descriptors until other connections close.
-            time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
+        let stream = listener::accept(&listener).await;
         let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
         let shared = shared.clone();
         tokio::spawn(async move {
--- a/src/mastweir/entry/table.rs
+++ b/src/mastweir/entry/table.rs
@@ -7,7 +7,7 @@
 
 use super::{Shared, heartbeat, lock};
 use crate::{
-    net::{Channel, ChannelError},
+    net::{Channel, ChannelError, listener},
     objects::{Collection, InstanceRole, Object, WatchEvent, wait_for_outage},
 };
 use futures_util::StreamExt;
@@ -121,10 +121,7 @@
 /// Accepts connections of peers that fetch rows.
 pub async fn serve_peers(shared: Arc<Shared>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(CHECK_PERIOD).await;
-            continue;
-        };
+        let stream = listener::accept(&listener).await;
         let shared = shared.clone();
         tokio::spawn(async move {
             let served = time::timeout(FETCH_TIMEOUT, serve_peer(&shared, stream)).await;
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -12,7 +12,11 @@
     state::{Gateway, GatewayOptions},
     waiting, watch,
 };
-use crate::net::{internal, metered::MeteredStream};
+use crate::net::{
+    internal,
+    listener::{self, ACCEPT_PAUSE},
+    metered::MeteredStream,
+};
 use bytes::Bytes;
 use eyre::WrapErr;
 use http_body_util::Full;
@@ -48,8 +52,6 @@
 const HEAD_BYTES_MIN: usize = 8_192;
 /// Maximum number of callers' connections; the other file descriptors are for servers.
 const CONNECTIONS_MAX: usize = 2_500;
-/// Pause after a failed `accept`, for example when no file descriptors are left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Runs a gateway until `stop` completes and the open requests have ended, or the grace time is
 /// nearly over.
@@ -285,7 +287,7 @@
 async fn serve_text(listener: TcpListener, answer: impl Fn() -> (StatusCode, String) + 'static) {
     let answer = Rc::new(answer);
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let stream = listener::accept(&listener).await;
         let answer = answer.clone();
         let service = service_fn(move |_: Request<Incoming>| {
             let (status, text) = answer();
--- a/src/mastweir/net/internal.rs
+++ b/src/mastweir/net/internal.rs
@@ -1,6 +1,9 @@
 //! Calls between gateways and sidecars: HTTP/1.1 POST requests with `postcard` bodies.
 
-use super::http::{CallError, FullAnswer, Pool};
+use super::{
+    http::{CallError, FullAnswer, Pool},
+    listener::accept,
+};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -64,7 +67,7 @@
 {
     let answer = Rc::new(answer);
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let stream = accept(&listener).await;
         let answer = answer.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let answer = answer.clone();
--- a/src/mastweir/net/mod.rs
+++ b/src/mastweir/net/mod.rs
@@ -12,11 +12,13 @@
 //!
 //! Gateways and sidecars use HTTP/1.1: [`http`] for requests to servers and to the platform,
 //! [`internal`] for calls to each other. [`metered`] tells how far their peers have read.
+//! [`listener`] accepts connections.
 
 mod channel;
 mod channel_pool;
 pub mod http;
 pub mod internal;
+pub mod listener;
 pub mod metered;
 mod socket;
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -65,6 +65,7 @@
 mod slow_readers;
 mod soak;
 mod soak_silence;
+mod starts;
 mod store_restore;
 mod suspension;
 mod turned_away;
--- /dev/null
+++ b/tests/testsuite/starts.rs
@@ -0,0 +1,157 @@
+//! Gateways and sidecars as processes: starts, ends and lack of resources. No such process may end
+//! by itself, fail to start for a cause that passes, or take the whole processor.
+
+use eyre::{OptionExt, Result};
+use googletest::prelude::*;
+use mastweir_test_support::{
+    daemons::Process,
+    site::{exchange, free_ports, wait_for},
+};
+use std::{
+    fs::{self, File},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::Command,
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+use tokio::{net::TcpStream, time};
+
+const ROLES: [&str; 2] = ["gateway", "sidecar"];
+/// Time for which a process is observed.
+const OBSERVED: Duration = Duration::from_secs(2);
+/// Clock ticks a second of the times in `/proc`.
+const TICKS_PER_S: f64 = 100.0;
+
+/// An instance with its settings file, for one process at a time.
+struct Instance {
+    role: &'static str,
+    folder: PathBuf,
+    ip: IpAddr,
+    /// Internal port, callers', readiness checks', metrics.
+    ports: [u16; 4],
+}
+
+impl Instance {
+    fn new(role: &'static str) -> Result<Self> {
+        static NEXT: AtomicU8 = AtomicU8::new(1);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let own = u8::try_from(std::process::id() % 200)? + 1;
+        let ip = IpAddr::V4(Ipv4Addr::new(127, own, 255, number));
+        let ports: [u16; 4] =
+            free_ports(&[ip], 4)?.try_into().map_err(|_| eyre::eyre!("no four free ports"))?;
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("starts-{}-{number}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let instance = Self { role, folder, ip, ports };
+        fs::write(instance.settings(), instance.text())?;
+        Ok(instance)
+    }
+
+    fn settings(&self) -> PathBuf {
+        self.folder.join("node.toml")
+    }
+
+    fn log(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+
+    /// Returns the text of the settings file. There is neither a store nor a model server.
+    fn text(&self) -> String {
+        let Self { role, ip, ports: [internal, callers, ready, _], .. } = self;
+        let more = match *role {
+            "gateway" => {
+                format!("listen = {{ front = \"{ip}:{callers}\", ready = \"{ip}:{ready}\" }}")
+            }
+            _ => format!("app = \"{ip}:1\""),
+        };
+        format!(
+            "node = \"{role}-1\"\nip = \"{ip}\"\nzone = \"hall-a\"\n\
+             internal_ports = [{internal}, {internal}]\n{more}\n[bounds]\ndrain_ms = 2000\n\
+             grace_s = 4\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
+             retry_budget_extra = 90\n[platform]\naddress = \"{ip}:1\"\n"
+        )
+    }
+
+    fn command(&self) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mastweird"));
+        command.arg(self.role).env("MASTWEIR_SETTINGS", self.settings());
+        if self.role == "gateway" {
+            command.args(["--metrics-port", &self.ports[3].to_string()]);
+        }
+        command
+    }
+
+    /// Starts the process with a limit of open files.
+    fn start_with_files(&self, files: u32) -> Result<Process> {
+        let program = self.command();
+        let mut command = Command::new("/bin/sh");
+        let arguments = program.get_args().map(|word| word.to_string_lossy());
+        let arguments = arguments.collect::<Vec<_>>().join(" ");
+        let path = program.get_program().to_string_lossy();
+        command.arg("-c").arg(format!("ulimit -n {files} && exec {path} {arguments}"));
+        command.env("MASTWEIR_SETTINGS", self.settings());
+        Process::start(&mut command, File::options().create(true).append(true).open(self.log())?)
+    }
+
+    /// Waits until the process has written a message.
+    async fn wait_logged(&self, message: &str) -> Result<()> {
+        wait_for(async || fs::read_to_string(self.log()).is_ok_and(|text| text.contains(message)))
+            .await
+    }
+
+    async fn wait_started(&self) -> Result<()> {
+        self.wait_logged(&format!("{} started", self.role)).await
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        // What is left over is in the build folder.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Returns the processor time that a process has used.
+fn processor_time(process: &Process) -> Result<Duration> {
+    let stat = fs::read_to_string(Path::new("/proc").join(process.id().to_string()).join("stat"))?;
+    let (_, fields) = stat.rsplit_once(')').ok_or_eyre("no name in stat")?;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = fields[11].parse::<u32>()? + fields[12].parse::<u32>()?;
+    Ok(Duration::from_secs_f64(f64::from(ticks) / TICKS_PER_S))
+}
+
+/// Whether a process answers an HTTP request, with whatever status.
+async fn is_answered(addr: SocketAddr) -> bool {
+    let request =
+        b"POST /none HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    exchange(addr, request).await.is_ok_and(|answer| answer.status > 0)
+}
+
+/// Guards against a process that takes the whole processor when connections wait for which no file
+/// descriptors are left.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn processes_without_file_descriptors_do_not_spin() -> Result<()> {
+    for role in ROLES {
+        let instance = Instance::new(role)?;
+        let mut process = instance.start_with_files(40)?;
+        instance.wait_started().await?;
+        let mut connections = Vec::new();
+        for _ in 0..60 {
+            let addr = SocketAddr::new(instance.ip, instance.ports[0]);
+            let opened = time::timeout(Duration::from_millis(200), TcpStream::connect(addr)).await;
+            connections.extend(opened.ok().and_then(|opened| opened.ok()));
+        }
+        let before = processor_time(&process)?;
+        time::sleep(OBSERVED).await;
+        let used = processor_time(&process)? - before;
+        expect_that!(used, lt(OBSERVED / 2), "{role} with {} connections", connections.len());
+        expect_that!(process.ended()?.is_none(), eq(true));
+        // It serves again once descriptors are free.
+        drop(connections);
+        let addr = SocketAddr::new(instance.ip, instance.ports[0]);
+        wait_for(async || is_answered(addr).await).await?;
+    }
+    Ok(())
+}
