Receive signals before anything else at the start

A gateway or sidecar whose settings changed right after its start was ended by SIGHUP (status 129), and one that was stopped then was ended by SIGTERM instead of stopping.

They are now installed once there is a runtime, before the settings are read.

starts::signals_during_the_start_do_not_end_the_process holds a process in the reading of its settings by a named pipe; it failed before for both signals.

--- a/src/mastweir/ops/gateway.rs
+++ b/src/mastweir/ops/gateway.rs
@@ -9,17 +9,18 @@
         clock::Clock,
         log::{self, Format},
         settings::SettingsError,
+        signals::Signals,
     },
 };
+use eyre::WrapErr;
 use slog::{Level, Logger, info, warn};
 use std::{
-    future,
     path::{Path, PathBuf},
     str::FromStr,
     time::{Duration, SystemTime},
 };
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::Signal,
     sync::watch,
     task::{self, LocalSet},
     time,
@@ -54,25 +55,25 @@
 ///
 /// The settings can't be read or are invalid, or an address can't be bound.
 pub fn run_gateway(options: &RunGatewayOptions<'_>) -> eyre::Result<()> {
-    let log = make_log(options.log_level)?;
-    let path = file::path()?;
-    let settings = file::read(&path)?;
-    let (callers, ready) = file::listeners(&settings)?;
-    let buffer_bytes = file::buffer_bytes(&settings, options.buffer_mb)?;
-    let (sender, reloaded) = watch::channel(settings);
-    let options = GatewayOptions {
-        settings: reloaded,
-        caller_addr: callers,
-        ready_addr: ready,
-        metrics_port: options.metrics_port,
-        buffer_bytes,
-        seed: options.seed,
-        clock: Clock::start(),
-        log: log.clone(),
-    };
-    run_on_one_thread(async {
-        task::spawn_local(watch_settings(path, sender, log.clone()));
-        gateway::run(&options, wait_for_stop(&log)).await
+    run_on_one_thread(async |signals| {
+        let log = make_log(options.log_level)?;
+        let path = file::path()?;
+        let settings = file::read(&path)?;
+        let (callers, ready) = file::listeners(&settings)?;
+        let buffer_bytes = file::buffer_bytes(&settings, options.buffer_mb)?;
+        let (sender, reloaded) = watch::channel(settings);
+        let options = GatewayOptions {
+            settings: reloaded,
+            caller_addr: callers,
+            ready_addr: ready,
+            metrics_port: options.metrics_port,
+            buffer_bytes,
+            seed: options.seed,
+            clock: Clock::start(),
+            log: log.clone(),
+        };
+        task::spawn_local(watch_settings(path, sender, signals.hangup, log.clone()));
+        gateway::run(&options, wait_for_stop(signals.terminate, &log)).await
     })
 }
 
@@ -82,17 +83,16 @@
 ///
 /// The settings can't be read or are invalid, or an address can't be bound.
 pub fn run_sidecar(options: &RunSidecarOptions<'_>) -> eyre::Result<()> {
-    let log = make_log(options.log_level)?;
-    let path = file::path()?;
-    let settings = file::read(&path)?;
-    let engine = file::engine(&settings)?;
-    // No setting of a sidecar can change while it runs. Watching the file still logs changes,
-    // and keeps SIGHUP from ending the process.
-    let (sender, _reloaded) = watch::channel(settings.clone());
-    let options = SidecarOptions { settings, engine, log: log.clone() };
-    run_on_one_thread(async {
-        task::spawn_local(watch_settings(path, sender, log.clone()));
-        sidecar::run(&options, wait_for_stop(&log)).await
+    run_on_one_thread(async |signals| {
+        let log = make_log(options.log_level)?;
+        let path = file::path()?;
+        let settings = file::read(&path)?;
+        let engine = file::engine(&settings)?;
+        // No setting of a sidecar can change while it runs. Watching the file still logs changes.
+        let (sender, _reloaded) = watch::channel(settings.clone());
+        let options = SidecarOptions { settings, engine, log: log.clone() };
+        task::spawn_local(watch_settings(path, sender, signals.hangup, log.clone()));
+        sidecar::run(&options, wait_for_stop(signals.terminate, &log)).await
     })
 }
 
@@ -104,35 +104,31 @@
     Ok(log::make(Format::JsonOut, level))
 }
 
-/// Runs a future and its local tasks on the current thread: an instance has a share of one
-/// core.
-fn run_on_one_thread(future: impl Future<Output = eyre::Result<()>>) -> eyre::Result<()> {
+/// Runs a process and its local tasks on the current thread: an instance has a share of one core.
+/// Receives signals before anything else, so that one that is sent right after the start does not
+/// end the process.
+fn run_on_one_thread(process: impl AsyncFnOnce(Signals) -> eyre::Result<()>) -> eyre::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, future)
+    LocalSet::new().block_on(&runtime, async {
+        let signals = Signals::receive()
+            .wrap_err("receiving SIGTERM and SIGHUP; allow the process to handle signals")?;
+        process(signals).await
+    })
 }
 
-async fn wait_for_stop(log: &Logger) {
-    let mut terminate = match signal(SignalKind::terminate()) {
-        Ok(signal) => signal,
-        Err(error) => {
-            slog::error!(log, "can't receive SIGTERM; the process stops only when killed"; "error" => %error);
-            return future::pending().await;
-        }
-    };
+async fn wait_for_stop(mut terminate: Signal, log: &Logger) {
     terminate.recv().await;
     info!(log, "signal received; stopping"; "signal" => "SIGTERM");
 }
 
 /// Reads the settings file again on SIGHUP, and when its modification time has changed. The old
 /// settings stay in use if the file is invalid.
-async fn watch_settings(path: PathBuf, sender: watch::Sender<Settings>, log: Logger) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(signal) => signal,
-        Err(error) => {
-            warn!(log, "can't receive SIGHUP; settings will not be reloaded"; "error" => %error);
-            return;
-        }
-    };
+async fn watch_settings(
+    path: PathBuf,
+    sender: watch::Sender<Settings>,
+    mut hangup: Signal,
+    log: Logger,
+) {
     let mut last_modified = modified_at(&path);
     loop {
         let is_signalled = time::timeout(FILE_POLL_INTERVAL, hangup.recv()).await.is_ok();
--- a/tests/testsuite/starts.rs
+++ b/tests/testsuite/starts.rs
@@ -1,15 +1,19 @@
 //! Gateways and sidecars as processes: starts, ends and lack of resources. No such process may end
 //! by itself, fail to start for a cause that passes, or take the whole processor.
 
-use eyre::{OptionExt, Result};
+use eyre::{OptionExt, Result, ensure};
 use googletest::prelude::*;
 use mastweir_test_support::{
     daemons::Process,
     site::{exchange, free_ports, wait_for},
 };
 use std::{
+    cell::RefCell,
+    ffi::CString,
     fs::{self, File},
+    io::{self, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    os::unix::{ffi::OsStringExt, fs::OpenOptionsExt},
     path::{Path, PathBuf},
     process::Command,
     sync::atomic::{AtomicU8, Ordering},
@@ -82,6 +86,13 @@
         command
     }
 
+    fn start(&self) -> Result<Process> {
+        Process::start(
+            &mut self.command(),
+            File::options().create(true).append(true).open(self.log())?,
+        )
+    }
+
     /// Starts the process with a limit of open files.
     fn start_with_files(&self, files: u32) -> Result<Process> {
         let program = self.command();
@@ -121,6 +132,17 @@
     Ok(Duration::from_secs_f64(f64::from(ticks) / TICKS_PER_S))
 }
 
+/// Waits for the end of a process and returns its exit code; `None` if a signal ended it.
+async fn exit_code(process: &mut Process) -> Result<Option<i32>> {
+    for _ in 0..1_000 {
+        if let Some(status) = process.ended()? {
+            return Ok(status.code());
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    eyre::bail!("the process did not end within 20 s")
+}
+
 /// Whether a process answers an HTTP request, with whatever status.
 async fn is_answered(addr: SocketAddr) -> bool {
     let request =
@@ -155,3 +177,67 @@
     }
     Ok(())
 }
+
+/// A settings file that is being written: the process that reads it waits for its end.
+struct UnfinishedSettings<'a> {
+    instance: &'a Instance,
+    writer: File,
+}
+
+impl<'a> UnfinishedSettings<'a> {
+    /// Replaces the settings file of an instance by a pipe, starts its process, and waits until that
+    /// reads the pipe.
+    async fn start(instance: &'a Instance) -> Result<(Process, Self)> {
+        let path = CString::new(instance.settings().into_os_string().into_vec())?;
+        fs::remove_file(instance.settings())?;
+        // SAFETY: the path is a string that ends with a zero.
+        #[expect(unsafe_code, reason = "the standard library makes no pipes with a name")]
+        let made = unsafe { libc::mkfifo(path.as_ptr(), 0o600) };
+        ensure!(made == 0, "no pipe: {}", io::Error::last_os_error());
+        let process = instance.start()?;
+        let writer = RefCell::default();
+        wait_for(async || {
+            // Fails until there is a reader.
+            let mut options = File::options();
+            let opened =
+                options.write(true).custom_flags(libc::O_NONBLOCK).open(instance.settings());
+            *writer.borrow_mut() = opened.ok();
+            writer.borrow().is_some()
+        })
+        .await?;
+        let writer = writer.into_inner().ok_or_eyre("no reader")?;
+        Ok((process, Self { instance, writer }))
+    }
+
+    /// Completes the settings, and leaves a usual file with the same text.
+    fn finish(mut self) -> Result<()> {
+        let text = self.instance.text();
+        let complete = self.instance.folder.join("complete.toml");
+        fs::write(&complete, &text)?;
+        fs::rename(&complete, self.instance.settings())?;
+        Ok(self.writer.write_all(text.as_bytes())?)
+    }
+}
+
+/// Guards against a process that ends when its settings change, or it is stopped, right after its
+/// start.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_during_the_start_do_not_end_the_process() -> Result<()> {
+    for role in ROLES {
+        let instance = Instance::new(role)?;
+        let (mut process, settings) = UnfinishedSettings::start(&instance).await?;
+        process.hang_up();
+        settings.finish()?;
+        instance.wait_started().await?;
+        instance.wait_logged("settings reloaded").await?;
+        expect_that!(process.ended()?.is_none(), eq(true), "{role}");
+        process.kill();
+
+        let (mut process, settings) = UnfinishedSettings::start(&instance).await?;
+        process.terminate();
+        settings.finish()?;
+        expect_that!(exit_code(&mut process).await?, some(eq(0)), "{role}");
+    }
+    Ok(())
+}
