--- a/tests/testsuite/starts.rs
+++ b/tests/testsuite/starts.rs
@@ -241,3 +241,31 @@
     }
     Ok(())
 }
+
+/// Guards against a process that ends since its settings file is being written as it starts, or that
+/// keeps the settings of an unfinished file.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_settings_are_read_again() -> Result<()> {
+    for role in ROLES {
+        let instance = Instance::new(role)?;
+        let text = instance.text();
+        let (half, _) = text.split_at(text.len() / 2);
+        for unfinished in ["", half] {
+            fs::write(instance.settings(), unfinished)?;
+            let mut process = instance.start()?;
+            instance.wait_logged("settings can't be used; reading them again").await?;
+            fs::write(instance.settings(), &text)?;
+            instance.wait_started().await?;
+            expect_that!(process.ended()?.is_none(), eq(true), "{role}");
+            process.kill();
+            fs::remove_file(instance.log())?;
+        }
+        // A file that stays unusable is reported.
+        fs::write(instance.settings(), half)?;
+        let mut process = instance.start()?;
+        expect_that!(exit_code(&mut process).await?, some(eq(1)), "{role}");
+        instance.wait_logged("malformed settings").await?;
+    }
+    Ok(())
+}
