Wait for addresses that are in use at the start

A gateway that started while the one before it was still finishing its requests (1 s after its SIGTERM) ended with status 1, as did one whose port for metrics was taken by another process, or whose port was held by an outgoing connection.

Cause: each address was bound once, and any failure was final. Those of callers come last, so that none waits for an answer meanwhile. A gateway runs without its port for metrics until it is free.

--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -18,7 +18,6 @@
     metered::MeteredStream,
 };
 use bytes::Bytes;
-use eyre::WrapErr;
 use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
@@ -65,11 +64,13 @@
         let settings = gateway.settings.borrow();
         (settings.ip, settings.internal_port)
     };
-    let caller_listener = bind(options.caller_addr).await?;
-    let ready_listener = bind(options.ready_addr).await?;
     let own_addr = SocketAddr::new(ip, port);
-    let internal_listener = bind(own_addr).await?;
-    let socket = UdpSocket::bind(own_addr).await.wrap_err_with(|| format!("binding {own_addr}"))?;
+    let mut stop = pin!(stop);
+    let sockets = tokio::select! {
+        biased;
+        () = &mut stop => return Ok(()),
+        sockets = Sockets::open(options, own_addr) => sockets?,
+    };
     info!(gateway.log, "gateway started"; "callers" => %options.caller_addr, "internal" => %own_addr);
     let (closing, closed) = flag::channel(false);
     let counting = gateway.clone();
@@ -82,22 +83,21 @@
     if gateway.settings.borrow().has_evacuations {
         task::spawn_local(watch::evacuations(gateway.clone()));
     }
-    task::spawn_local(peers::run(gateway.clone(), socket));
+    task::spawn_local(peers::run(gateway.clone(), sockets.datagrams));
     task::spawn_local(sweep(gateway.clone()));
     task::spawn_local(watch_lag(gateway.clone()));
     task::spawn_local(gateway.buffers.clone().watch());
     task::spawn_local(waiting::run(gateway.clone()));
-    task::spawn_local(serve_ready(gateway.clone(), ready_listener));
+    task::spawn_local(serve_ready(gateway.clone(), sockets.ready));
     if let Some(port) = options.metrics_port {
-        let listener = bind(SocketAddr::new(ip, port)).await?;
-        task::spawn_local(serve_metrics(gateway.clone(), listener));
+        task::spawn_local(serve_metrics(gateway.clone(), SocketAddr::new(ip, port)));
     }
     let answering = gateway.clone();
-    task::spawn_local(internal::serve(internal_listener, move |path, body| {
+    task::spawn_local(internal::serve(sockets.internal, move |path, body| {
         let reply = fetch::answer(&answering, &path, &body);
         async move { reply }
     }));
-    task::spawn_local(accept(gateway.clone(), caller_listener, closed));
+    task::spawn_local(accept(gateway.clone(), sockets.callers, closed));
     stop.await;
     let grace = gateway.settings.borrow().bounds.grace;
     let serving = grace.saturating_sub(STOP_MARGIN);
@@ -122,10 +122,25 @@
     gateway.ending.send_replace(true);
 }
 
-async fn bind(addr: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .wrap_err_with(|| format!("listening on {addr}; check that the address is this instance's"))
+/// The sockets without which a gateway does not run.
+struct Sockets {
+    internal: TcpListener,
+    datagrams: UdpSocket,
+    ready: TcpListener,
+    callers: TcpListener,
+}
+
+impl Sockets {
+    async fn open(options: &GatewayOptions, own_addr: SocketAddr) -> eyre::Result<Self> {
+        let log = &options.log;
+        Ok(Self {
+            internal: listener::bind(own_addr, log).await?,
+            datagrams: listener::bind_udp(own_addr, log).await?,
+            ready: listener::bind(options.ready_addr, log).await?,
+            // Last, since callers that connect wait for an answer.
+            callers: listener::bind(options.caller_addr, log).await?,
+        })
+    }
 }
 
 async fn sweep(gateway: Rc<Gateway>) {
@@ -275,7 +290,16 @@
     .await;
 }
 
-async fn serve_metrics(gateway: Rc<Gateway>, listener: TcpListener) {
+/// Serves metrics. Requests are served without them while their port is in use.
+async fn serve_metrics(gateway: Rc<Gateway>, addr: SocketAddr) {
+    let listener = loop {
+        match listener::bind(addr, &gateway.log).await {
+            Ok(listener) => break listener,
+            Err(error) => {
+                warn!(gateway.log, "metrics are not served"; "error" => format!("{error:#}"))
+            }
+        }
+    };
     serve_text(listener, move || {
         gateway.metrics.set("buffered_bytes", gateway.buffers.held());
         (StatusCode::OK, gateway.metrics.render())
--- a/src/mastweir/net/mod.rs
+++ b/src/mastweir/net/mod.rs
@@ -12,7 +12,7 @@
 //!
 //! Gateways and sidecars use HTTP/1.1: [`http`] for requests to servers and to the platform,
 //! [`internal`] for calls to each other. [`metered`] tells how far their peers have read.
-//! [`listener`] accepts connections.
+//! [`listener`] opens their sockets and accepts connections.
 
 mod channel;
 mod channel_pool;
--- a/src/mastweir/sidecar/mod.rs
+++ b/src/mastweir/sidecar/mod.rs
@@ -29,16 +29,12 @@
 
 use crate::{
     gateway::{generations, settings::Settings},
-    net::internal,
+    net::{internal, listener},
 };
-use eyre::WrapErr;
 use slog::{Logger, info};
 use state::Sidecar;
-use std::{net::SocketAddr, rc::Rc};
-use tokio::{
-    net::{TcpListener, UdpSocket},
-    task,
-};
+use std::{net::SocketAddr, pin::pin, rc::Rc};
+use tokio::task;
 
 /// Configuration of a sidecar.
 #[derive(Clone, Debug)]
@@ -56,8 +52,16 @@
 /// If the address of the sidecar can't be bound.
 pub async fn run(options: &SidecarOptions, stop: impl Future<Output = ()>) -> eyre::Result<()> {
     let own = SocketAddr::new(options.settings.ip, options.settings.internal_port);
-    let listener = TcpListener::bind(own).await.wrap_err_with(|| format!("listening on {own}"))?;
-    let socket = UdpSocket::bind(own).await.wrap_err_with(|| format!("binding {own}"))?;
+    let mut stop = pin!(stop);
+    let sockets = async {
+        let listener = listener::bind(own, &options.log).await?;
+        Ok::<_, eyre::Report>((listener, listener::bind_udp(own, &options.log).await?))
+    };
+    let (listener, socket) = tokio::select! {
+        biased;
+        () = &mut stop => return Ok(()),
+        sockets = sockets => sockets?,
+    };
     let sidecar = Rc::new(Sidecar::new(options, socket));
     info!(sidecar.log, "sidecar started"; "internal" => %own, "engine" => %options.engine);
     task::spawn_local(server_watch::receive_datagrams(sidecar.clone()));
--- a/tests/testsuite/starts.rs
+++ b/tests/testsuite/starts.rs
@@ -12,7 +12,7 @@
     ffi::CString,
     fs::{self, File},
     io::{self, Write},
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     os::unix::{ffi::OsStringExt, fs::OpenOptionsExt},
     path::{Path, PathBuf},
     process::Command,
@@ -269,3 +269,48 @@
     }
     Ok(())
 }
+
+/// Guards against a process that ends since the one before it is still finishing its requests.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn addresses_in_use_are_awaited() -> Result<()> {
+    for role in ROLES {
+        let instance = Instance::new(role)?;
+        let held = TcpListener::bind((instance.ip, instance.ports[0]))?;
+        let held_datagrams = UdpSocket::bind((instance.ip, instance.ports[0]))?;
+        let mut process = instance.start()?;
+        instance.wait_logged("address is in use; waiting for it").await?;
+        drop(held);
+        drop(held_datagrams);
+        instance.wait_started().await?;
+        expect_that!(process.ended()?.is_none(), eq(true), "{role}");
+        // The next process takes over once this one has ended.
+        fs::remove_file(instance.log())?;
+        process.terminate();
+        let mut next = instance.start()?;
+        instance.wait_started().await?;
+        expect_that!(exit_code(&mut process).await?, some(eq(0)), "{role}");
+        // One that waits can be stopped, too.
+        fs::remove_file(instance.log())?;
+        let mut third = instance.start()?;
+        instance.wait_logged("address is in use; waiting for it").await?;
+        third.terminate();
+        expect_that!(exit_code(&mut third).await?, some(eq(0)), "{role}");
+        expect_that!(next.ended()?.is_none(), eq(true), "{role}");
+    }
+    Ok(())
+}
+
+/// Guards against a gateway that ends since another process uses its port for metrics.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_serves_without_its_port_for_metrics() -> Result<()> {
+    let instance = Instance::new("gateway")?;
+    let held = TcpListener::bind((instance.ip, instance.ports[3]))?;
+    let _process = instance.start()?;
+    let at = |port: usize| SocketAddr::new(instance.ip, instance.ports[port]);
+    wait_for(async || is_answered(at(1)).await && is_answered(at(2)).await).await?;
+    drop(held);
+    wait_for(async || is_answered(at(3)).await).await?;
+    Ok(())
+}
