Go on with the log after a line could not be written

A process whose standard output failed once (its reader was gone, its device was full) went on without a line for the rest of its life, so that what callers of it saw later could not be explained.

Cause: the drain was fused, which panics on the first error, and the panic ended the thread that writes. Such a line is lost now, the next one is tried again.

--- a/src/mastweir/util/log.rs
+++ b/src/mastweir/util/log.rs
@@ -25,18 +25,20 @@
     match format {
         Format::Text => {
             let lines = slog_term::PlainDecorator::new(io::stderr());
-            root(slog_term::FullFormat::new(lines).build().fuse(), level)
+            root(slog_term::FullFormat::new(lines).build(), level)
         }
-        Format::Json => root(Mutex::new(slog_json::Json::default(io::stderr())).fuse(), level),
-        Format::JsonOut => root(Mutex::new(slog_json::Json::default(io::stdout())).fuse(), level),
+        Format::Json => root(Mutex::new(slog_json::Json::default(io::stderr())), level),
+        Format::JsonOut => root(Mutex::new(slog_json::Json::default(io::stdout())), level),
         Format::Off => Logger::root(slog::Discard, o!()),
     }
 }
 
 fn root<D>(drain: D, level: Level) -> Logger
 where
-    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+    D: Drain<Ok = ()> + Send + 'static,
 {
+    // A line that can't be written, for example since nobody reads the log, must not end the log.
+    let drain = drain.ignore_res();
     // If the channel is full, lines are dropped and counted, so that a slow reader of the log
     // can't delay requests.
     let drain = slog_async::Async::new(drain).chan_size(4_096).build();
--- a/tests/testsuite/starts.rs
+++ b/tests/testsuite/starts.rs
@@ -11,9 +11,9 @@
     cell::RefCell,
     ffi::CString,
     fs::{self, File},
-    io::{self, Write},
+    io::{self, Read, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    os::unix::{ffi::OsStringExt, fs::OpenOptionsExt},
+    os::unix::{ffi::OsStrExt, fs::OpenOptionsExt},
     path::{Path, PathBuf},
     process::Command,
     sync::atomic::{AtomicU8, Ordering},
@@ -178,6 +178,16 @@
     Ok(())
 }
 
+/// Creates a pipe with a name.
+fn make_pipe(path: &Path) -> Result<()> {
+    let name = CString::new(path.as_os_str().as_bytes())?;
+    // SAFETY: the path is a string that ends with a zero.
+    #[expect(unsafe_code, reason = "the standard library makes no pipes with a name")]
+    let made = unsafe { libc::mkfifo(name.as_ptr(), 0o600) };
+    ensure!(made == 0, "no pipe: {}", io::Error::last_os_error());
+    Ok(())
+}
+
 /// A settings file that is being written: the process that reads it waits for its end.
 struct UnfinishedSettings<'a> {
     instance: &'a Instance,
@@ -188,12 +198,8 @@
     /// Replaces the settings file of an instance by a pipe, starts its process, and waits until that
     /// reads the pipe.
     async fn start(instance: &'a Instance) -> Result<(Process, Self)> {
-        let path = CString::new(instance.settings().into_os_string().into_vec())?;
         fs::remove_file(instance.settings())?;
-        // SAFETY: the path is a string that ends with a zero.
-        #[expect(unsafe_code, reason = "the standard library makes no pipes with a name")]
-        let made = unsafe { libc::mkfifo(path.as_ptr(), 0o600) };
-        ensure!(made == 0, "no pipe: {}", io::Error::last_os_error());
+        make_pipe(&instance.settings())?;
         let process = instance.start()?;
         let writer = RefCell::default();
         wait_for(async || {
@@ -314,3 +320,33 @@
     wait_for(async || is_answered(at(3)).await).await?;
     Ok(())
 }
+
+/// Guards against a process that never writes a line again once nobody has read its log for a while.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn log_goes_on_after_its_reader_was_gone() -> Result<()> {
+    for role in ROLES {
+        let instance = Instance::new(role)?;
+        make_pipe(&instance.log())?;
+        let reader =
+            || File::options().read(true).custom_flags(libc::O_NONBLOCK).open(instance.log());
+        let first = reader()?;
+        let process = instance.start()?;
+        wait_for(async || is_readable(&first)).await?;
+        drop(first);
+        process.hang_up();
+        time::sleep(OBSERVED).await;
+        let second = reader()?;
+        wait_for(async || {
+            process.hang_up();
+            is_readable(&second)
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+/// Whether a pipe has bytes, which are read.
+fn is_readable(mut pipe: &File) -> bool {
+    pipe.read(&mut [0; 4_096]).is_ok_and(|read| read > 0)
+}
