Keep file descriptors free for what is not a caller

A gateway with fewer descriptors than callers could reach neither its servers nor answer readiness checks once callers had taken all of them; with the usual soft limit of 1,024 some 1,000 callers do. (Release build, 64 descriptors and 120 connections: no answer at the readiness port in 2 s.)

Cause: callers had room for 2,500 connections whatever the process's limit, and the soft limit was never raised. The process now raises it as far as it may, and callers get five eighths of it, 2,500 at most.

--- a/crates/mastweir-test-support/src/site.rs
+++ b/crates/mastweir-test-support/src/site.rs
@@ -278,6 +278,7 @@
             ready_addr: ready,
             metrics_port: Some(self.ports.metrics),
             buffer_bytes: self.buffer_bytes,
+            open_files: None,
             seed: Some(7),
             clock: clock.clone(),
             log: Logger::root(slog::Discard, o!()),
--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -49,8 +49,11 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 /// Smallest buffer that the HTTP library accepts.
 const HEAD_BYTES_MIN: usize = 8_192;
-/// Maximum number of callers' connections; the other file descriptors are for servers.
-const CONNECTIONS_MAX: usize = 2_500;
+/// Maximum number of callers' connections.
+const CONNECTIONS_MAX: u64 = 2_500;
+/// Part of the files that the process may have open that callers' connections may take. The others
+/// are for servers, readiness checks, the store and other processes.
+const CALLERS_SHARE: f64 = 0.625;
 
 /// Runs a gateway until `stop` completes and the open requests have ended, or the grace time is
 /// nearly over.
@@ -97,7 +100,8 @@
         let reply = fetch::answer(&answering, &path, &body);
         async move { reply }
     }));
-    task::spawn_local(accept(gateway.clone(), sockets.callers, closed));
+    let max_connections = max_connections(options.open_files);
+    task::spawn_local(accept(gateway.clone(), sockets.callers, max_connections, closed));
     stop.await;
     let grace = gateway.settings.borrow().bounds.grace;
     let serving = grace.saturating_sub(STOP_MARGIN);
@@ -155,7 +159,18 @@
     }
 }
 
-async fn accept(gateway: Rc<Gateway>, listener: TcpListener, closed: flag::Receiver<bool>) {
+/// Returns the maximum number of callers' connections if the process may have so many files open.
+fn max_connections(open_files: Option<u64>) -> usize {
+    let share = open_files.map_or(CONNECTIONS_MAX, |files| (files as f64 * CALLERS_SHARE) as u64);
+    share.min(CONNECTIONS_MAX) as usize
+}
+
+async fn accept(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    max_connections: usize,
+    closed: flag::Receiver<bool>,
+) {
     let mut closing = closed.clone();
     loop {
         let accepted = tokio::select! {
@@ -166,7 +181,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let draw = gateway.rng.borrow_mut().random();
-                if gateway.connections.get() >= CONNECTIONS_MAX {
+                if gateway.connections.get() >= max_connections {
                     refuse(&gateway, &stream, "full");
                 } else if gateway.accept_limit.get().refuses(draw) {
                     refuse(&gateway, &stream, "lag");
--- a/src/mastweir/gateway/state.rs
+++ b/src/mastweir/gateway/state.rs
@@ -51,6 +51,8 @@
     pub metrics_port: Option<u16>,
     /// Byte budget for the bodies of requests and answers.
     pub buffer_bytes: u64,
+    /// Files that the process may have open; `None` for any number.
+    pub open_files: Option<u64>,
     /// Seed of random choices; `None` takes it from the operating system.
     pub seed: Option<u64>,
     pub clock: Clock,
--- a/src/mastweir/ops/gateway.rs
+++ b/src/mastweir/ops/gateway.rs
@@ -11,6 +11,7 @@
     util::{
         clock::Clock,
         log::{self, Format},
+        open_files,
         settings::SettingsError,
         signals::Signals,
     },
@@ -75,6 +76,7 @@
             ready_addr: ready,
             metrics_port: options.metrics_port,
             buffer_bytes,
+            open_files: raise_open_files(&log),
             seed: options.seed,
             clock: Clock::start(),
             log: log.clone(),
@@ -98,6 +100,7 @@
         let StartSettings { settings, checked: engine, stamp } = read?;
         // No setting of a sidecar can change while it runs. Watching the file still logs changes.
         let (sender, _reloaded) = watch::channel(settings.clone());
+        raise_open_files(&log);
         let options = SidecarOptions { settings, engine, log: log.clone() };
         task::spawn_local(watch_settings(path, sender, stamp, signals.hangup, log.clone()));
         sidecar::run(&options, wait_for_stop(signals.terminate, &log)).await
@@ -112,6 +115,15 @@
     Ok(log::make(Format::JsonOut, level))
 }
 
+/// Raises the limit of open files as far as possible and returns it; `None` stands for no limit.
+fn raise_open_files(log: &Logger) -> Option<u64> {
+    open_files::raise_limit().unwrap_or_else(|error| {
+        warn!(log, "limit of open files not raised; fewer connections are accepted";
+            "error" => %error);
+        open_files::limit()
+    })
+}
+
 /// Runs a process and its local tasks on the current thread: an instance has a share of one core.
 /// Receives signals before anything else, so that one that is sent right after the start does not
 /// end the process.
--- a/tests/testsuite/starts.rs
+++ b/tests/testsuite/starts.rs
@@ -93,14 +93,14 @@
         )
     }
 
-    /// Starts the process with a limit of open files.
-    fn start_with_files(&self, files: u32) -> Result<Process> {
+    /// Starts the process after a shell command that sets its limit of open files.
+    fn start_limited(&self, limit: &str) -> Result<Process> {
         let program = self.command();
         let mut command = Command::new("/bin/sh");
         let arguments = program.get_args().map(|word| word.to_string_lossy());
         let arguments = arguments.collect::<Vec<_>>().join(" ");
         let path = program.get_program().to_string_lossy();
-        command.arg("-c").arg(format!("ulimit -n {files} && exec {path} {arguments}"));
+        command.arg("-c").arg(format!("{limit} && exec {path} {arguments}"));
         command.env("MASTWEIR_SETTINGS", self.settings());
         Process::start(&mut command, File::options().create(true).append(true).open(self.log())?)
     }
@@ -157,7 +157,7 @@
 async fn processes_without_file_descriptors_do_not_spin() -> Result<()> {
     for role in ROLES {
         let instance = Instance::new(role)?;
-        let mut process = instance.start_with_files(40)?;
+        let mut process = instance.start_limited("ulimit -n 40")?;
         instance.wait_started().await?;
         let mut connections = Vec::new();
         for _ in 0..60 {
@@ -350,3 +350,25 @@
 fn is_readable(mut pipe: &File) -> bool {
     pipe.read(&mut [0; 4_096]).is_ok_and(|read| read > 0)
 }
+
+/// Guards against a gateway whose callers take all its file descriptors, so that it can neither reach
+/// servers nor answer readiness checks, and against one that leaves most of its limit unused.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_leave_file_descriptors_for_others() -> Result<()> {
+    for (limit, connections_max) in [("ulimit -n 64", 40), ("ulimit -S -n 64", 400)] {
+        let instance = Instance::new("gateway")?;
+        let _process = instance.start_limited(limit)?;
+        instance.wait_started().await?;
+        let at = |port: usize| SocketAddr::new(instance.ip, instance.ports[port]);
+        let mut connections = Vec::new();
+        for _ in 0..connections_max {
+            connections.push(TcpStream::connect(at(1)).await?);
+        }
+        wait_for(async || is_answered(at(2)).await).await?;
+        // Further ones are refused by a reset where the limit is reached.
+        let is_full = limit == "ulimit -n 64";
+        wait_for(async || is_answered(at(1)).await != is_full).await?;
+    }
+    Ok(())
+}
