End answers that send bytes without a head or a body

A server in trouble that sends interim answers, the framing of a chunk or trailers without end held its request until the caller's deadline: safe requests ended with 504 although another server could answer them, unsafe ones with 504 instead of an early 502, streams were cut. The flood also kept the gateway busy, so that it refused connections of other callers.

Cause: the HTTP library bounds a head and the extensions of chunks, but not the number of interim answers, zeros before a chunk's size or space behind it. A connection to a server, the store or another process now fails once it has read 128 KB without a piece of an answer.

--- a/crates/mastweir-test-support/src/scripted.rs
+++ b/crates/mastweir-test-support/src/scripted.rs
@@ -23,6 +23,8 @@
 pub enum Act {
     /// Writes bytes.
     Send(Vec<u8>),
+    /// Writes bytes again and again until the other side closes.
+    Repeat(Vec<u8>),
     /// Waits.
     Wait(Duration),
     /// Closes the connection as usual.
@@ -137,7 +139,7 @@
         lock(&self.got).clone()
     }
 
-    /// Connections that the other side closed while it hung.
+    /// Connections that the other side closed while it hung or repeated bytes.
     pub fn left(&self) -> usize {
         *lock(&self.left)
     }
@@ -171,12 +173,17 @@
         let acts = (serving.script)(&request);
         lock(&serving.got).push(request);
         for act in acts {
-            if matches!(act, Act::Send(_) | Act::Close | Act::Reset) {
+            if matches!(act, Act::Send(_) | Act::Repeat(_) | Act::Close | Act::Reset) {
                 // Fails only once the server is dropped.
                 let _ = silent.wait_for(|silent| !silent).await;
             }
             let done = match act {
                 Act::Send(bytes) => stream.write_all(&bytes).await.is_err(),
+                Act::Repeat(bytes) => {
+                    while stream.write_all(&bytes).await.is_ok() {}
+                    *lock(&serving.left) += 1;
+                    true
+                }
                 Act::Wait(time) => {
                     time::sleep(time).await;
                     false
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -15,11 +15,11 @@
     waiting::wait_for_server,
 };
 use crate::{
-    net::http::{CallError, Connection},
+    net::http::{AnswerBody, CallError, Connection},
     platform::headers::{self, AddedHeaders, AnswerHead, QueuePriority},
 };
 use http_body_util::Full;
-use hyper::{Request, StatusCode, body::Incoming, http::response::Parts};
+use hyper::{Request, StatusCode, http::response::Parts};
 use mastweir_core::gateway::{
     AttemptResult, AttemptState, Candidate, Fingerprint, NextAction, Proof, Rate, RunEnd, RunId,
     next_action,
@@ -55,7 +55,7 @@
     pub parts: Parts,
     /// Parsed headers.
     pub head: AnswerHead,
-    pub body: Incoming,
+    pub body: AnswerBody,
     /// The connection that the body comes from.
     pub connection: Connection,
     pub slot: Rc<SlotGuard>,
--- a/src/mastweir/gateway/bodies.rs
+++ b/src/mastweir/gateway/bodies.rs
@@ -6,7 +6,7 @@
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use mastweir_core::gateway::BodyKind;
 use std::collections::VecDeque;
 
@@ -40,7 +40,7 @@
         &mut self,
         gateway: &Gateway,
         transfer: &Transfer,
-        body: &mut Incoming,
+        body: &mut (impl Body<Data = Bytes, Error = hyper::Error> + Unpin),
         max: usize,
         kind: BodyKind,
     ) -> Result<bool, ReadError> {
--- a/src/mastweir/gateway/plain_answer.rs
+++ b/src/mastweir/gateway/plain_answer.rs
@@ -15,13 +15,16 @@
     state::Gateway,
     stream::{Reply, StreamIncomplete},
 };
-use crate::{net::http::Connection, platform::headers};
+use crate::{
+    net::http::{AnswerBody, Connection},
+    platform::headers,
+};
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
 use http_body_util::{BodyExt, Either, Full, StreamBody};
 use hyper::{
     Response, StatusCode, Version,
-    body::{Body, Frame, Incoming},
+    body::{Body, Frame},
     header::CONTENT_LENGTH,
 };
 use mastweir_core::gateway::{AttemptResult, BodyKind, NextAction, next_action};
@@ -155,7 +158,7 @@
 
 /// Where the rest of a large answer comes from.
 struct Upstream {
-    body: Incoming,
+    body: AnswerBody,
     connection: Connection,
     slot: Rc<SlotGuard>,
     keep_alive: Option<Duration>,
--- a/src/mastweir/gateway/resumption.rs
+++ b/src/mastweir/gateway/resumption.rs
@@ -11,12 +11,11 @@
     permits::choose_until,
     state::Gateway,
 };
-use crate::net::http::Connection;
+use crate::net::http::{AnswerBody, Connection};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
     StatusCode,
-    body::Incoming,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use mastweir_core::{
@@ -65,7 +64,7 @@
 
 /// Where the events of a stream come from.
 pub struct Upstream {
-    body: Incoming,
+    body: AnswerBody,
     pub connection: Connection,
     pub slot: Rc<SlotGuard>,
     pub keep_alive: Option<Duration>,
--- a/src/mastweir/net/http.rs
+++ b/src/mastweir/net/http.rs
@@ -11,14 +11,24 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
-    body::Incoming,
+    body::{Body, Frame, Incoming, SizeHint},
     client::conn::http1::{self, SendRequest},
     header,
 };
 use hyper_util::rt::TokioIo;
 use mastweir_core::time::Uptime;
 use socket2::SockRef;
-use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    error::Error,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
 use tokio::{net::TcpStream, task, time};
 
 /// Maximum number of idle connections per address.
@@ -36,6 +46,9 @@
 /// Most bytes that the HTTP library reads ahead on a connection, which bounds the pieces of a body
 /// and the head. A streamed answer holds one piece here and one for its caller.
 const READ_BYTES_MAX: usize = 32 << 10;
+/// Most bytes that a server may send without a piece of its answer: interim answers, the framing of
+/// chunks, trailers. Several times what is read ahead.
+const OVERHEAD_BYTES_MAX: u64 = 128 << 10;
 
 /// Returns the `Retry-After` time of an answer with status 503 or 429. The header's date form is
 /// not supported.
@@ -80,7 +93,8 @@
     /// Returns whether the received bytes are not a valid HTTP answer.
     pub fn is_malformed(&self) -> bool {
         let Self::Http(error) = self else { return false };
-        error.is_parse()
+        let cause = error.source().and_then(|cause| cause.downcast_ref::<io::Error>());
+        error.is_parse() || cause.is_some_and(|cause| cause.kind() == io::ErrorKind::InvalidData)
     }
 
     /// Returns whether the other machine refused the connection, so that nothing listens there.
@@ -124,11 +138,45 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, CallError> {
-        self.sender.try_send_request(request).await.map_err(|mut error| {
+    ) -> Result<Response<AnswerBody>, CallError> {
+        self.meter.record_piece();
+        let answer = self.sender.try_send_request(request).await.map_err(|mut error| {
             let unsent = error.take_message().is_some();
-            if unsent { CallError::Unsent } else { error.into_error().into() }
-        })
+            if unsent { CallError::Unsent } else { CallError::from(error.into_error()) }
+        })?;
+        self.meter.record_piece();
+        Ok(answer.map(|body| AnswerBody { body, meter: self.meter.clone() }))
+    }
+}
+
+/// The body of an answer, whose pieces the connection's meter records.
+#[derive(Debug)]
+pub struct AnswerBody {
+    body: Incoming,
+    meter: Arc<Meter>,
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if matches!(&frame, Some(Ok(frame)) if frame.is_data()) {
+            self.meter.record_piece();
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
 
@@ -175,7 +223,8 @@
             let stream = TcpStream::connect(addr).await?;
             stream.set_nodelay(true)?;
             SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
-            MeteredStream::new(stream, &self.clock)
+            let stream = MeteredStream::new(stream, &self.clock)?;
+            Ok(stream.with_overhead_max(OVERHEAD_BYTES_MAX))
         };
         let timed_out = || io::Error::from(io::ErrorKind::TimedOut);
         let stream = time::timeout(wait, connect).await.unwrap_or_else(|_| Err(timed_out()));
--- a/src/mastweir/net/metered.rs
+++ b/src/mastweir/net/metered.rs
@@ -32,6 +32,12 @@
 /// The `TIOCOUTQ` request, `SIOCOUTQ` for sockets: bytes that are unsent or not acknowledged.
 const OUTQ: rustix::ioctl::Opcode = 0x5411;
 
+/// The peer sends bytes that belong neither to the head nor to the body of an answer, such as
+/// interim answers without end.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the peer sends bytes that are no answer; check what serves at its address")]
+pub struct Overhead;
+
 /// Progress of one connection. Outlives the connection's stream, but does not keep it open.
 #[derive(Debug)]
 pub struct Meter {
@@ -39,6 +45,8 @@
     clock: Clock,
     written: AtomicU64,
     read: AtomicU64,
+    /// Bytes read since the last piece of an answer.
+    overhead: AtomicU64,
     /// Whether a write waits for room in the send buffer.
     is_blocked: AtomicBool,
     /// Bytes taken and sent by the peer at the last sample, and when they last increased.
@@ -96,6 +104,11 @@
         }
     }
 
+    /// Records that a piece of an answer was read, or a request is sent.
+    pub fn record_piece(&self) {
+        self.overhead.store(0, Ordering::Relaxed);
+    }
+
     /// Makes the connection's end a reset, so that unread bytes in the system's buffers are freed
     /// at once and the peer can't take the end for that of the answer.
     ///
@@ -134,6 +147,7 @@
 pub struct MeteredStream {
     stream: Arc<TcpStream>,
     meter: Arc<Meter>,
+    overhead_max: u64,
 }
 
 impl MeteredStream {
@@ -150,12 +164,20 @@
             clock: clock.clone(),
             written: AtomicU64::new(0),
             read: AtomicU64::new(0),
+            overhead: AtomicU64::new(0),
             is_blocked: AtomicBool::new(false),
             seen: AtomicU64::new(0),
             progressed: AtomicU64::new(clock.now().0),
             wrote: Notify::new(),
         };
-        Ok(Self { stream, meter: Arc::new(meter) })
+        Ok(Self { stream, meter: Arc::new(meter), overhead_max: u64::MAX })
+    }
+
+    /// Bounds the bytes that are read without a call of [`Meter::record_piece`]. Reading more fails
+    /// with [`Overhead`].
+    #[must_use]
+    pub fn with_overhead_max(self, overhead_max: u64) -> Self {
+        Self { overhead_max, ..self }
     }
 
     pub fn meter(&self) -> Arc<Meter> {
@@ -192,6 +214,9 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.meter.overhead.load(Ordering::Relaxed) > self.overhead_max {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, Overhead)));
+        }
         loop {
             ready!(self.stream.poll_read_ready(context))?;
             let result = self.stream.try_read_buf(buffer);
@@ -200,6 +225,7 @@
             }
             return Poll::Ready(result.map(|bytes| {
                 self.meter.read.fetch_add(bytes as u64, Ordering::Relaxed);
+                self.meter.overhead.fetch_add(bytes as u64, Ordering::Relaxed);
             }));
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod crashing_request;
 mod delegated_finish;
 mod elections;
+mod endless_answers;
 mod evacuations;
 mod faults;
 mod fleet;
