Resume streams whose server sends an event without end

A stream in which a server sent an event of more than 256 KB was cut, although another server could have gone on after the last whole event, as after a broken connection. It is resumed now, and counted as interrupted for "oversized".

endless_answers::streams_are_resumed_at_another_server failed before for the event without its end: the caller got the first event and the end of the connection.

--- a/src/mastweir/gateway/stream.rs
+++ b/src/mastweir/gateway/stream.rs
@@ -35,6 +35,8 @@
 
 /// Reason for an interruption: the server's connection broke.
 const BROKEN: &str = "broken";
+/// Reason for an interruption: the server sent an event that is larger than any accepted.
+const OVERSIZED: &str = "oversized";
 
 /// A stream that can't be finished. Ends the caller's connection before the end of the body.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
@@ -127,9 +129,12 @@
                 }
                 Read::End => return self.finish(),
                 Read::Late => return self.abort("late"),
-                Read::Oversized => return self.abort("oversized event"),
-                Read::Broken | Read::Restarted => {
-                    let reason = if matches!(read, Read::Broken) { BROKEN } else { RESTARTED };
+                Read::Broken | Read::Restarted | Read::Oversized => {
+                    let reason = match read {
+                        Read::Restarted => RESTARTED,
+                        Read::Oversized => OVERSIZED,
+                        _ => BROKEN,
+                    };
                     if let Err(denied) = self.fail_over(reason).await {
                         self.log_denied(denied);
                         return self.abort("not resumed");
