Withhold answers with an invalid status

A server in trouble may answer with a status that is none of an answer. The HTTP library rejects those below 100, so 000 and 099 never reached a caller; a switch of protocols (101) that nobody had asked for and statuses from 600 on did, with the server's signature.

Such an answer counts as broken now: safe requests go to another server, unsafe ones end with 502. Agents do the same for their engines, from reading.

odd_answers::answers_with_an_invalid_status_are_not_forwarded failed before for 101, 600 and 999, and passes now; it passed before for 000 and 099.

--- a/src/mastweir/agent/engine.rs
+++ b/src/mastweir/agent/engine.rs
@@ -113,6 +113,9 @@
         Err(error) if error.is_connect() => return AnswerEnd::Refused(Refusal::EngineUnreachable),
         Err(_) => return AnswerEnd::Broken,
     };
+    if !http::is_final(response.status()) {
+        return AnswerEnd::Broken;
+    }
     if let Some(wait) = http::retry_after(response.status(), response.headers()) {
         on_backoff(wait);
     }
--- a/src/mastweir/gateway/attempt.rs
+++ b/src/mastweir/gateway/attempt.rs
@@ -15,7 +15,7 @@
     waiting::wait_for_server,
 };
 use crate::{
-    net::http::{AnswerBody, CallError, Connection},
+    net::http::{self, AnswerBody, CallError, Connection},
     platform::headers::{self, AddedHeaders, AnswerHead, QueuePriority},
 };
 use http_body_util::Full;
@@ -230,6 +230,13 @@
         Err(_) => return Err(AttemptResult::Broken),
     };
     let (parts, body) = response.into_parts();
+    if !http::is_final(parts.status) {
+        slot.mark_failed();
+        gateway.metrics.count("attempts_failed_total", "status");
+        info!(gateway.log, "answer has an invalid status"; "id" => &call.head.id,
+            "server" => &slot.server.id, "status" => parts.status.as_u16());
+        return Err(AttemptResult::Broken);
+    }
     let head = headers::read_answer(parts.status, &parts.headers);
     slot.record_answered();
     record_notices(
--- a/src/mastweir/net/http.rs
+++ b/src/mastweir/net/http.rs
@@ -50,6 +50,12 @@
 /// chunks, trailers. Several times what is read ahead.
 const OVERHEAD_BYTES_MAX: u64 = 128 << 10;
 
+/// Whether a status is one of an answer. The HTTP library also accepts unknown classes, and takes a
+/// switch of protocols, which no process of mastweir requests, for an answer.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns the `Retry-After` time of an answer with status 503 or 429. The header's date form is
 /// not supported.
 pub fn retry_after(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
--- a/tests/testsuite/odd_answers.rs
+++ b/tests/testsuite/odd_answers.rs
@@ -225,3 +225,22 @@
     }
     Ok(())
 }
+
+/// Guards against a caller that gets a status that is none of an answer: outside of 200 to 599, or
+/// for a switch of protocols that nobody asked for.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_with_an_invalid_status_are_not_forwarded() -> Result<()> {
+    for status in ["000 None", "000", "099 None", "101 Switching Protocols", "600 None", "999 None"]
+    {
+        for more in ["Response-Signature: sig\r\n", "Response-Signature: sig\r\nUpgrade: x\r\n"] {
+            let script = || -> Script { Box::new(move |got| headers_only(got, status, more)) };
+            let (once, second) = replies(script(), "/once/a").await?;
+            expect_that!((once.status, second), eq((502, 0)), "{status}");
+            expect_that!(once.header("response-signature"), none(), "{status}");
+            let (safe, _) = replies(script(), "/safe/a").await?;
+            expect_that!((safe.status, safe.body.as_str()), eq((200, "second")), "{status}");
+        }
+    }
+    Ok(())
+}
