Bound what an agent keeps of an answer

An agent kept the whole body of each answer that is no stream to read its usage at the end, so an engine that sends a body without end filled its memory for as long as the caller read. It keeps 1 MB now; larger answers have no usage.

From reading; no test shows it.

--- a/src/mastweir/agent/engine.rs
+++ b/src/mastweir/agent/engine.rs
@@ -24,6 +24,8 @@
 /// Time for the engine to carry out a rank order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 const EVENT_STREAM: &str = "text/event-stream";
+/// Largest answer that is kept to read its usage.
+const COMPLETION_BYTES_MAX: u64 = 1 << 20;
 const EVENT_END: &[u8] = b"\n\n";
 /// Start of the last event of a stream of completions.
 const LAST_EVENT: &[u8] = b"data: [DONE]";
@@ -156,9 +158,14 @@
     let length = response.content_length();
     let mut stream = response.bytes_stream();
     let mut body = Vec::new();
+    let mut received = 0;
     while let Some(bytes) = stream.next().await {
         let Ok(mut bytes) = bytes else { return AnswerEnd::Broken };
-        body.extend_from_slice(&bytes);
+        received += bytes.len() as u64;
+        // Larger answers have no usage that could be charged.
+        if received <= COMPLETION_BYTES_MAX {
+            body.extend_from_slice(&bytes);
+        }
         while bytes.has_remaining() {
             let chunk = bytes.split_to(bytes.len().min(CHUNK_MAX));
             if !job.answer.push(chunk).await {
@@ -166,7 +173,7 @@
             }
         }
     }
-    if length.is_some_and(|length| length != body.len() as u64) {
+    if length.is_some_and(|length| length != received) {
         return AnswerEnd::Broken;
     }
     let completion: Completion = serde_json::from_slice(&body).unwrap_or_default();
