Draw servers that send bytes without end in the soak

In half of the runs a server sends interim answers, or the size of a chunk, without end for a while, drawn apart from the other faults so that all seeds keep their plans otherwise.

--- a/crates/mastweir-soak/src/plan.rs
+++ b/crates/mastweir-soak/src/plan.rs
@@ -26,6 +26,8 @@
 const SILENT_SEED: u64 = 0x5e1f;
 const SILENT_LASTS_MS: [u64; 2] = [800, 1_500];
 const SILENT_GAP_MS: [u64; 2] = [200, 2_000];
+/// The same for servers that send bytes without end.
+const ENDLESS_SEED: u64 = 0xe4d1;
 /// The same for planned restarts of sidecars, and for the pause between two rounds of them.
 const RESTART_SEED: u64 = 0x4e57;
 const RESTART_GAP_MS: [u64; 2] = [700, 2_500];
@@ -65,6 +67,8 @@
     Errors,
     /// Turns requests away, and says so.
     Shed,
+    /// Sends bytes without end that are no answer.
+    Endless,
 }
 
 /// Something that goes wrong. Numbers are those of gateways, servers or groups.
@@ -170,6 +174,7 @@
     plan.extend(concentrated(seed, whole, sizes));
     plan.extend(silent_servers(seed, whole, sizes));
     plan.extend(restarts(seed, whole, sizes));
+    plan.extend(endless(seed, whole, sizes));
     plan.sort_by_key(|entry| entry.at);
     plan
 }
@@ -298,6 +303,18 @@
     plan
 }
 
+/// In half of the runs a server sends bytes without end for a while. Drawn apart from the other faults.
+fn endless(seed: u64, whole: u64, sizes: Sizes) -> Option<Entry> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ ENDLESS_SEED);
+    let server = rng.random_range(0..sizes.models + sizes.plain);
+    let entry = Entry {
+        at: Duration::from_millis(rng.random_range(0..whole.max(1))),
+        lasts: Duration::from_millis(rng.random_range(LASTS_MS[0]..LASTS_MS[1])),
+        fault: Fault::GreyServer(server, Grey::Endless),
+    };
+    rng.random_bool(0.5).then_some(entry)
+}
+
 /// In half of the runs sidecars restart as planned: one, several, or all at once, in some runs
 /// round after round. Drawn apart from the other faults.
 fn restarts(seed: u64, whole: u64, sizes: Sizes) -> Vec<Entry> {
--- a/crates/mastweir-soak/src/servers.rs
+++ b/crates/mastweir-soak/src/servers.rs
@@ -322,6 +322,7 @@
         let is_framed = grey == Some(Grey::Extra) || !ends_with_connection(id);
         match grey {
             Some(Grey::Mute) => return vec![Act::Hang],
+            Some(Grey::Endless) => return endless(&signed, id, is_stream),
             Some(Grey::Errors) => {
                 acts.push(short("500 Internal Server Error", &signed, id, "failed"));
                 return acts;
@@ -383,6 +384,14 @@
     bytes
 }
 
+/// Interim answers without end, or in a stream a chunk whose size has no end.
+fn endless(signed: &str, id: &str, is_stream: bool) -> Vec<Act> {
+    if is_stream {
+        return vec![stream_head(signed, id, true), Act::Repeat(vec![b'0'; 4_096])];
+    }
+    vec![Act::Repeat("HTTP/1.1 103 Early Hints\r\n\r\n".repeat(64).into_bytes())]
+}
+
 /// Whether the answer to a request has neither a length nor chunks.
 fn ends_with_connection(id: &str) -> bool {
     id.bytes().map(usize::from).sum::<usize>().is_multiple_of(UNFRAMED)
