Pause before the port for metrics is opened again

A gateway whose port for metrics can't be opened for another cause than its use (a port that needs privileges) would have tried again without a pause, with a line each time. Found by reading the change that made the port optional; no run showed it. It pauses for 10 s now.

--- a/src/mastweir/gateway/listen.rs
+++ b/src/mastweir/gateway/listen.rs
@@ -47,6 +47,8 @@
 const LAST_HEAD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval of the removal of idle connections, expired servers and old suspect requests.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+/// Pause after the port for metrics could not be opened.
+const METRICS_RETRY_INTERVAL: Duration = Duration::from_secs(10);
 /// Smallest buffer that the HTTP library accepts.
 const HEAD_BYTES_MIN: usize = 8_192;
 /// Maximum number of callers' connections.
@@ -311,7 +313,8 @@
         match listener::bind(addr, &gateway.log).await {
             Ok(listener) => break listener,
             Err(error) => {
-                warn!(gateway.log, "metrics are not served"; "error" => format!("{error:#}"))
+                warn!(gateway.log, "metrics are not served"; "error" => format!("{error:#}"));
+                time::sleep(METRICS_RETRY_INTERVAL).await;
             }
         }
     };
--- a/src/mastweir/gateway/peers.rs
+++ b/src/mastweir/gateway/peers.rs
@@ -24,7 +24,6 @@
 const HELLO_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of hellos while the gateway has no configuration and refuses all requests.
 const STARTUP_INTERVAL: Duration = Duration::from_millis(60);
-
 /// Allowance for a hello's way, added to the ages in it. Without it, gateways that hear each other
 /// would make news that they pass back and forth younger.
 const HELLO_DELAY: Duration = Duration::from_millis(50);
