Move the reading of the settings file to a module of its own

ops::gateway had grown by what the start needs of the file. Only a move: names lost the word "settings", which the module has now.

--- a/src/mastweir/ops/mod.rs
+++ b/src/mastweir/ops/mod.rs
@@ -11,5 +11,6 @@
 pub mod table;
 
 mod entry_client;
+mod settings_file;
 
 pub use entry_client::EntryClient;
