Name the cause of broken attempts in the log

A line of a broken attempt said "connection error" for a reset, a closed connection and bytes that are no answer alike, since the HTTP library keeps the cause apart. The line has both now, so that an answer without end can be told from a reset.

--- a/src/mastweir/net/http.rs
+++ b/src/mastweir/net/http.rs
@@ -77,7 +77,10 @@
     #[error("the connection was closed before the request was sent; send it again")]
     Unsent,
     /// The connection failed after a part of the request was sent, or the answer is malformed.
-    #[error("no complete answer: {0}; it is unknown whether the request was carried out")]
+    #[error(
+        "no complete answer: {}; it is unknown whether the request was carried out",
+        describe(.0)
+    )]
     Http(#[from] hyper::Error),
     /// The answer's body is too large or was cut off.
     #[error("the answer was cut off or is larger than {limit} bytes")]
@@ -90,6 +93,12 @@
     Timeout(#[from] DeadlinePassed),
 }
 
+/// Describes an error of the HTTP library with its cause, which alone tells a reset from bytes that
+/// are no answer.
+fn describe(error: &hyper::Error) -> String {
+    error.source().map_or_else(|| error.to_string(), |cause| format!("{error}: {cause}"))
+}
+
 impl CallError {
     /// Returns whether it is certain that no byte of the request was sent.
     pub const fn is_unsent(&self) -> bool {
